--- /dev/null
+++ b/core/crmember/notice.go
@@ -0,0 +1,42 @@
+// Package crmember decides what a daemon may believe of the other daemons: who
+// is reachable both ways, who is leaving, which list of instances is active,
+// and whether this daemon has standing, which means it may act on what it knows.
+package crmember
+
+import "camphorroad/core/crid"
+
+// Tenure tells the sibling reducers under which list of instances this daemon
+// may act, and until when. It is renewed as peers answer.
+type Tenure struct {
+	Now     crid.Instant
+	Active  crid.Revision // revision of the active list; zero: none
+	Members []crid.Daemon // all daemons of the active list, sorted
+	Until   crid.Instant  // zero: no standing
+}
+
+// At implements crevent.Event.
+func (e Tenure) At() crid.Instant { return e.Now }
+
+// EffectName implements crevent.Effect.
+func (Tenure) EffectName() string { return "tenure" }
+
+// Peer is another daemon as this one sees it.
+type Peer struct {
+	Daemon      crid.Daemon
+	Domain      crid.Domain
+	Incarnation crid.Incarnation
+	Reachable   bool // heard both ways within the horizon
+	Leaving     bool
+}
+
+// Peers tells the sibling reducers of a change among the peers.
+type Peers struct {
+	Now   crid.Instant
+	Peers []Peer // sorted by daemon, without this daemon
+}
+
+// At implements crevent.Event.
+func (e Peers) At() crid.Instant { return e.Now }
+
+// EffectName implements crevent.Effect.
+func (Peers) EffectName() string { return "peers" }
