--- /dev/null
+++ b/io/crlog/crlog.go
@@ -0,0 +1,69 @@
+// Package crlog writes the daemon's log: numbered events as JSON lines on
+// standard error, each number described in one catalogue that the documentation
+// and `camphorroad events list` are made from.
+//
+// # Usage
+//
+//	log := crlog.New(os.Stderr, "info", "booking-1")
+//	log.Event(crlog.DaemonReady, crlog.Fields{"rev": "12"})
+package crlog
+
+import (
+	"fmt"
+	"io"
+
+	"github.com/sirupsen/logrus"
+)
+
+// Fields are an event's details. A client key must never be among them.
+type Fields map[string]string
+
+// Logger writes events of the catalogue. It is safe for concurrent use.
+type Logger struct {
+	entry *logrus.Entry
+	known map[int]Entry
+}
+
+// New returns a logger at the given level; an unknown level means info.
+func New(w io.Writer, level, daemon string) *Logger {
+	l := logrus.New()
+	l.SetOutput(w)
+	l.SetFormatter(&logrus.JSONFormatter{})
+	if parsed, err := logrus.ParseLevel(level); err == nil {
+		l.SetLevel(parsed)
+	}
+	known := make(map[int]Entry)
+	for _, e := range Catalogue() {
+		known[e.Number] = e
+	}
+	return &Logger{entry: l.WithField("daemon", daemon), known: known}
+}
+
+// Event logs a numbered event at its catalogued level. A number that is not
+// catalogued is logged as a warning, so that it can not go unseen.
+func (l *Logger) Event(number int, fields Fields) {
+	entry := l.entry.WithField("event", number)
+	for k, v := range fields {
+		entry = entry.WithField(k, v)
+	}
+	known, ok := l.known[number]
+	if !ok {
+		entry.Warn(fmt.Sprintf("event %d is missing from the catalogue", number))
+		return
+	}
+	entry.Log(known.Level.logrus(), known.Name)
+}
+
+func (l Level) logrus() logrus.Level {
+	switch l {
+	case LevelDebug:
+		return logrus.DebugLevel
+	case LevelWarn:
+		return logrus.WarnLevel
+	case LevelError:
+		return logrus.ErrorLevel
+	case LevelInfo:
+		return logrus.InfoLevel
+	}
+	return logrus.InfoLevel
+}
--- /dev/null
+++ b/io/crpeer/session.go
@@ -0,0 +1,180 @@
+package crpeer
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"time"
+
+	"github.com/quic-go/quic-go"
+
+	"camphorroad/core/crevent"
+	"camphorroad/core/crid"
+	"camphorroad/io/crwire"
+)
+
+// Session is one QUIC connection that this daemon dialled.
+type Session struct {
+	peer crid.Daemon
+	addr string
+	conn *quic.Conn
+}
+
+// Peer is the daemon at the other end.
+func (s *Session) Peer() crid.Daemon { return s.peer }
+
+// Done is closed when the session has ended.
+func (s *Session) Done() <-chan struct{} { return s.conn.Context().Done() }
+
+// Open opens a stream. After an error nothing was sent.
+func (s *Session) Open(ctx context.Context) (*quic.Stream, error) {
+	stream, err := s.conn.OpenStreamSync(ctx)
+	if err != nil {
+		return nil, fmt.Errorf("%w: open stream to %s: %w", ErrUnreachable, s.peer, err)
+	}
+	return stream, nil
+}
+
+func (s *Session) alive() bool { return s.conn.Context().Err() == nil }
+
+// Session returns the live session with a peer, dialling it where there is
+// none. A peer whose dial has just failed is refused at once for a short while,
+// so that requests are not held up one by one by a dead peer.
+func (t *Transport) Session(ctx context.Context, peer crid.Daemon) (*Session, error) {
+	addr, ok := (*t.addrs.Load())[peer]
+	if !ok {
+		return nil, fmt.Errorf("%w: %s", ErrUnknownPeer, peer)
+	}
+	if s, err := t.current(peer, addr); s != nil || err != nil {
+		return s, err
+	}
+	ch := t.dials.DoChan(string(peer)+"\x00"+addr, func() (any, error) { return t.dial(peer, addr) })
+	select {
+	case res := <-ch:
+		if res.Err != nil {
+			return nil, res.Err
+		}
+		return res.Val.(*Session), nil
+	case <-ctx.Done():
+		return nil, fmt.Errorf("%w: dial %s: %w", ErrUnreachable, peer, ctx.Err())
+	}
+}
+
+func (t *Transport) current(peer crid.Daemon, addr string) (*Session, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if s := t.sessions[peer]; s != nil && s.alive() && s.addr == addr {
+		return s, nil
+	}
+	if at, ok := t.failed[peer]; ok && time.Since(at) < redialAfter {
+		return nil, fmt.Errorf("%w: %s failed moments ago", ErrUnreachable, peer)
+	}
+	return nil, nil
+}
+
+func (t *Transport) dial(peer crid.Daemon, addr string) (*Session, error) {
+	if s, err := t.current(peer, addr); s != nil || err != nil {
+		return s, err
+	}
+	conn, err := t.dialQUIC(peer, addr)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if err != nil {
+		t.failed[peer] = time.Now()
+		return nil, fmt.Errorf("%w: dial %s: %w", ErrUnreachable, peer, err)
+	}
+	delete(t.failed, peer)
+	if old := t.sessions[peer]; old != nil {
+		_ = old.conn.CloseWithError(0, "replaced")
+	}
+	s := &Session{peer: peer, addr: addr, conn: conn}
+	t.sessions[peer] = s
+	return s, nil
+}
+
+func (t *Transport) dialQUIC(peer crid.Daemon, addr string) (*quic.Conn, error) {
+	a, err := net.ResolveUDPAddr("udp", addr)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(t.ctx, handshakeTimeout)
+	defer cancel()
+	return t.quic.Dial(ctx, a, t.opts.Identity.clientConfig(string(peer)), quicConfig())
+}
+
+// Send sends a control message, at most once and without a promise. It never
+// waits: while a peer is being dialled, messages beyond a small bound are
+// dropped, as their senders repeat what still matters.
+func (t *Transport) Send(peer crid.Daemon, msg crevent.Message) error {
+	b, err := t.opts.Registry.Encode(msg)
+	if err != nil {
+		return err
+	}
+	select {
+	case t.outbox(peer) <- b:
+		return nil
+	default:
+		return fmt.Errorf("%w: outbox to %s is full", ErrUnreachable, peer)
+	}
+}
+
+func (t *Transport) outbox(peer crid.Daemon) chan []byte {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	ch, ok := t.outboxes[peer]
+	if !ok {
+		ch = make(chan []byte, outboxLength)
+		t.outboxes[peer] = ch
+		t.wg.Add(1)
+		go t.deliverOutbox(peer, ch)
+	}
+	return ch
+}
+
+func (t *Transport) deliverOutbox(peer crid.Daemon, ch chan []byte) {
+	defer t.wg.Done()
+	for {
+		select {
+		case b := <-ch:
+			t.sendNow(peer, b)
+		case <-t.ctx.Done():
+			return
+		}
+	}
+}
+
+func (t *Transport) sendNow(peer crid.Daemon, b []byte) {
+	s, err := t.Session(t.ctx, peer)
+	if err != nil {
+		return
+	}
+	t.sent.Add(int64(len(b)))
+	if len(b) <= maxDatagram && s.conn.SendDatagram(b) == nil {
+		return
+	}
+	stream, err := s.conn.OpenUniStream()
+	if err != nil {
+		return
+	}
+	_ = stream.SetWriteDeadline(time.Now().Add(messageTimeout))
+	if _, err := stream.Write(b); err != nil {
+		stream.CancelWrite(1)
+		return
+	}
+	_ = stream.Close()
+}
+
+// maxMessage bounds a control message; the longest carries published values.
+const maxMessage = 4 * crwire.MaxFrame
+
+func readAll(r io.Reader) ([]byte, error) {
+	b, err := io.ReadAll(io.LimitReader(r, maxMessage+1))
+	if err != nil {
+		return nil, err
+	}
+	if len(b) > maxMessage {
+		return nil, crwire.ErrTooLong
+	}
+	return b, nil
+}
--- /dev/null
+++ b/io/crwire/crwire.go
@@ -0,0 +1,221 @@
+// Package crwire is the codec between daemons: length-prefixed frames on a
+// stream, and control messages that carry their kind. Values are CBOR.
+//
+// # Usage
+//
+//	reg, err := crwire.NewRegistry(crmember.Messages(), craccount.Messages())
+//	b, err := reg.Encode(msg)
+//	msg, err := reg.Decode(b)
+//
+//	w := crwire.NewWriter(stream)
+//	err = w.Value(head)
+//	err = w.Chunk(body)
+//	err = w.End()
+package crwire
+
+import (
+	"bufio"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"reflect"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"camphorroad/core/crevent"
+)
+
+// MaxFrame bounds one frame, in bytes. A longer one is refused unread, so that
+// a broken peer can not make a daemon allocate without bound.
+const MaxFrame = 1 << 20
+
+// Errors of the codec.
+var (
+	// ErrTooLong tells of a frame over MaxFrame.
+	ErrTooLong = errors.New("frame too long")
+	// ErrUnknownKind tells of a message kind that this version does not know.
+	ErrUnknownKind = errors.New("unknown message kind")
+	// ErrTruncated tells of a stream that ended before its end mark.
+	ErrTruncated = errors.New("stream ended before its end mark")
+)
+
+// Registry maps message kinds to their types.
+type Registry struct {
+	types map[string]reflect.Type
+}
+
+// NewRegistry collects zero values of all messages; two of one kind are an
+// error.
+func NewRegistry(groups ...[]crevent.Message) (*Registry, error) {
+	reg := &Registry{types: make(map[string]reflect.Type)}
+	for _, group := range groups {
+		for _, msg := range group {
+			if _, ok := reg.types[msg.MessageKind()]; ok {
+				return nil, fmt.Errorf("message kind %q is registered twice", msg.MessageKind())
+			}
+			reg.types[msg.MessageKind()] = reflect.TypeOf(msg)
+		}
+	}
+	return reg, nil
+}
+
+type envelope struct {
+	_    struct{} `cbor:",toarray"`
+	Kind string
+	Body cbor.RawMessage
+}
+
+// Encode returns the bytes of a message with its kind.
+func (r *Registry) Encode(msg crevent.Message) ([]byte, error) {
+	body, err := cbor.Marshal(msg)
+	if err != nil {
+		return nil, fmt.Errorf("encode %s: %w", msg.MessageKind(), err)
+	}
+	return cbor.Marshal(envelope{Kind: msg.MessageKind(), Body: body})
+}
+
+// Decode reads a message; a kind not registered gives ErrUnknownKind.
+func (r *Registry) Decode(b []byte) (crevent.Message, error) {
+	var env envelope
+	if err := cbor.Unmarshal(b, &env); err != nil {
+		return nil, fmt.Errorf("decode envelope: %w", err)
+	}
+	t, ok := r.types[env.Kind]
+	if !ok {
+		return nil, fmt.Errorf("%w: %q", ErrUnknownKind, env.Kind)
+	}
+	v := reflect.New(t)
+	if err := cbor.Unmarshal(env.Body, v.Interface()); err != nil {
+		return nil, fmt.Errorf("decode %s: %w", env.Kind, err)
+	}
+	return v.Elem().Interface().(crevent.Message), nil
+}
+
+// Writer writes frames, buffered until Flush.
+type Writer struct {
+	w *bufio.Writer
+}
+
+const writeBuffer = 4 << 10
+
+// NewWriter wraps w.
+func NewWriter(w io.Writer) *Writer { return &Writer{w: bufio.NewWriterSize(w, writeBuffer)} }
+
+// Value writes v as one frame.
+func (w *Writer) Value(v any) error {
+	b, err := cbor.Marshal(v)
+	if err != nil {
+		return fmt.Errorf("encode frame: %w", err)
+	}
+	return w.Chunk(b)
+}
+
+// Chunk writes b as one frame; an empty b writes nothing, as an empty frame is
+// the end mark.
+func (w *Writer) Chunk(b []byte) error {
+	if len(b) == 0 {
+		return nil
+	}
+	if err := w.length(len(b)); err != nil {
+		return err
+	}
+	_, err := w.w.Write(b)
+	return err
+}
+
+// End writes the end mark and flushes. A stream that ends without it was cut:
+// the reader must not take what it has for the whole.
+func (w *Writer) End() error {
+	if err := w.length(0); err != nil {
+		return err
+	}
+	return w.w.Flush()
+}
+
+// Flush sends what is buffered.
+func (w *Writer) Flush() error { return w.w.Flush() }
+
+func (w *Writer) length(n int) error {
+	var b [binary.MaxVarintLen64]byte
+	_, err := w.w.Write(b[:binary.PutUvarint(b[:], uint64(n))])
+	return err
+}
+
+// Reader reads frames.
+type Reader struct {
+	r    *bufio.Reader
+	left uint64 // of the current chunk, for Read
+	done bool
+}
+
+// NewReader wraps r.
+func NewReader(r io.Reader) *Reader { return &Reader{r: bufio.NewReaderSize(r, writeBuffer)} }
+
+// Value reads one frame into v.
+func (r *Reader) Value(v any) error {
+	n, err := r.length()
+	if err != nil {
+		return err
+	}
+	b := make([]byte, n)
+	if _, err := io.ReadFull(r.r, b); err != nil {
+		return truncated(err)
+	}
+	if err := cbor.Unmarshal(b, v); err != nil {
+		return fmt.Errorf("decode frame: %w", err)
+	}
+	return nil
+}
+
+// Read reads the bytes of the chunks that follow. It returns io.EOF only after
+// the end mark, and ErrTruncated when the stream ends without it.
+func (r *Reader) Read(p []byte) (int, error) {
+	if r.done {
+		return 0, io.EOF
+	}
+	if r.left == 0 {
+		n, err := r.length()
+		if err != nil {
+			return 0, err
+		}
+		if n == 0 {
+			r.done = true
+			return 0, io.EOF
+		}
+		r.left = n
+	}
+	if uint64(len(p)) > r.left {
+		p = p[:r.left]
+	}
+	n, err := r.r.Read(p)
+	r.left -= uint64(n)
+	if n > 0 {
+		return n, nil
+	}
+	return 0, truncated(err)
+}
+
+// Buffered reports whether more bytes are at hand without waiting.
+func (r *Reader) Buffered() bool { return r.r.Buffered() > 0 }
+
+// Done reports whether the end mark was read.
+func (r *Reader) Done() bool { return r.done }
+
+func (r *Reader) length() (uint64, error) {
+	n, err := binary.ReadUvarint(r.r)
+	if err != nil {
+		return 0, truncated(err)
+	}
+	if n > MaxFrame {
+		return 0, fmt.Errorf("%w: %d bytes", ErrTooLong, n)
+	}
+	return n, nil
+}
+
+func truncated(err error) error {
+	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
+		return ErrTruncated
+	}
+	return err
+}
