Match routes and choose targets without allocating

Entries need the route of a request and a target for it, many times a millisecond, while views of the control side change under them.

Paths that an upstream may read in another way (dot segments, empty segments, encoded unreserved characters or slashes, path parameters, double encoding) are refused, and prefixes with characters that have two spellings are refused when the table is built; cleaning the path was ruled out, since what is forwarded must be what was matched.

The choice is the less loaded of two random targets of the own domain, unless two of other domains are clearly less loaded. Slow start is a probability of being drawn; dividing the load by the weight was ruled out, since an idle cold target would then get nothing in calm and everything in a burst. A target that this daemon can not reach is avoided by it alone, with backoff, and never everything at once.

--- /dev/null
+++ b/core/crroute/crroute_test.go
@@ -0,0 +1,228 @@
+package crroute_test
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"camphorroad/core/crid"
+	"camphorroad/core/crpolicy"
+	"camphorroad/core/crroute"
+)
+
+func table(t testing.TB, routes ...crpolicy.Route) *crroute.Table {
+	t.Helper()
+	svc := crpolicy.Service{Name: "booking", Routes: routes}
+	tab, err := crroute.NewTable(crpolicy.NewSnapshot(1, []crpolicy.Service{svc}, nil))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return tab
+}
+
+func TestMatchTakesTheMostSpecificRoute(t *testing.T) {
+	tab := table(t,
+		crpolicy.Route{Name: "root", Prefix: "/"},
+		crpolicy.Route{Name: "kits", Prefix: "/kits"},
+		crpolicy.Route{Name: "hold", Prefix: "/kits/hold", Methods: []string{"POST"}},
+		crpolicy.Route{Name: "status", Prefix: "/kits/hold", Methods: []string{"GET"}},
+		crpolicy.Route{Name: "lab", Prefix: "/kits", Host: "Lab.example"},
+	)
+	for _, c := range []struct{ host, method, path, want string }{
+		{"a.example", "GET", "/", "root"},
+		{"a.example", "GET", "/kitsch", "root"},
+		{"a.example", "GET", "/kits", "kits"},
+		{"a.example", "GET", "/kits/", "kits"},
+		{"a.example", "POST", "/kits/hold/7", "hold"},
+		{"a.example", "GET", "/kits/hold", "status"},
+		{"a.example", "PUT", "/kits/hold", "kits"},
+		{"lab.EXAMPLE:8080", "POST", "/kits/hold", "lab"},
+		{"lab.example.", "GET", "/other", "root"},
+	} {
+		_, route, ok := tab.Match(c.host, c.method, c.path)
+		gomega.NewWithT(t).Expect(ok).To(gomega.BeTrue())
+		gomega.NewWithT(t).Expect(string(route.Name)).To(gomega.Equal(c.want), "%+v", c)
+	}
+	_, _, ok := table(t, crpolicy.Route{Name: "kits", Prefix: "/kits"}).Match("h", "GET", "/other")
+	gomega.NewWithT(t).Expect(ok).To(gomega.BeFalse())
+}
+
+func TestTableRefusesRoutesThatClash(t *testing.T) {
+	g := gomega.NewWithT(t)
+	for _, routes := range [][]crpolicy.Route{
+		{{Name: "a", Prefix: "/x"}, {Name: "b", Prefix: "/x/"}},
+		{{Name: "a", Prefix: "/x", Methods: []string{"GET"}}, {Name: "b", Prefix: "/x", Methods: []string{"PUT", "GET"}}},
+		{{Name: "a", Prefix: "/x/../y"}},
+		{{Name: "a", Prefix: "/x!y"}},
+	} {
+		svc := crpolicy.Service{Name: "booking", Routes: routes}
+		_, err := crroute.NewTable(crpolicy.NewSnapshot(1, []crpolicy.Service{svc}, nil))
+		var routeErr *crroute.RouteError
+		g.Expect(errors.As(err, &routeErr)).To(gomega.BeTrue(), "%+v", routes)
+	}
+}
+
+// A caller spells a path so that the route table sees one resource and the
+// upstream another: a request that must run once would then go out under the
+// rules of one that may be repeated, and nobody would notice.
+func TestAmbiguousPathsAreRefused(t *testing.T) {
+	g := gomega.NewWithT(t)
+	for path, want := range map[string]crroute.PathFault{
+		"":                 crroute.PathRelative,
+		"kits":             crroute.PathRelative,
+		"/a/../hold":       crroute.PathDots,
+		"/a/..":            crroute.PathDots,
+		"/./a":             crroute.PathDots,
+		"//hold":           crroute.PathEmpty,
+		"/a//b":            crroute.PathEmpty,
+		"/a%2fhold":        crroute.PathEncoded,
+		"/a%2Fhold":        crroute.PathEncoded,
+		"/a/%2e%2E/hold":   crroute.PathEncoded,
+		"/%68old":          crroute.PathEncoded,
+		"/a%5chold":        crroute.PathEncoded,
+		"/a/..%3b/hold":    crroute.PathEncoded,
+		"/a/..;/hold":      crroute.PathForbidden,
+		`/a\hold`:          crroute.PathForbidden,
+		"/a%00":            crroute.PathForbidden,
+		"/a%":              crroute.PathMalformed,
+		"/a%2":             crroute.PathMalformed,
+		"/a%zz":            crroute.PathMalformed,
+		"/a/%252e%252e/b/": crroute.PathMalformed,
+	} {
+		var pathErr *crroute.PathError
+		g.Expect(errors.As(crroute.CheckPath(path), &pathErr)).To(gomega.BeTrue(), path)
+		g.Expect(pathErr.Fault()).To(gomega.Equal(want), path)
+	}
+	for _, path := range []string{"/", "/a", "/a/", "/a/b.c/..d", "/a/%20b", "/a%25", "/%E4%BD%A0"} {
+		g.Expect(crroute.CheckPath(path)).To(gomega.Succeed(), path)
+	}
+}
+
+func target(name string, domain crid.Domain, status crroute.Status, weight int) *crroute.Target {
+	return crroute.NewTarget(crid.Target(name), "d", domain, status, weight, new(crroute.Load))
+}
+
+func spread(p *crroute.Pool[*crroute.Target], ask crroute.Ask, n int) map[crid.Target]int {
+	seen := make(map[crid.Target]int)
+	for range n {
+		if c, ok := (crroute.TwoChoices[*crroute.Target]{}).Pick(p, ask); ok {
+			seen[c.Name()]++
+		}
+	}
+	return seen
+}
+
+func TestChoicePrefersTheOwnDomainUntilItIsBusier(t *testing.T) {
+	g := gomega.NewWithT(t)
+	near := target("near", "a", crroute.StatusReady, crroute.FullWeight)
+	away := target("away", "b", crroute.StatusReady, crroute.FullWeight)
+	p := crroute.NewPool("a", []*crroute.Target{away, near})
+	ask := crroute.Ask{IntN: rand.New(rand.NewPCG(1, 2)).IntN}
+	g.Expect(spread(p, ask, 100)).To(gomega.Equal(map[crid.Target]int{"near": 100}))
+	for range 3 {
+		near.Load().Begin()
+	}
+	g.Expect(spread(p, ask, 100)).To(gomega.Equal(map[crid.Target]int{"away": 100}))
+}
+
+func TestChoiceGivesAColdTargetItsWeight(t *testing.T) {
+	g := gomega.NewWithT(t)
+	p := crroute.NewPool("a", []*crroute.Target{
+		target("cold", "a", crroute.StatusReady, 100), target("warm", "a", crroute.StatusReady, crroute.FullWeight),
+	})
+	seen := spread(p, crroute.Ask{IntN: rand.New(rand.NewPCG(1, 2)).IntN}, 10_000)
+	g.Expect(seen["cold"]).To(gomega.BeNumerically("~", 1000, 300))
+}
+
+// A one-way cut keeps this daemon from one target and then from all. Callers
+// would see timeouts if it went on with the first, and refusals without need if
+// it gave up with the last.
+func TestChoiceAvoidsWhatItCannotReachButNeverEverything(t *testing.T) {
+	g := gomega.NewWithT(t)
+	a := target("a", "m", crroute.StatusReady, crroute.FullWeight)
+	b := target("b", "m", crroute.StatusReady, crroute.FullWeight)
+	sick := target("sick", "m", crroute.StatusEjected, crroute.FullWeight)
+	gone := target("gone", "m", crroute.StatusLeaving, crroute.FullWeight)
+	p := crroute.NewPool("m", []*crroute.Target{gone, sick, a, b})
+	ask := crroute.Ask{Now: 1000, IntN: rand.New(rand.NewPCG(1, 2)).IntN}
+	a.Load().Unreachable(ask.Now)
+	a.Load().Unreachable(ask.Now)
+	g.Expect(spread(p, ask, 50)).To(gomega.Equal(map[crid.Target]int{"b": 50}))
+	b.Load().Unreachable(ask.Now)
+	g.Expect(spread(p, ask, 50)).To(gomega.Equal(map[crid.Target]int{"b": 50}), "its time ends first")
+	ask.Tried = []crid.Target{"a", "b"}
+	g.Expect(spread(p, ask, 50)).To(gomega.Equal(map[crid.Target]int{"sick": 50}))
+	ask.Tried = append(ask.Tried, "sick")
+	g.Expect(spread(p, ask, 50)).To(gomega.BeEmpty(), "a leaving target takes nothing")
+	ask = crroute.Ask{Now: ask.Now.Add(time.Second), IntN: ask.IntN}
+	g.Expect(spread(p, ask, 50)).To(gomega.HaveLen(2), "avoidance ends by itself")
+}
+
+// A target answers every request at once with an error, so it has the fewest
+// requests in flight; it would draw the most work and fail nearly all callers.
+func TestChoiceIsNotDrawnToATargetThatFailsFast(t *testing.T) {
+	g := gomega.NewWithT(t)
+	broken := target("broken", "m", crroute.StatusReady, crroute.FullWeight)
+	good := target("good", "m", crroute.StatusReady, crroute.FullWeight)
+	good.Load().Begin()
+	for range 5 {
+		broken.Load().Failed()
+	}
+	p := crroute.NewPool("m", []*crroute.Target{broken, good})
+	seen := spread(p, crroute.Ask{IntN: rand.New(rand.NewPCG(1, 2)).IntN}, 1000)
+	g.Expect(seen["broken"]).To(gomega.BeNumerically("<", 350))
+}
+
+func TestRoundRobinTakesTurns(t *testing.T) {
+	g := gomega.NewWithT(t)
+	p := crroute.NewPool("m", []*crroute.Target{
+		target("a", "m", crroute.StatusReady, 1), target("b", "m", crroute.StatusEjected, 1),
+	})
+	var rr crroute.RoundRobin[*crroute.Target]
+	seen := make(map[crid.Target]int)
+	for range 10 {
+		c, _ := rr.Pick(p, crroute.Ask{})
+		seen[c.Name()]++
+	}
+	g.Expect(seen).To(gomega.Equal(map[crid.Target]int{"a": 5, "b": 5}))
+}
+
+func BenchmarkMatch12000Routes(b *testing.B) {
+	routes := make([]crpolicy.Route, 0, 12_000)
+	for i := range cap(routes) {
+		routes = append(routes, crpolicy.Route{Name: "r", Prefix: fmt.Sprintf("/s%d/r%d", i%1800, i)})
+	}
+	tab := table(b, routes...)
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, _, ok := tab.Match("api.example:443", "GET", "/s100/r1900/a/b"); !ok {
+			b.Fatal("no match")
+		}
+	}
+}
+
+func BenchmarkCheckPath(b *testing.B) {
+	b.ReportAllocs()
+	for b.Loop() {
+		_ = crroute.CheckPath("/booking/kits/hold/2026-12-02/rover")
+	}
+}
+
+func BenchmarkPick26Targets(b *testing.B) {
+	targets := make([]*crroute.Target, 0, 26)
+	for i := range cap(targets) {
+		domain := crid.Domain(fmt.Sprint(i % 4))
+		targets = append(targets, target(fmt.Sprint(i), domain, crroute.StatusReady, crroute.FullWeight))
+	}
+	p := crroute.NewPool("0", targets)
+	var c crroute.Chooser[*crroute.Target] = crroute.TwoChoices[*crroute.Target]{}
+	ask := crroute.Ask{Now: crid.Instant(time.Hour), IntN: rand.New(rand.NewPCG(1, 2)).IntN}
+	b.ReportAllocs()
+	for b.Loop() {
+		_, _ = c.Pick(p, ask)
+	}
+}
--- /dev/null
+++ b/core/crroute/load.go
@@ -0,0 +1,93 @@
+package crroute
+
+import (
+	"sync/atomic"
+	"time"
+
+	"camphorroad/core/crid"
+)
+
+// The bounds of local avoidance.
+const (
+	avoidBase   = 200 * time.Millisecond
+	avoidMost   = 10 * time.Second
+	avoidShifts = 6  // doublings from avoidBase to above avoidMost
+	maxStrikes  = 16 // keeps the penalty of a failing target finite
+	// hintLife is how long a load reported by the exit is believed. Reports
+	// lag: an older one would keep work off a target that has long been idle.
+	hintLife = 100 * time.Millisecond
+)
+
+// Load holds what this daemon's traffic knows of one target. It outlives the
+// pools that name it, and is safe for concurrent use.
+type Load struct {
+	inFlight atomic.Int64
+	strikes  atomic.Int64
+	avoid    atomic.Int64 // the instant until which the target is avoided
+	hint     atomic.Int64
+	hintAt   atomic.Int64
+}
+
+// Begin counts a request sent to the target.
+func (l *Load) Begin() { l.inFlight.Add(1) }
+
+// End counts a request finished, whatever its outcome.
+func (l *Load) End() { l.inFlight.Add(-1) }
+
+// InFlight is the number of requests of this daemon on the target.
+func (l *Load) InFlight() int64 { return l.inFlight.Load() }
+
+// Hint notes the number of requests that the exit reported for the target.
+func (l *Load) Hint(n int64, now crid.Instant) {
+	l.hint.Store(n)
+	l.hintAt.Store(int64(now))
+}
+
+// Answered forgets all failures: the target was reached and answered.
+func (l *Load) Answered() {
+	if l.strikes.Load() != 0 {
+		l.strikes.Store(0)
+	}
+	if l.avoid.Load() != 0 {
+		l.avoid.Store(0)
+	}
+}
+
+// Failed notes an answer that was a failure. A target that fails at once has
+// few requests in flight, and would look like the least loaded of all.
+func (l *Load) Failed() { l.strike() }
+
+// Unreachable notes that the target could not be reached from this daemon, and
+// avoids it for a time that doubles up to ten seconds.
+//
+// In a one-way cut only some daemons lose a target. Ejecting it would take good
+// capacity from all others; going on would cost each request a timeout.
+func (l *Load) Unreachable(now crid.Instant) {
+	shift := min(l.strike()-1, avoidShifts)
+	pause := min(avoidBase<<shift, avoidMost)
+	l.avoid.Store(int64(now.Add(pause)))
+}
+
+func (l *Load) strike() int64 {
+	n := l.strikes.Add(1)
+	if n > maxStrikes {
+		l.strikes.Store(maxStrikes)
+		return maxStrikes
+	}
+	return n
+}
+
+// Avoided reports whether this daemon avoids the target for now.
+func (l *Load) Avoided(now crid.Instant) bool { return now.Before(l.AvoidedUntil()) }
+
+// AvoidedUntil is the instant up to which this daemon avoids the target.
+func (l *Load) AvoidedUntil() crid.Instant { return crid.Instant(l.avoid.Load()) }
+
+// cost is what the choice compares; less is better.
+func (l *Load) cost(now crid.Instant) int64 {
+	n := l.inFlight.Load()
+	if now.Sub(crid.Instant(l.hintAt.Load())) < hintLife {
+		n = max(n, l.hint.Load())
+	}
+	return (n + 1) * (1 + l.strikes.Load())
+}
