--- /dev/null
+++ b/core/crforward/budget.go
@@ -0,0 +1,64 @@
+package crforward
+
+import (
+	"sync"
+	"time"
+
+	"camphorroad/core/crid"
+)
+
+// BudgetParams bound the retries of one entry.
+type BudgetParams struct {
+	// Ratio is the retries allowed for each request.
+	Ratio float64
+	// Floor is the retries a second that are allowed at any load.
+	Floor float64
+	// Burst is the retries that may be saved up.
+	Burst float64
+}
+
+// DefaultBudgetParams allow retries of a tenth of the requests.
+func DefaultBudgetParams() BudgetParams {
+	return BudgetParams{Ratio: 0.1, Floor: 1, Burst: 10}
+}
+
+// Budget bounds retries to a share of the requests. Without it a service that is
+// too slow for its load would get every request several times, and an overload
+// that ends by itself would feed itself. It is safe for concurrent use.
+type Budget struct {
+	mu     sync.Mutex
+	params BudgetParams
+	tokens float64
+	last   crid.Instant
+}
+
+// NewBudget returns a Budget that starts with a burst.
+func NewBudget(params BudgetParams, now crid.Instant) *Budget {
+	return &Budget{params: params, tokens: params.Burst, last: now}
+}
+
+// Request counts one caller's request.
+func (b *Budget) Request() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.add(b.params.Ratio)
+}
+
+// Take takes one retry out of the budget, and reports whether there was one.
+func (b *Budget) Take(now crid.Instant) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.last.Before(now) {
+		b.add(b.params.Floor * float64(now.Sub(b.last)) / float64(time.Second))
+		b.last = now
+	}
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
+
+func (b *Budget) add(tokens float64) {
+	b.tokens = min(b.tokens+tokens, b.params.Burst)
+}
--- /dev/null
+++ b/core/crforward/outcome.go
@@ -0,0 +1,60 @@
+package crforward
+
+// Outcome is what is true to tell a caller of its request.
+type Outcome uint8
+
+// The outcomes of a request.
+const (
+	// Answered means that the whole answer was passed on.
+	Answered Outcome = iota + 1
+	// NotRun means that the request provably never started at an upstream.
+	NotRun
+	// Unknown means that the request may have run, and neither can be proved.
+	Unknown
+	// Cut means that the answer began and broke off.
+	Cut
+)
+
+// String returns the outcome's word, as callers and operators see it.
+func (o Outcome) String() string {
+	switch o {
+	case Answered:
+		return "answered"
+	case NotRun:
+		return "notrun"
+	case Unknown:
+		return "unknown"
+	case Cut:
+		return "cut"
+	default:
+		return "invalid"
+	}
+}
+
+// Verdict is the exit's answer to a revocation.
+type Verdict uint8
+
+// The verdicts of an exit.
+const (
+	// VerdictStarted means that the forward was started and can not be undone.
+	VerdictStarted Verdict = iota + 1
+	// VerdictFenced means that the forward has not started and never will.
+	VerdictFenced
+	// VerdictUnknown means that the exit can not say: the forward was sent over
+	// another session, which may have ended with an earlier life of the exit.
+	VerdictUnknown
+)
+
+// String returns the verdict's word.
+func (v Verdict) String() string {
+	switch v {
+	case VerdictStarted:
+		return "started"
+	case VerdictFenced:
+		return "fenced"
+	case VerdictUnknown:
+		return "unknown"
+	default:
+		return "invalid"
+	}
+}
--- /dev/null
+++ b/core/crforward/pulse.go
@@ -0,0 +1,66 @@
+package crforward
+
+import (
+	"sync"
+	"time"
+
+	"camphorroad/core/crid"
+)
+
+// DefaultPulseLimit is the gap between beats from which on the process counts as
+// having been paused.
+const DefaultPulseLimit = time.Second
+
+// Pulse notices that the process was frozen (stopped, suspended, starved). A
+// ticker feeds it much more often than its limit. It is safe for concurrent use.
+type Pulse struct {
+	mu      sync.Mutex
+	limit   time.Duration
+	last    crid.Instant
+	resumed crid.Instant // when the last pause was noticed
+	paused  bool         // whether there ever was one
+}
+
+// NewPulse returns a Pulse whose first beat is now.
+func NewPulse(limit time.Duration, now crid.Instant) *Pulse {
+	return &Pulse{limit: limit, last: now}
+}
+
+// Beat records that the process runs, and reports whether it was paused since
+// the last beat.
+func (p *Pulse) Beat(now crid.Instant) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.observe(now)
+}
+
+// Gap reports whether more than the limit lies between the last beat and now.
+func (p *Pulse) Gap(now crid.Instant) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return now.Sub(p.last) > p.limit
+}
+
+// PausedSince reports whether a pause was noticed at or after since, or is
+// noticed now. After a pause the ticker may run before the traffic does; the
+// pause is remembered, so that the ticker's beat does not hide it.
+func (p *Pulse) PausedSince(since, now crid.Instant) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if now.Sub(p.last) > p.limit {
+		p.observe(now)
+	}
+	return p.paused && !p.resumed.Before(since)
+}
+
+func (p *Pulse) observe(now crid.Instant) bool {
+	gap := now.Sub(p.last) > p.limit
+	if gap {
+		p.resumed = now
+		p.paused = true
+	}
+	if p.last.Before(now) {
+		p.last = now
+	}
+	return gap
+}
--- /dev/null
+++ b/core/crforward/refusal.go
@@ -0,0 +1,70 @@
+package crforward
+
+// Reason says why the exit refuses a forward.
+type Reason uint8
+
+// The reasons of a refusal.
+const (
+	// ReasonDuplicate means that the identifier was offered or started before.
+	ReasonDuplicate Reason = iota + 1
+	// ReasonUnregistered means that the identifier was never offered.
+	ReasonUnregistered
+	// ReasonFenced means that the entry has revoked the forward.
+	ReasonFenced
+	// ReasonFull means that too many forwards of the session are pending.
+	ReasonFull
+	// ReasonCancelled means that the caller or the entry went away.
+	ReasonCancelled
+	// ReasonExpired means that the forward's deadline has passed.
+	ReasonExpired
+	// ReasonStale means that the process was paused after the session opened.
+	ReasonStale
+	// ReasonDraining means that the target or the daemon is leaving.
+	ReasonDraining
+	// ReasonClosed means that the session is closed.
+	ReasonClosed
+)
+
+// String returns the reason's word.
+func (r Reason) String() string {
+	switch r {
+	case ReasonDuplicate:
+		return "duplicate"
+	case ReasonUnregistered:
+		return "unregistered"
+	case ReasonFenced:
+		return "fenced"
+	case ReasonFull:
+		return "full"
+	case ReasonCancelled:
+		return "cancelled"
+	case ReasonExpired:
+		return "expired"
+	case ReasonStale:
+		return "stale"
+	case ReasonDraining:
+		return "draining"
+	case ReasonClosed:
+		return "closed"
+	default:
+		return "invalid"
+	}
+}
+
+// Refusal is the error of [Ledger.Offer] and [Ledger.Start].
+type Refusal struct {
+	reason Reason
+}
+
+// Error implements error.
+func (r *Refusal) Error() string { return "forward refused: " + r.reason.String() }
+
+// Reason returns why the forward was refused.
+func (r *Refusal) Reason() Reason { return r.reason }
+
+// NotRun reports whether the refusal proves that the forward never runs. That a
+// forward is a duplicate proves nothing: the first copy may be running, and an
+// entry told "not run" would send the request on, so that it ran twice.
+func (r *Refusal) NotRun() bool {
+	return r.reason != ReasonDuplicate && r.reason != ReasonUnregistered
+}
