Share a target's slots fairly between accounts

An account at several times its rate, one with far longer requests, or one whose requests hang fills a target's few slots and its queue; the callers of other accounts wait and are refused though their own rate is modest.

Waiting requests are served by start-time fair queueing, charged with the measured service time. Deficit round robin was ruled out: it needs a request's cost before it has run, and a quantum to tune. Slots can not be taken back, so fair order alone does not help against requests that hang: an account whose requests (also those still running) last more than three times the median account's gets no slot that the others used of late. Looking at finished requests only was tried first and made no difference, since one that hangs says nothing until it ends. A full queue gives a place to an account below its share by refusing the newest request of the one that holds most. A request whose deadline is out of reach by the estimated wait is refused at once, also later on when the target slows down; the clock is read again just before a granted slot is used, so that a process that was paused starts nothing late.

--- /dev/null
+++ b/core/crslot/crslot_test.go
@@ -0,0 +1,316 @@
+package crslot_test
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"camphorroad/core/crid"
+	"camphorroad/core/crslot"
+)
+
+func clock() func() crid.Instant {
+	start := time.Now()
+	return func() crid.Instant { return crid.Instant(time.Since(start)) + 1 }
+}
+
+// source sends requests of one account at a fixed pace.
+type source struct {
+	account crid.Account
+	every   time.Duration
+	took    time.Duration
+}
+
+type served struct {
+	waits   []time.Duration
+	refused int
+}
+
+func (s *served) worst() time.Duration {
+	slices.Sort(s.waits)
+	return s.waits[len(s.waits)*99/100]
+}
+
+// serve runs the sources against one queue on a virtual clock.
+func serve(p crslot.Params, sources []source, length, patience time.Duration) map[crid.Account]*served {
+	now := clock()
+	q := crslot.New(p, now)
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	result := make(map[crid.Account]*served)
+	one := func(s source) {
+		came := now()
+		lease, err := q.Acquire(context.Background(), s.account, came.Add(patience))
+		mu.Lock()
+		if err != nil {
+			result[s.account].refused++
+			mu.Unlock()
+			return
+		}
+		result[s.account].waits = append(result[s.account].waits, now().Sub(came))
+		mu.Unlock()
+		time.Sleep(s.took)
+		lease.Release()
+	}
+	for _, s := range sources {
+		result[s.account] = &served{}
+	}
+	for i, s := range sources {
+		wg.Go(func() {
+			time.Sleep(time.Duration(i) * 37 * time.Microsecond)
+			for end := now().Add(length); now().Before(end); time.Sleep(s.every) {
+				wg.Go(func() { one(s) })
+			}
+		})
+	}
+	wg.Wait()
+	return result
+}
+
+func eight(first source) []source {
+	sources := []source{first}
+	for i := range 7 {
+		name := crid.Account(fmt.Sprintf("small%d", i))
+		sources = append(sources, source{account: name, every: 40 * time.Millisecond, took: 20 * time.Millisecond})
+	}
+	return sources
+}
+
+func worstSmall(r map[crid.Account]*served) (wait time.Duration, refused int) {
+	for account, s := range r {
+		if account != "large" {
+			wait = max(wait, s.worst())
+			refused = max(refused, s.refused)
+		}
+	}
+	return wait, refused
+}
+
+var fairCases = []struct {
+	name    string
+	large   source
+	wait    time.Duration // bound on the p99 of the worst small account
+	refused int           // bound on its refusals, of 250
+}{
+	{"five times the rate", source{"large", 8 * time.Millisecond, 20 * time.Millisecond}, 40 * time.Millisecond, 0},
+	{"ten times as long", source{"large", 40 * time.Millisecond, 200 * time.Millisecond}, 80 * time.Millisecond, 2},
+	{"poison that hangs", source{"large", 100 * time.Millisecond, 2 * time.Second}, 250 * time.Millisecond, 20},
+}
+
+// A large account sends five times its rate, or requests ten times as long, or
+// ones that hang until they time out. In order of arrival its requests fill the
+// slots and the queue, and the callers of the seven other accounts see long
+// waits and refusals though their own rate is modest.
+func TestOtherAccountsKeepTheirShare(t *testing.T) {
+	p := crslot.Params{Slots: 5, Queue: 20}
+	for _, c := range fairCases {
+		for _, d := range []crslot.Discipline{crslot.DisciplineTime, crslot.DisciplineCount, crslot.DisciplineFIFO} {
+			p.Discipline = d
+			synctest.Test(t, func(t *testing.T) {
+				wait, refused := worstSmall(serve(p, eight(c.large), 10*time.Second, time.Second))
+				if d == crslot.DisciplineTime {
+					g := gomega.NewWithT(t)
+					g.Expect(wait).To(gomega.BeNumerically("<=", c.wait), c.name)
+					g.Expect(refused).To(gomega.BeNumerically("<=", c.refused), c.name)
+				}
+				t.Logf("%s\tdiscipline %d\tworst small account: p99 wait %v, refused %d of 250", c.name, d, wait, refused)
+			})
+		}
+	}
+}
+
+func hold(t testing.TB, q *crslot.Queue, account crid.Account) *crslot.Lease {
+	t.Helper()
+	lease, err := q.Acquire(context.Background(), account, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return lease
+}
+
+// All slots are held by slow requests. A caller with 50 ms left would learn
+// only after these that nothing ran, too late to try another target.
+func TestRequestThatCannotMakeItsDeadlineIsRefusedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		now := clock()
+		q := crslot.New(crslot.Params{Slots: 1, Queue: 10, Guess: 200 * time.Millisecond}, now)
+		lease := hold(t, q, "a")
+		came := now()
+		_, err := q.Acquire(context.Background(), "b", came.Add(50*time.Millisecond))
+		g.Expect(err).To(gomega.MatchError(crslot.ErrExpired))
+		g.Expect(err.(*crslot.Error).RetryAfter()).To(gomega.Equal(100 * time.Millisecond)) //nolint:errorlint // asserted above
+		g.Expect(now()).To(gomega.Equal(came))
+		lease.Release()
+	})
+}
+
+// The running request hangs although such requests are short as a rule. The
+// waiting caller is told at its deadline, and its place is free again.
+func TestDeadlineThatPassesWhileWaiting(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		now := clock()
+		q := crslot.New(crslot.Params{Slots: 1, Queue: 1}, now)
+		lease := hold(t, q, "a")
+		_, err := q.Acquire(context.Background(), "b", now().Add(50*time.Millisecond))
+		g.Expect(err).To(gomega.MatchError(crslot.ErrExpired))
+		g.Expect(q.Dump().Waiting).To(gomega.BeZero())
+		lease.Release()
+	})
+}
+
+// A caller hangs up while its request waits. Its place must be free at once,
+// or callers that are still there are refused for it.
+func TestCancelWhileWaitingFreesThePlace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		q := crslot.New(crslot.Params{Slots: 1, Queue: 1}, clock())
+		lease := hold(t, q, "a")
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan error)
+		go func() {
+			_, err := q.Acquire(ctx, "b", 0)
+			done <- err
+		}()
+		synctest.Wait()
+		_, err := q.Acquire(context.Background(), "b", 0)
+		g.Expect(err).To(gomega.MatchError(crslot.ErrFull))
+		cancel()
+		g.Expect(<-done).To(gomega.MatchError(crslot.ErrCancelled))
+		g.Expect(q.Dump().Waiting).To(gomega.BeZero())
+		lease.Release()
+		g.Expect(q.Dump().InFlight).To(gomega.BeZero())
+	})
+}
+
+// The process is paused while a request waits, and wakes up long after its
+// deadline with the slot just freed. Starting it then would run a request whose
+// caller has been told that it did not run.
+func TestPausedProcessStartsNothingLate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		var slept time.Duration
+		now := clock()
+		q := crslot.New(crslot.Params{Slots: 1, Queue: 1}, func() crid.Instant { return now().Add(slept) })
+		lease := hold(t, q, "a")
+		done := make(chan error)
+		go func() {
+			_, err := q.Acquire(context.Background(), "b", now().Add(time.Second))
+			done <- err
+		}()
+		synctest.Wait()
+		slept = time.Minute
+		lease.Release()
+		g.Expect(<-done).To(gomega.MatchError(crslot.ErrExpired))
+		g.Expect(q.Dump().InFlight).To(gomega.BeZero())
+	})
+}
+
+// One account has filled the queue when another sends its first request. The
+// newcomer gets a place; the newest request of the first is refused at once.
+func TestFullQueueMakesRoomForAnAccountBelowItsShare(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		q := crslot.New(crslot.Params{Slots: 1, Queue: 4}, clock())
+		lease := hold(t, q, "large")
+		results := make(chan string, 5)
+		wait := func(account crid.Account) {
+			l, err := q.Acquire(context.Background(), account, 0)
+			if err != nil {
+				results <- "refused " + string(account)
+				return
+			}
+			results <- "ran " + string(account)
+			l.Release()
+		}
+		for range 4 {
+			go wait("large")
+		}
+		synctest.Wait()
+		go wait("small")
+		g.Expect(<-results).To(gomega.Equal("refused large"))
+		lease.Release()
+		g.Expect(<-results).To(gomega.Equal("ran small"), "it has used less")
+	})
+}
+
+// The target is leaving. What runs and waits goes on to its end, new requests
+// are turned to other targets, and the process learns when it may go.
+func TestDrain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		q := crslot.New(crslot.Params{Slots: 1, Queue: 1}, clock())
+		lease := hold(t, q, "a")
+		done := make(chan *crslot.Lease)
+		go func() {
+			l, _ := q.Acquire(context.Background(), "b", 0)
+			done <- l
+		}()
+		synctest.Wait()
+		q.Drain()
+		_, err := q.Acquire(context.Background(), "c", 0)
+		g.Expect(err).To(gomega.MatchError(crslot.ErrDraining))
+		lease.Release()
+		waited := <-done
+		g.Expect(q.Drained()).NotTo(gomega.BeClosed())
+		waited.Release()
+		waited.Release()
+		g.Expect(q.Drained()).To(gomega.BeClosed())
+		g.Expect(q.Dump().InFlight).To(gomega.BeZero(), "a second release does nothing")
+	})
+}
+
+// The target answers 503 to a burst. Sending on at the full width would turn
+// away more; cutting once per answer would close it for seconds.
+func TestShedAnswersLowerTheLimitForAWhile(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		q := crslot.New(crslot.Params{Slots: 10, Queue: 1}, clock())
+		for range 10 {
+			q.Shed()
+		}
+		g.Expect(q.Dump().Slots).To(gomega.Equal(7))
+		time.Sleep(time.Second)
+		for range 100 {
+			hold(t, q, "a").Release()
+		}
+		g.Expect(q.Dump().Slots).To(gomega.Equal(10))
+		q.SetLimit(2)
+		g.Expect(q.Dump().Slots).To(gomega.Equal(2))
+	})
+}
+
+func BenchmarkUncontended(b *testing.B) {
+	start := time.Now()
+	q := crslot.New(crslot.Params{Slots: 5, Queue: 20}, func() crid.Instant { return crid.Instant(time.Since(start)) })
+	ctx := context.Background()
+	b.ReportAllocs()
+	for b.Loop() {
+		lease, err := q.Acquire(ctx, "a", 0)
+		if err != nil {
+			b.Fatal(err)
+		}
+		lease.Release()
+	}
+}
+
+func BenchmarkContended(b *testing.B) {
+	start := time.Now()
+	q := crslot.New(crslot.Params{Slots: 5, Queue: 1000}, func() crid.Instant { return crid.Instant(time.Since(start)) })
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			lease, err := q.Acquire(context.Background(), "a", 0)
+			if err == nil {
+				lease.Release()
+			}
+		}
+	})
+}
