--- /dev/null
+++ b/io/crplatform/client.go
@@ -0,0 +1,167 @@
+package crplatform
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/samber/oops"
+
+	"camphorroad/core/crconfig"
+	"camphorroad/core/crid"
+	"camphorroad/core/crinstance"
+)
+
+// maxPages bounds the list: 64 MB, far above 5,500 instances in 2 MB.
+const maxPages = 64
+
+// errTorn tells that the list changed between two of its pages.
+var errTorn = errors.New("the list changed while it was read")
+
+// Client speaks the platform's HTTP protocol. It is safe for concurrent use.
+type Client struct {
+	base string
+	http *http.Client
+}
+
+var _ Port = (*Client)(nil)
+
+// Option changes a client.
+type Option func(*Client)
+
+// WithTransport sets the transport, such as one with TLS settings.
+func WithTransport(t http.RoundTripper) Option {
+	return func(c *Client) { c.http.Transport = t }
+}
+
+// NewClient returns a client of the platform at a base URL.
+func NewClient(base string, opts ...Option) (*Client, error) {
+	u, err := url.Parse(base)
+	if err != nil || u.Host == "" || (u.Scheme != "http" && u.Scheme != "https") {
+		return nil, oops.Errorf("platform address %q: give a URL such as http://127.0.0.1:7400", base)
+	}
+	c := &Client{
+		base: strings.TrimRight(base, "/"),
+		http: &http.Client{
+			Transport: http.DefaultTransport.(*http.Transport).Clone(),
+			// A redirect would be a second call that nobody has budgeted.
+			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+		},
+	}
+	for _, opt := range opts {
+		opt(c)
+	}
+	return c, nil
+}
+
+// Close drops idle connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+// Watch implements Port.
+func (c *Client) Watch(ctx context.Context, after crid.Revision, wait time.Duration) (crconfig.Head, error) {
+	query := url.Values{
+		"after": {strconv.FormatUint(uint64(after), 10)},
+		"wait":  {wait.String()},
+	}
+	var head crconfig.Head
+	if err := c.getJSON(ctx, "/v1/watch?"+query.Encode(), &head); err != nil {
+		return crconfig.Head{}, err
+	}
+	if head.Rev < after {
+		return head, oops.Wrapf(ErrStale, "revision %d after %d", head.Rev, after)
+	}
+	return head, nil
+}
+
+// Value implements Port.
+func (c *Client) Value(ctx context.Context, name string, digest crconfig.Digest) ([]byte, error) {
+	data, err := c.get(ctx, "/v1/value/"+name+"?digest="+digest.String())
+	if err != nil {
+		return nil, err
+	}
+	if crconfig.DigestOf(data) != digest {
+		return nil, oops.Wrapf(ErrStale, "value %s has another digest", name)
+	}
+	return data, nil
+}
+
+// Instances implements Port. It starts over, once, when the list changes
+// between two pages.
+func (c *Client) Instances(ctx context.Context) (crinstance.List, error) {
+	list, err := c.pages(ctx)
+	if errors.Is(err, errTorn) {
+		list, err = c.pages(ctx)
+	}
+	if errors.Is(err, errTorn) {
+		return crinstance.List{}, oops.Wrapf(ErrAway, "%v", err)
+	}
+	return list, err
+}
+
+func (c *Client) pages(ctx context.Context) (crinstance.List, error) {
+	var (
+		all   []crinstance.Instance
+		rev   crid.Revision
+		after crid.Daemon
+	)
+	for n := range maxPages {
+		var page Page
+		if err := c.getJSON(ctx, "/v1/instances?after="+url.QueryEscape(string(after)), &page); err != nil {
+			return crinstance.List{}, err
+		}
+		if n > 0 && page.Rev != rev {
+			return crinstance.List{}, errTorn
+		}
+		rev = page.Rev
+		all = append(all, page.Instances...)
+		if page.Next == "" {
+			return crinstance.NewList(rev, all), nil
+		}
+		after = page.Next
+	}
+	return crinstance.List{}, oops.Wrapf(ErrTooLarge, "more than %d pages of instances", maxPages)
+}
+
+func (c *Client) getJSON(ctx context.Context, path string, v any) error {
+	data, err := c.get(ctx, path)
+	if err != nil {
+		return err
+	}
+	if err := json.Unmarshal(data, v); err != nil {
+		return oops.Wrapf(ErrAway, "unreadable answer: %v", err)
+	}
+	return nil
+}
+
+func (c *Client) get(ctx context.Context, path string) ([]byte, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+path, http.NoBody)
+	if err != nil {
+		return nil, oops.Wrapf(err, "make the request")
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return nil, oops.Wrapf(ErrAway, "%v", err)
+	}
+	defer resp.Body.Close()
+	switch resp.StatusCode {
+	case http.StatusOK:
+	case http.StatusNotFound:
+		return nil, oops.Wrapf(ErrNotFound, "%s", req.URL.Path)
+	default:
+		return nil, oops.Wrapf(ErrAway, "status %d", resp.StatusCode)
+	}
+	data, err := io.ReadAll(io.LimitReader(resp.Body, crconfig.MaxValue))
+	if err != nil {
+		return nil, oops.Wrapf(ErrAway, "%v", err)
+	}
+	if len(data) >= crconfig.MaxValue {
+		return nil, oops.Wrapf(ErrTooLarge, "%s", req.URL.Path)
+	}
+	return data, nil
+}
