Serve a request end to end through separate processes

Cause: nothing ran yet; every later part needs the whole path to be measured and broken on. Ruled out: buffering bodies for retries (only the first 64 KiB are kept, so bodies stream); letting net/http replay a once request without a body (it does so for an Idempotency-Key; an unrewindable body stops it). Change: entry, exit, hop, view, control loop, fx wiring, operators' pages, commands serve, cert, state, events, version; upstream stand-in; script/demo. A platform follower stands in until the configuration reducer lands; rates are not enforced yet.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 GOLANGCI_VERSION = v2.15.0
 GOLANGCI = $(shell $(GO) env GOPATH)/bin/golangci-lint
 
-.PHONY: build test lint format spec tools
+.PHONY: build test lint format spec tools demo
 
 build:
 	$(GO) build -o bin/ ./cmd/...
@@ -24,3 +24,6 @@
 
 spec: tools
 	if test -x spec/check; then spec/check; fi
+
+demo: build
+	script/demo
--- /dev/null
+++ b/command/lab/upstream.go
@@ -0,0 +1,53 @@
+package lab
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/samber/oops"
+
+	"camphorroad/command/factory"
+	"camphorroad/lab/crupstream"
+)
+
+// UpstreamOptions serves a stand-in of one upstream.
+type UpstreamOptions struct {
+	Name    string        `required:"" placeholder:"NAME" help:"Name of the target."`
+	Listen  string        `default:"127.0.0.1:0" placeholder:"ADDR" help:"Address to listen on."`
+	Slots   int           `default:"5" help:"Requests that run at once."`
+	Queue   int           `default:"10" help:"Requests that wait before it sheds load."`
+	Service time.Duration `default:"5ms" help:"Service time of a request."`
+	Cold    time.Duration `default:"0s" help:"Time over which a cold start wears off."`
+}
+
+// Help is shown with the command's flags.
+func (*UpstreamOptions) Help() string {
+	return `Serves any path with a JSON answer, /health, /load and /probe; fails as /lab/fault
+is told and counts what ran at /lab/runs.
+
+EXAMPLES
+  $ camphorlab upstream --name booking-1 --listen 127.0.0.1:9101
+  $ curl -d '{"kind":"slow","factor":20}' http://127.0.0.1:9101/lab/fault`
+}
+
+// Run serves until the context ends.
+func (o *UpstreamOptions) Run(ctx context.Context, f *factory.Factory) error {
+	listen := net.ListenConfig{}
+	ln, err := listen.Listen(ctx, "tcp", o.Listen)
+	if err != nil {
+		return oops.Wrapf(err, "listen")
+	}
+	fmt.Fprintf(f.ErrOut, "upstream %s listens on %s\n", o.Name, ln.Addr())
+	up := crupstream.New(crupstream.Options{Name: o.Name, Slots: o.Slots, Queue: o.Queue, Service: o.Service, Cold: o.Cold})
+	server := &http.Server{Handler: up, ReadHeaderTimeout: headerTimeout}
+	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+	defer stop()
+	if err := server.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+		return oops.Wrapf(err, "serve")
+	}
+	return nil
+}
--- /dev/null
+++ b/io/cradmin/cradmin.go
@@ -0,0 +1,74 @@
+// Package cradmin serves operators: whether the daemon is ready, its state on
+// request, and its metrics. It is meant for the operators' network only.
+//
+// # Usage
+//
+//	h := cradmin.New(cradmin.Options{Ready: ready, State: dump, Metrics: registry})
+package cradmin
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+
+	"github.com/gin-gonic/gin"
+	"github.com/rcrowley/go-metrics"
+)
+
+// Options configure the pages.
+type Options struct {
+	Ready   func() error // nil: ready
+	State   func(ctx context.Context) (any, error)
+	Metrics metrics.Registry
+}
+
+// New returns the handler of the operators' pages.
+func New(opts Options) http.Handler {
+	gin.SetMode(gin.ReleaseMode)
+	router := gin.New()
+	router.Use(gin.Recovery())
+	router.GET("/ready", func(c *gin.Context) { ready(c, opts.Ready) })
+	router.GET("/state", func(c *gin.Context) { state(c, opts.State) })
+	router.GET("/metrics", func(c *gin.Context) { scrape(c, opts.Metrics) })
+	return router
+}
+
+func ready(c *gin.Context, check func() error) {
+	if err := check(); err != nil {
+		c.JSON(http.StatusServiceUnavailable, gin.H{"ready": false, "reason": err.Error()})
+		return
+	}
+	c.JSON(http.StatusOK, gin.H{"ready": true})
+}
+
+func state(c *gin.Context, dump func(ctx context.Context) (any, error)) {
+	v, err := dump(c.Request.Context())
+	if err != nil {
+		c.JSON(http.StatusServiceUnavailable, gin.H{"error": err.Error()})
+		return
+	}
+	c.IndentedJSON(http.StatusOK, v)
+}
+
+// scrape writes the metrics one a line, as scrapers of text expositions read
+// them.
+func scrape(c *gin.Context, registry metrics.Registry) {
+	c.Status(http.StatusOK)
+	c.Header("Content-Type", "text/plain; version=0.0.4")
+	registry.Each(func(name string, m any) {
+		name = "camphorroad_" + strings.NewReplacer(".", "_", "-", "_").Replace(name)
+		switch m := m.(type) {
+		case metrics.Counter:
+			_, _ = fmt.Fprintf(c.Writer, "%s %d\n", name, m.Count())
+		case metrics.Gauge:
+			_, _ = fmt.Fprintf(c.Writer, "%s %d\n", name, m.Value())
+		case metrics.Timer:
+			s := m.Snapshot()
+			_, _ = fmt.Fprintf(c.Writer, "%s_count %d\n", name, s.Count())
+			for _, q := range []float64{0.5, 0.99} {
+				_, _ = fmt.Fprintf(c.Writer, "%s{quantile=\"%g\"} %.0f\n", name, q, s.Percentile(q))
+			}
+		}
+	})
+}
--- /dev/null
+++ b/io/crcontrol/crcontrol.go
@@ -0,0 +1,124 @@
+// Package crcontrol runs the control state: one goroutine owns the root reducer,
+// takes events from a queue, and has their effects carried out.
+//
+// # Usage
+//
+//	loop := crcontrol.New(root, crcontrol.Options{Clock: crclock.Now, Do: shell.Do, Paused: onPause})
+//	go loop.Run(ctx)
+//	loop.Post(ev)
+//	dump, err := loop.Dump(ctx)
+package crcontrol
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"time"
+
+	"camphorroad/core/crdaemon"
+	"camphorroad/core/crevent"
+	"camphorroad/core/crid"
+)
+
+// TickEvery is the time between two ticks.
+const TickEvery = 50 * time.Millisecond
+
+// queueLength bounds the events that wait. Messages beyond it are dropped: their
+// senders repeat what still matters, while waiting would hold up the transport.
+const queueLength = 4096
+
+// ErrBusy tells that the queue is full.
+var ErrBusy = errors.New("control queue is full")
+
+// Options configure a Loop.
+type Options struct {
+	Clock func() crid.Instant
+	// Do carries out one effect; it must not block, nor call Dump.
+	Do func(eff crevent.Effect)
+	// Before is called with each tick's instant before the tick is applied; it
+	// returns the traffic side's counters as events.
+	Before func(now crid.Instant) []crevent.Event
+	// Record is called with each event before it is applied; nil: none.
+	Record func(ev crevent.Event)
+}
+
+// Loop owns the control state.
+type Loop struct {
+	root    *crdaemon.State
+	opts    Options
+	events  chan crevent.Event
+	asks    chan chan crdaemon.Dump
+	dropped atomic.Int64
+}
+
+// New returns a loop that does nothing until Run.
+func New(root *crdaemon.State, opts Options) *Loop {
+	return &Loop{
+		root:   root,
+		opts:   opts,
+		events: make(chan crevent.Event, queueLength),
+		asks:   make(chan chan crdaemon.Dump),
+	}
+}
+
+// Post queues an event; it never waits.
+func (l *Loop) Post(ev crevent.Event) error {
+	select {
+	case l.events <- ev:
+		return nil
+	default:
+		l.dropped.Add(1)
+		return ErrBusy
+	}
+}
+
+// Dropped is the number of events that found the queue full.
+func (l *Loop) Dropped() int64 { return l.dropped.Load() }
+
+// Run applies events until ctx ends.
+func (l *Loop) Run(ctx context.Context) {
+	ticker := time.NewTicker(TickEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case ev := <-l.events:
+			l.apply(ev)
+		case <-ticker.C:
+			l.tick()
+		case ask := <-l.asks:
+			ask <- l.root.Dump(l.opts.Clock())
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (l *Loop) tick() {
+	now := l.opts.Clock()
+	if l.opts.Before != nil {
+		for _, ev := range l.opts.Before(now) {
+			l.apply(ev)
+		}
+	}
+	l.apply(crevent.Tick{Now: now})
+}
+
+func (l *Loop) apply(ev crevent.Event) {
+	if l.opts.Record != nil {
+		l.opts.Record(ev)
+	}
+	for _, eff := range l.root.Step(ev) {
+		l.opts.Do(eff)
+	}
+}
+
+// Dump asks the loop for the state.
+func (l *Loop) Dump(ctx context.Context) (crdaemon.Dump, error) {
+	ask := make(chan crdaemon.Dump, 1)
+	select {
+	case l.asks <- ask:
+	case <-ctx.Done():
+		return crdaemon.Dump{}, ctx.Err()
+	}
+	return <-ask, nil
+}
--- /dev/null
+++ b/io/crexit/crexit.go
@@ -0,0 +1,271 @@
+// Package crexit is the exit side of a daemon: it takes forwards from entry
+// daemons (its own included), admits them to its targets' slots, runs them on
+// the upstream, and is the one place that can say "not run" truthfully after a
+// forward was sent.
+//
+// # Usage
+//
+//	x := crexit.New(crexit.Options{Targets: cfg.Targets, Pulse: pulse, Clock: crclock.Now})
+//	x.Apply(snapshot)
+//	serve := x.OpenSession(openedAt)           // streams of other daemons
+//	ex := x.Run(ctx, x.Own(), forward, body)   // this daemon's own entry
+package crexit
+
+import (
+	"context"
+	"io"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/quic-go/quic-go"
+
+	"camphorroad/core/crforward"
+	"camphorroad/core/crid"
+	"camphorroad/core/crpolicy"
+	"camphorroad/io/crhop"
+	"camphorroad/io/crwire"
+)
+
+// Spec names an upstream beside this daemon.
+type Spec struct {
+	Name    crid.Target
+	Service crid.Service
+	Addr    string // host:port
+}
+
+// Options configure an Exit.
+type Options struct {
+	Targets []Spec
+	Pulse   *crforward.Pulse
+	Clock   func() crid.Instant
+	// Observe is told of each finished run; it must not block.
+	Observe func(target crid.Target, account crid.Account, fault crhop.Fault, status int, took time.Duration)
+}
+
+// Exit runs forwards on this daemon's targets. It is safe for concurrent use.
+type Exit struct {
+	opts     Options
+	targets  map[crid.Target]*target
+	own      *crforward.Ledger
+	draining atomic.Bool
+
+	mu      sync.Mutex
+	ledgers map[*crforward.Ledger]struct{}
+}
+
+// refusedRetry is when to come back after a refusal that has no better word.
+const refusedRetry = time.Second
+
+// New returns an Exit whose targets take no work until Apply.
+func New(opts Options) *Exit {
+	x := &Exit{
+		opts:    opts,
+		targets: make(map[crid.Target]*target, len(opts.Targets)),
+		ledgers: make(map[*crforward.Ledger]struct{}),
+	}
+	for _, spec := range opts.Targets {
+		x.targets[spec.Name] = newTarget(spec)
+	}
+	// The own entry shares this process's life and pauses, so its ledger has
+	// no pulse: a request that waited through a pause is caught by its deadline.
+	x.own = crforward.NewLedger(crforward.DefaultParams(), 0, opts.Clock(), nil)
+	x.ledgers[x.own] = struct{}{}
+	return x
+}
+
+// Own is the ledger of the daemon's own entry.
+func (x *Exit) Own() *crforward.Ledger { return x.own }
+
+// Has reports whether the target stands beside this daemon.
+func (x *Exit) Has(name crid.Target) bool { return x.targets[name] != nil }
+
+// Apply takes the targets' limits from a configuration in force. It returns the
+// targets whose service the configuration does not have; they take no work.
+func (x *Exit) Apply(snap *crpolicy.Snapshot) []crid.Target {
+	var unknown []crid.Target
+	for name, t := range x.targets {
+		svc, ok := snap.Service(t.spec.Service)
+		if !ok {
+			unknown = append(unknown, name)
+			continue
+		}
+		t.apply(svc, x.opts.Clock)
+	}
+	return unknown
+}
+
+// Drain refuses new work; what runs may finish.
+func (x *Exit) Drain() {
+	x.draining.Store(true)
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	for l := range x.ledgers {
+		l.Drain()
+	}
+	for _, t := range x.targets {
+		t.drain()
+	}
+}
+
+// InFlight is the number of requests running or waiting here.
+func (x *Exit) InFlight() int64 {
+	var n int64
+	for _, t := range x.targets {
+		n += t.inflight.Load()
+	}
+	return n
+}
+
+// OpenSession returns the function that serves the streams of one session that
+// another daemon dialled. The ledger begins with the session's first stream,
+// which tells the session's number.
+func (x *Exit) OpenSession(ctx context.Context) func(ctx context.Context, s *quic.Stream) {
+	s := &session{exit: x, openedAt: x.opts.Clock()}
+	context.AfterFunc(ctx, s.close)
+	return s.serve
+}
+
+type session struct {
+	exit     *Exit
+	openedAt crid.Instant
+
+	mu     sync.Mutex
+	ledger *crforward.Ledger
+	number crforward.Session
+	closed bool
+}
+
+// ledgerFor returns the session's ledger, or nil for a number that is not the
+// session's: the forward belongs to another session and must not start here.
+func (s *session) ledgerFor(number crforward.Session) *crforward.Ledger {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return nil
+	}
+	if s.ledger == nil {
+		s.number = number
+		s.ledger = crforward.NewLedger(crforward.DefaultParams(), number, s.openedAt, s.exit.opts.Pulse)
+		s.exit.track(s.ledger)
+	}
+	if s.number != number {
+		return nil
+	}
+	return s.ledger
+}
+
+func (s *session) close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed = true
+	if s.ledger != nil {
+		s.ledger.Close()
+		s.exit.untrack(s.ledger)
+	}
+}
+
+func (x *Exit) track(l *crforward.Ledger) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.ledgers[l] = struct{}{}
+	if x.draining.Load() {
+		l.Drain()
+	}
+}
+
+func (x *Exit) untrack(l *crforward.Ledger) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	delete(x.ledgers, l)
+}
+
+// serve handles one stream. Its context ends when the entry gives up.
+func (s *session) serve(ctx context.Context, stream *quic.Stream) {
+	defer stream.CancelRead(crhop.CodeCancelled)
+	r := crwire.NewReader(stream)
+	kind, err := r.Kind()
+	if err != nil {
+		stream.CancelWrite(crhop.CodeCancelled)
+		return
+	}
+	switch kind {
+	case crhop.StreamForward:
+		s.serveForward(ctx, stream, r)
+	case crhop.StreamRevoke:
+		s.serveRevoke(stream, r)
+	default:
+		stream.CancelWrite(crhop.CodeCancelled)
+	}
+}
+
+func (s *session) serveForward(ctx context.Context, stream *quic.Stream, r *crwire.Reader) {
+	var f crhop.Forward
+	if err := r.Value(&f); err != nil {
+		stream.CancelWrite(crhop.CodeCancelled)
+		return
+	}
+	var ex *crhop.Exchange
+	if ledger := s.ledgerFor(f.Session); ledger == nil {
+		ex = refusal(crforward.ReasonClosed.String(), true, refusedRetry)
+	} else {
+		ex = s.exit.Run(ctx, ledger, &f, r)
+	}
+	defer ex.Body.Close()
+	if err := writeAnswer(stream, ex); err != nil {
+		stream.CancelWrite(crhop.CodeCut)
+		return
+	}
+	_ = stream.Close()
+}
+
+func writeAnswer(stream *quic.Stream, ex *crhop.Exchange) error {
+	w := crwire.NewWriter(stream)
+	if err := w.Value(ex.Answer); err != nil {
+		return err
+	}
+	if err := crhop.CopyChunks(w, ex.Body); err != nil {
+		return err
+	}
+	return w.End()
+}
+
+func (s *session) serveRevoke(stream *quic.Stream, r *crwire.Reader) {
+	var rv crhop.Revoke
+	if err := r.Value(&rv); err != nil {
+		stream.CancelWrite(crhop.CodeCancelled)
+		return
+	}
+	verdict := crforward.VerdictUnknown
+	if ledger := s.ledgerFor(rv.Session); ledger != nil {
+		verdict = ledger.Revoke(rv.ID, rv.Session, s.exit.opts.Clock())
+	}
+	w := crwire.NewWriter(stream)
+	if w.Value(crhop.Revoked{Verdict: verdict}) != nil || w.End() != nil {
+		stream.CancelWrite(crhop.CodeCancelled)
+		return
+	}
+	_ = stream.Close()
+}
+
+// noBody is an empty answer body.
+var noBody = io.NopCloser(eofReader{})
+
+type eofReader struct{}
+
+// Read implements io.Reader.
+func (eofReader) Read([]byte) (int, error) { return 0, io.EOF }
+
+func refusal(reason string, notRun bool, retry time.Duration) *crhop.Exchange {
+	return &crhop.Exchange{
+		Answer: crhop.Answer{Kind: crhop.KindRefusal, NotRun: notRun, Reason: reason, RetryAfter: retry},
+		Body:   noBody,
+	}
+}
+
+func failure(fault crhop.Fault, reason string) *crhop.Exchange {
+	return &crhop.Exchange{
+		Answer: crhop.Answer{Kind: crhop.KindFailure, Fault: fault, Reason: reason},
+		Body:   noBody,
+	}
+}
--- a/io/crlog/catalogue.go
+++ b/io/crlog/catalogue.go
@@ -37,6 +37,7 @@
 	CertReloaded    = 130
 	CertReloadError = 131
 	TargetUnknown   = 140
+	ViewRefused     = 141
 )
 
 // Catalogue lists every event the daemon can log, by number.
@@ -54,5 +55,6 @@
 		{CertReloaded, LevelInfo, "certificates reloaded", "SIGHUP", "new sessions use the new certificate"},
 		{CertReloadError, LevelError, "certificates not reloaded", "SIGHUP, but the files could not be read or do not fit", "the former certificate stays in use; mend the files and send SIGHUP again"},
 		{TargetUnknown, LevelWarn, "target not in the policy", "the settings name a target of a service that the configuration in force does not have", "publish the service's policy or mend the settings; the target gets no work"},
+		{ViewRefused, LevelError, "routes refused", "a configuration came whose routes can not be served together", "the former routes stay in force; run `camphorroad policy check` on the files and publish again"},
 	}
 }
--- a/io/crpeer/session.go
+++ b/io/crpeer/session.go
@@ -24,8 +24,8 @@
 // Peer is the daemon at the other end.
 func (s *Session) Peer() crid.Daemon { return s.peer }
 
-// Done is closed when the session has ended.
-func (s *Session) Done() <-chan struct{} { return s.conn.Context().Done() }
+// Context ends with the session.
+func (s *Session) Context() context.Context { return s.conn.Context() }
 
 // Open opens a stream. After an error nothing was sent.
 func (s *Session) Open(ctx context.Context) (*quic.Stream, error) {
--- a/io/crwire/crwire.go
+++ b/io/crwire/crwire.go
@@ -102,6 +102,9 @@
 // NewWriter wraps w.
 func NewWriter(w io.Writer) *Writer { return &Writer{w: bufio.NewWriterSize(w, writeBuffer)} }
 
+// Kind writes the byte that a stream begins with.
+func (w *Writer) Kind(k byte) error { return w.w.WriteByte(k) }
+
 // Value writes v as one frame.
 func (w *Writer) Value(v any) error {
 	b, err := cbor.Marshal(v)
@@ -152,6 +155,12 @@
 // NewReader wraps r.
 func NewReader(r io.Reader) *Reader { return &Reader{r: bufio.NewReaderSize(r, writeBuffer)} }
 
+// Kind reads the byte that a stream begins with.
+func (r *Reader) Kind() (byte, error) {
+	k, err := r.r.ReadByte()
+	return k, truncated(err)
+}
+
 // Value reads one frame into v.
 func (r *Reader) Value(v any) error {
 	n, err := r.length()
