Send open-loop load and check every answer

Cause: outcomes and latency need a caller that does not slow down with the fleet and that checks that each answer is its own. Ruled out: a closed loop (it hides stalls by sending less). Conclusion: the tool stands.

--- a/cmd/camphorlab/main.go
+++ b/cmd/camphorlab/main.go
@@ -17,6 +17,7 @@
 type options struct {
 	Platform lab.PlatformOptions `cmd:"" help:"Serve a stand-in of the platform."`
 	Publish  lab.PublishOptions  `cmd:"" help:"Publish a directory on the stand-in."`
+	Load     lab.LoadOptions     `cmd:"" help:"Send load by a plan."`
 	Upstream lab.UpstreamOptions `cmd:"" help:"Serve a stand-in of one upstream."`
 }
 
--- /dev/null
+++ b/lab/crload/plan.go
@@ -0,0 +1,117 @@
+// Package crload is an open-loop load tool: requests leave at their planned
+// times whatever the answers do, and latency counts from the planned time, so
+// that a stalled fleet can not hide by slowing the load down. Every answer is
+// checked to be the whole answer of its own request.
+//
+// # Usage
+//
+//	plan, err := crload.ReadPlan("mix.toml")
+//	report, err := crload.Run(ctx, plan)
+package crload
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+)
+
+// Plan is what to send.
+type Plan struct {
+	Seconds  float64   `toml:"seconds"`
+	Seed     uint64    `toml:"seed"`
+	Entries  []string  `toml:"entries"` // base URLs of daemons
+	Timeout  string    `toml:"timeout"` // of one request; default 10s
+	Accounts []Account `toml:"account"`
+}
+
+// Account is one caller.
+type Account struct {
+	Name  string  `toml:"name"`
+	Key   string  `toml:"key"`   // empty: none is sent
+	Rate  float64 `toml:"rate"`  // requests a second
+	Entry int     `toml:"entry"` // 1-based entry that all requests go to; 0: spread
+	Surge Surge   `toml:"surge"`
+	Calls []Call  `toml:"call"`
+}
+
+// Surge multiplies an account's rate for a while.
+type Surge struct {
+	From   float64 `toml:"from"` // seconds from the start
+	To     float64 `toml:"to"`
+	Factor float64 `toml:"factor"`
+}
+
+// Call is one kind of request.
+type Call struct {
+	Method string `toml:"method"`
+	Path   string `toml:"path"`
+	Weight int    `toml:"weight"` // default 1
+	Bytes  int    `toml:"bytes"`  // length of the request's body
+}
+
+const defaultTimeout = 10 * time.Second
+
+// ReadPlan reads and checks a TOML file.
+func ReadPlan(path string) (Plan, error) {
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return Plan{}, fmt.Errorf("plan: %w", err)
+	}
+	var p Plan
+	dec := toml.NewDecoder(bytes.NewReader(b))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(&p); err != nil {
+		var strict *toml.StrictMissingError
+		if errors.As(err, &strict) {
+			return Plan{}, fmt.Errorf("plan %s:\n%s", path, strict.String())
+		}
+		return Plan{}, fmt.Errorf("plan %s: %w", path, err)
+	}
+	if err := p.Check(); err != nil {
+		return Plan{}, fmt.Errorf("plan %s: %w", path, err)
+	}
+	return p, nil
+}
+
+// Check reports all faults of a plan.
+func (p Plan) Check() error {
+	var errs []error
+	if p.Seconds <= 0 {
+		errs = append(errs, errors.New("seconds must be above zero"))
+	}
+	if len(p.Entries) == 0 {
+		errs = append(errs, errors.New("entries needs at least one base URL"))
+	}
+	if _, err := p.timeout(); err != nil {
+		errs = append(errs, err)
+	}
+	for _, a := range p.Accounts {
+		if a.Rate <= 0 || len(a.Calls) == 0 {
+			errs = append(errs, fmt.Errorf("account %q needs a rate and at least one call", a.Name))
+		}
+		if a.Entry < 0 || a.Entry > len(p.Entries) {
+			errs = append(errs, fmt.Errorf("account %q: entry %d is not among the entries", a.Name, a.Entry))
+		}
+	}
+	return errors.Join(errs...)
+}
+
+func (p Plan) timeout() (time.Duration, error) {
+	if p.Timeout == "" {
+		return defaultTimeout, nil
+	}
+	return time.ParseDuration(p.Timeout)
+}
+
+// rate is the account's rate at a time after the start.
+func (a Account) rate(at time.Duration) float64 {
+	s := at.Seconds()
+	if a.Surge.Factor > 0 && s >= a.Surge.From && s < a.Surge.To {
+		return a.Rate * a.Surge.Factor
+	}
+	return a.Rate
+}
--- /dev/null
+++ b/lab/crload/run.go
@@ -0,0 +1,198 @@
+package crload
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"camphorroad/lab/crupstream"
+)
+
+// Result is what a caller was told of one request.
+type Result string
+
+// The results. The first four are the fleet's outcomes.
+const (
+	Answered Result = "answered"
+	NotRun   Result = "notrun"
+	Unknown  Result = "unknown"
+	Cut      Result = "cut"
+	NoWord   Result = "noword" // the connection failed with no answer at all
+	Mixed    Result = "mixed"  // an answer that was not this request's; never right
+)
+
+const (
+	headerOutcome = "Camphorroad-Outcome"
+	maxInFlight   = 20_000
+	idlePerHost   = 1024
+)
+
+// Told is one finished request.
+type Told struct {
+	ID      string
+	Account string
+	Method  string
+	Status  int
+	Result  Result
+	Took    time.Duration // from the planned time
+	At      time.Duration // planned, after the start
+	Retry   bool          // came with Retry-After
+}
+
+type runner struct {
+	plan   Plan
+	client *http.Client
+	record func(Told)
+	slots  chan struct{}
+	wg     sync.WaitGroup
+	start  time.Time
+}
+
+// Run sends the plan's load and returns what callers were told.
+func Run(ctx context.Context, plan Plan) (*Report, error) {
+	if err := plan.Check(); err != nil {
+		return nil, err
+	}
+	timeout, err := plan.timeout()
+	if err != nil {
+		return nil, err
+	}
+	transport := &http.Transport{MaxIdleConnsPerHost: idlePerHost, DisableCompression: true}
+	defer transport.CloseIdleConnections()
+	report := newReport(plan)
+	r := &runner{
+		plan:   plan,
+		client: &http.Client{Transport: transport, Timeout: timeout},
+		record: report.add,
+		slots:  make(chan struct{}, maxInFlight),
+		start:  time.Now(),
+	}
+	var callers sync.WaitGroup
+	for i := range plan.Accounts {
+		callers.Go(func() { r.account(ctx, i) })
+	}
+	callers.Wait()
+	r.wg.Wait()
+	return report, nil
+}
+
+// account plans one account's requests by an exponential gap and sends each at
+// its time.
+func (r *runner) account(ctx context.Context, index int) {
+	a := r.plan.Accounts[index]
+	rng := rand.New(rand.NewPCG(r.plan.Seed, uint64(index)))
+	end := time.Duration(r.plan.Seconds * float64(time.Second))
+	at := time.Duration(0)
+	for n := 0; ; n++ {
+		at += time.Duration(rng.ExpFloat64() / a.rate(at) * float64(time.Second))
+		if at >= end {
+			return
+		}
+		if !sleepUntil(ctx, r.start.Add(at)) {
+			return
+		}
+		call := pick(a.Calls, rng)
+		entry := r.entry(a, n)
+		id := fmt.Sprintf("%s-%d-%d", a.Name, r.plan.Seed, n)
+		r.slots <- struct{}{}
+		r.wg.Go(func() {
+			defer func() { <-r.slots }()
+			r.send(ctx, a, call, entry, id, at)
+		})
+	}
+}
+
+func (r *runner) entry(a Account, n int) string {
+	if a.Entry > 0 {
+		return r.plan.Entries[a.Entry-1]
+	}
+	return r.plan.Entries[n%len(r.plan.Entries)]
+}
+
+func sleepUntil(ctx context.Context, t time.Time) bool {
+	d := time.Until(t)
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func pick(calls []Call, rng *rand.Rand) Call {
+	total := 0
+	for _, c := range calls {
+		total += max(c.Weight, 1)
+	}
+	n := rng.IntN(total)
+	for _, c := range calls {
+		if n -= max(c.Weight, 1); n < 0 {
+			return c
+		}
+	}
+	return calls[0]
+}
+
+func (r *runner) send(ctx context.Context, a Account, call Call, entry, id string, at time.Duration) {
+	told := Told{ID: id, Account: a.Name, Method: call.Method, At: at}
+	told.Result, told.Status, told.Retry = r.exchange(ctx, a, call, entry, id)
+	told.Took = time.Since(r.start) - at
+	r.record(told)
+}
+
+func (r *runner) exchange(ctx context.Context, a Account, call Call, entry, id string) (Result, int, bool) {
+	var body io.Reader
+	if call.Bytes > 0 {
+		body = strings.NewReader(strings.Repeat("b", call.Bytes))
+	}
+	req, err := http.NewRequestWithContext(ctx, call.Method, entry+call.Path, body)
+	if err != nil {
+		return NoWord, 0, false
+	}
+	req.GetBody = nil // a retry by the client would count as a run of ours
+	req.Header.Set(crupstream.HeaderLabID, id)
+	if a.Key != "" {
+		req.Header.Set("Authorization", "Bearer "+a.Key)
+	}
+	resp, err := r.client.Do(req)
+	if err != nil {
+		return NoWord, 0, false
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	retry := resp.Header.Get("Retry-After") != ""
+	if err != nil {
+		return Cut, resp.StatusCode, retry
+	}
+	return judge(resp, b, a, id), resp.StatusCode, retry
+}
+
+// judge checks an answer against its request.
+func judge(resp *http.Response, body []byte, a Account, id string) Result {
+	outcome := Result(resp.Header.Get(headerOutcome))
+	if outcome == "" {
+		outcome = Answered // sent straight to an upstream
+	}
+	if outcome != Answered || resp.StatusCode >= http.StatusBadRequest {
+		return outcome
+	}
+	var answer crupstream.Answer
+	if err := json.Unmarshal(body, &answer); err != nil {
+		return Mixed
+	}
+	if answer.ID != id || (a.Key != "" && answer.Account != a.Name) {
+		return Mixed
+	}
+	return Answered
+}
