Mend the planned time in the load tool

Cause: the goroutine of a request read the loop's running time, so latency was counted from the next request's plan; at 100 requests/s the median read 0.00 ms against a service time of 5 ms. Ruled out: the machine's clock (200 timers of 5 ms took 5.1 to 9.0 ms). Change: the planned time is copied per request; a test holds it.

--- a/lab/crload/run.go
+++ b/lab/crload/run.go
@@ -99,11 +99,12 @@
 		}
 		call := pick(a.Calls, rng)
 		entry := r.entry(a, n)
+		planned := at
 		id := fmt.Sprintf("%s-%d-%d", a.Name, r.plan.Seed, n)
 		r.slots <- struct{}{}
 		r.wg.Go(func() {
 			defer func() { <-r.slots }()
-			r.send(ctx, a, call, entry, id, at)
+			r.send(ctx, a, call, entry, id, planned)
 		})
 	}
 }
--- /dev/null
+++ b/lab/crload/run_test.go
@@ -0,0 +1,31 @@
+package crload_test
+
+import (
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"camphorroad/lab/crload"
+	"camphorroad/lab/crupstream"
+)
+
+// The planned time of a request was once read after the next one had been
+// planned. Whoever reads the report then sees latencies below the service time.
+func TestLatencyIsNeverBelowTheServiceTime(t *testing.T) {
+	g := gomega.NewWithT(t)
+	const service = 20 * time.Millisecond
+	srv := httptest.NewServer(crupstream.New(crupstream.Options{Name: "u", Slots: 50, Service: service}))
+	defer srv.Close()
+	report, err := crload.Run(t.Context(), crload.Plan{
+		Seconds: 0.5, Seed: 1, Entries: []string{srv.URL},
+		Accounts: []crload.Account{{Name: "a", Rate: 200, Calls: []crload.Call{{Method: "GET", Path: "/x"}}}},
+	})
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(report.Told()).NotTo(gomega.BeEmpty())
+	for _, told := range report.Told() {
+		g.Expect(told.Result).To(gomega.Equal(crload.Answered))
+		g.Expect(told.Took).To(gomega.BeNumerically(">=", service))
+	}
+}
