Decide which configuration is in force, from few readers and many peers

Cause: 5,500 daemons must have a change within 9 s from a platform that takes 2,000 calls a second, may be away, stale or flapping, and never go back. Change: core/crconfig: readers by rendezvous rank with spares for those that can not read, tellings to random peers, pulls by digest, a share of the platform's rate for everybody who is no settled reader, start that asks a majority of some peers of several domains first, trust by standing.

--- /dev/null
+++ b/core/crconfig/dump.go
@@ -0,0 +1,54 @@
+package crconfig
+
+import "camphorroad/core/crid"
+
+// Dumped is the reducer's state for the state dump; it holds no secret.
+type Dumped struct {
+	Revision   crid.Revision `json:"revision"`
+	Manifest   string        `json:"manifest"`
+	Values     int           `json:"values"`
+	List       crid.Revision `json:"list"`
+	Instances  int           `json:"instances"`
+	Want       crid.Revision `json:"want"`    // newer configuration on its way; zero for none
+	Missing    int           `json:"missing"` // values of it
+	Pulling    crid.Daemon   `json:"pulling"` // peer it is pulled from
+	Direct     bool          `json:"direct"`  // it is read from the platform
+	WantList   crid.Revision `json:"wantlist"`
+	Refused    []string      `json:"refused"` // revisions
+	Ready      bool          `json:"ready"`
+	Trusted    bool          `json:"trusted"` // at the last tick
+	Reader     bool          `json:"reader"`
+	Ranked     []crid.Daemon `json:"ranked"` // readers and spares of the domain
+	Away       bool          `json:"away"`   // the platform, for this daemon
+	Reachable  int           `json:"reachable"`
+	PeersHeard int           `json:"heard"`
+}
+
+// Dump returns the state as a JSON-ready value.
+func (s *State) Dump() any {
+	d := Dumped{
+		Revision:   s.conf.rev,
+		Manifest:   s.conf.digest.String(),
+		Values:     len(s.conf.values),
+		List:       s.list.Revision(),
+		Instances:  s.list.Len(),
+		WantList:   s.listing.want,
+		Ready:      s.ready,
+		Trusted:    s.trusted,
+		Reader:     s.watch.reader,
+		Ranked:     s.watch.ranked,
+		Away:       s.watch.away,
+		Reachable:  len(s.peers),
+		PeersHeard: len(s.haves),
+	}
+	if s.next != nil {
+		d.Want = s.next.rev
+		d.Missing = len(s.missing())
+		d.Pulling = s.next.peer
+		d.Direct = s.next.direct
+	}
+	for _, r := range s.refused {
+		d.Refused = append(d.Refused, rev(r.rev))
+	}
+	return d
+}
--- /dev/null
+++ b/core/crconfig/effect.go
@@ -0,0 +1,82 @@
+package crconfig
+
+import (
+	"time"
+
+	"camphorroad/core/crid"
+	"camphorroad/core/crinstance"
+)
+
+// Fault says how a call to the platform ended.
+type Fault uint8
+
+// The ends of a call.
+const (
+	// FaultNone: answered.
+	FaultNone Fault = iota
+	// FaultAway: no usable answer in time.
+	FaultAway
+	// FaultStale: an answer from before what the platform had said earlier.
+	FaultStale
+	// FaultMissing: the platform does not hold it, or holds too much.
+	FaultMissing
+)
+
+// ManifestName is the name under which the platform holds the manifest.
+const ManifestName = "manifest"
+
+// WatchPlatform asks the shell to wait for a head newer than After. With a
+// Wait of zero it is a plain read.
+type WatchPlatform struct {
+	After crid.Revision
+	Wait  time.Duration
+}
+
+// EffectName implements crevent.Effect.
+func (WatchPlatform) EffectName() string { return "watchplatform" }
+
+// WatchResult answers WatchPlatform.
+type WatchResult struct {
+	Now   crid.Instant
+	Head  Head
+	Fault Fault
+}
+
+// At implements crevent.Event.
+func (e WatchResult) At() crid.Instant { return e.Now }
+
+// ReadPlatform asks the shell to read a value.
+type ReadPlatform struct {
+	Name   string
+	Digest Digest
+}
+
+// EffectName implements crevent.Effect.
+func (ReadPlatform) EffectName() string { return "readplatform" }
+
+// Read answers ReadPlatform.
+type Read struct {
+	Now    crid.Instant
+	Digest Digest
+	Data   []byte // not changed afterwards
+	Fault  Fault
+}
+
+// At implements crevent.Event.
+func (e Read) At() crid.Instant { return e.Now }
+
+// ReadList asks the shell to read the platform's list of instances.
+type ReadList struct{}
+
+// EffectName implements crevent.Effect.
+func (ReadList) EffectName() string { return "readlist" }
+
+// ListRead answers ReadList.
+type ListRead struct {
+	Now   crid.Instant
+	List  crinstance.List
+	Fault Fault
+}
+
+// At implements crevent.Event.
+func (e ListRead) At() crid.Instant { return e.Now }
--- /dev/null
+++ b/core/crconfig/fault_test.go
@@ -0,0 +1,215 @@
+package crconfig_test
+
+import (
+	"testing"
+	"time"
+
+	"camphorroad/core/crconfig"
+	"camphorroad/core/crid"
+	"camphorroad/core/crpolicy"
+)
+
+// The platform is down while one daemon is replaced. Its callers would meet a
+// daemon that never gets ready, though all its peers have the configuration.
+func TestStartWithPlatformDownIsReadyFromPeers(t *testing.T) {
+	f := settled(t, 12, 3)
+	f.plat.away = true
+	f.kill("d0003")
+	f.run(time.Second)
+	f.start("d0003")
+	took := f.until(t, 2, 10*time.Second)
+	if d := f.daemons["d0003"]; !d.Ready() || !d.Trusted(f.clock("d0003")) {
+		t.Errorf("not ready: %+v", d.Dump())
+	}
+	t.Logf("ready after %s", took)
+}
+
+// The platform is down and no peer has a configuration. A daemon that called
+// itself ready would refuse every caller as unknown.
+func TestStartWithNothingIsNotReady(t *testing.T) {
+	f := newFleet(4, 2, quick())
+	f.plat.publish(content{})
+	f.plat.away = true
+	f.start(f.names...)
+	f.run(20 * time.Second)
+	for _, d := range f.alive() {
+		if f.daemons[d].Ready() {
+			t.Errorf("%s is ready", d)
+		}
+	}
+	f.plat.away = false
+	f.until(t, 2, 40*time.Second)
+}
+
+// The platform comes back from a backup and shows an older revision, or flaps
+// between two. Withdrawn keys would come to life again, for a while or for good.
+func TestOlderRevisionIsIgnoredLoudly(t *testing.T) {
+	f := settled(t, 12, 3)
+	rev := f.plat.publish(content{Keys: []string{}})
+	f.until(t, rev, 9*time.Second)
+	calls := f.plat.calls
+	for range 20 {
+		f.plat.back = 1 - f.plat.back
+		f.run(time.Second)
+	}
+	f.plat.back = 1
+	f.run(10 * time.Second)
+	loud := 0
+	for _, d := range f.alive() {
+		loud += f.daemons[d].reports[crconfig.NumberStale]
+		if f.daemons[d].Revision() != rev {
+			t.Errorf("%s went back to %d", d, f.daemons[d].Revision())
+		}
+	}
+	if loud == 0 {
+		t.Error("nobody reported the stale platform")
+	}
+	if spent := f.plat.calls - calls; spent > 400 {
+		t.Errorf("%d calls in 30 s of flapping", spent)
+	}
+	f.plat.back = 0
+	f.until(t, f.plat.publish(content{Keys: []string{"new"}}), 60*time.Second)
+}
+
+// A publisher that skips the check, or has another version, publishes what does
+// not pass. Half of it in force would refuse or admit the wrong callers.
+func TestBadConfigurationIsRefusedWhole(t *testing.T) {
+	f := settled(t, 12, 3)
+	f.plat.publish(content{Bad: true})
+	f.run(9 * time.Second)
+	refused := 0
+	for _, d := range f.alive() {
+		refused += f.daemons[d].reports[crconfig.NumberRefused]
+		if f.daemons[d].Revision() != 2 || !f.daemons[d].Trusted(f.clock(d)) {
+			t.Errorf("%s has %d", d, f.daemons[d].Revision())
+		}
+	}
+	if refused == 0 {
+		t.Error("nobody reported it")
+	}
+	f.until(t, f.plat.publish(content{}), 9*time.Second)
+}
+
+// The platform names a new configuration but can not give its values. Daemons
+// that waited for it would refuse all callers in time; they must go on.
+func TestNamedButUnreadableDoesNotStopTheFleet(t *testing.T) {
+	f := settled(t, 12, 3)
+	f.plat.lost = true
+	rev := f.plat.publish(content{Keys: []string{"k", "l"}})
+	f.run(30 * time.Second)
+	for _, d := range f.alive() {
+		if !f.daemons[d].Trusted(f.clock(d)) {
+			t.Errorf("%s stopped trusting", d)
+		}
+	}
+	f.plat.lost = false
+	f.until(t, rev, 60*time.Second)
+}
+
+// Both readers of a domain die at once. Without others taking over, the domain
+// would learn of changes late or never.
+func TestReadersDieAndRankMovesOn(t *testing.T) {
+	f := settled(t, 12, 1)
+	former := f.readers()
+	if len(former) != 2 {
+		t.Fatalf("readers %v", former)
+	}
+	for _, d := range former {
+		f.kill(d)
+	}
+	f.run(3 * time.Second)
+	if now := f.readers(); len(now) != 2 || now[0] == former[0] || now[1] == former[1] {
+		t.Errorf("readers %v after %v", now, former)
+	}
+	f.until(t, f.plat.publish(content{}), 9*time.Second)
+}
+
+func keyGone(t *testing.T, f *fleet, rev crid.Revision) {
+	t.Helper()
+	took := f.until(t, rev, 9*time.Second)
+	for _, d := range f.alive() {
+		if _, ok := f.daemons[d].Snapshot().AccountByKey(crpolicy.HashKey("k")); ok {
+			t.Errorf("%s still takes the key", d)
+		}
+	}
+	t.Logf("gone everywhere after %s", took)
+}
+
+// A key is withdrawn while callers use it. They must be refused within seconds
+// at every daemon.
+func TestWithdrawnKeyIsGoneEverywhere(t *testing.T) {
+	f := settled(t, 24, 3)
+	keyGone(t, f, f.plat.publish(content{Keys: []string{}}))
+}
+
+// Answers of the platform no longer reach one reader, though its own calls go
+// out; its domain has another. The withdrawal must not wait for the deaf one.
+func TestWithdrawnKeyIsGoneWithAReaderCutOneWay(t *testing.T) {
+	for _, both := range []bool{false, true} {
+		f := settled(t, 12, 1)
+		f.plat.cutFrom = map[crid.Daemon]bool{f.readers()[0]: true}
+		if both {
+			f.plat.cutFrom[f.readers()[1]] = true
+			f.run(6 * time.Second)
+		}
+		keyGone(t, f, f.plat.publish(content{Keys: []string{}}))
+	}
+}
+
+// One daemon loses all its links. It can not hear of a withdrawal, so it must
+// stop; the others, whose platform is away as well, must go on.
+func TestCutOffAloneStopsTrustingWhileTheFleetGoesOn(t *testing.T) {
+	f := settled(t, 12, 3)
+	f.plat.away = true
+	alone := crid.Daemon("d0005")
+	f.cut = func(from, to crid.Daemon) bool { return from == alone || to == alone }
+	f.membership()
+	f.run(time.Hour / 60)
+	for _, d := range f.alive() {
+		if got := f.daemons[d].Trusted(f.clock(d)); got == (d == alone) {
+			t.Errorf("%s trusts: %v", d, got)
+		}
+	}
+	f.plat.away = false
+	f.cut = nil
+	f.membership()
+	f.until(t, f.plat.publish(content{}), 60*time.Second)
+	f.run(time.Second)
+	if !f.daemons[alone].Trusted(f.clock(alone)) {
+		t.Error("trust did not come back")
+	}
+}
+
+// Every daemon of a fleet starts in the same instant, after a power cut say,
+// first without knowing a peer. The platform would refuse calls over its rate,
+// and with them the calls of everybody else.
+func TestAllStartAtOnceStaysWithinTheRate(t *testing.T) {
+	const n, domains, peerless = 600, 9, 35
+	f := newFleet(n, domains, crconfig.DefaultParams())
+	rev := f.plat.publish(content{})
+	f.plat.pages = 3 // as of 5,500
+	f.peers = false
+	f.start(f.names...)
+	f.run(peerless * time.Second) // nobody has a peer before everybody has a list
+	f.peers = true
+	f.membership()
+	f.until(t, rev, 60*time.Second)
+	f.run(5 * time.Second)
+	alone, later := 0, 0
+	for second, calls := range f.plat.perSec {
+		if second < peerless {
+			alone = max(alone, calls)
+		} else {
+			later = max(later, calls)
+		}
+	}
+	t.Logf("%d daemons: %d calls in %s; busiest second %d without peers, %d with", n, f.plat.calls, f.now, alone, later)
+	// Settled readers keep to 2 calls a tick: 18 of them make 720 a second,
+	// whatever the size. That leaves 1,280 a second for 5,500 others.
+	if limit := 1280 * n / 5500; alone > limit {
+		t.Errorf("%d calls in one second, more than %d", alone, limit)
+	}
+	if limit := 1280*n/5500 + 720; later > limit {
+		t.Errorf("%d calls in one second, more than %d", later, limit)
+	}
+}
--- /dev/null
+++ b/core/crconfig/message.go
@@ -0,0 +1,76 @@
+package crconfig
+
+import (
+	"camphorroad/core/crevent"
+	"camphorroad/core/crid"
+	"camphorroad/core/crinstance"
+)
+
+// Have tells a peer what this daemon has in force.
+type Have struct {
+	Conf     crid.Revision `cbor:"c"` // zero: none
+	Manifest Digest        `cbor:"m"`
+	List     crid.Revision `cbor:"l"` // zero: none
+	Away     bool          `cbor:"a"` // the sender can not read the platform
+	Ask      bool          `cbor:"q"` // the sender wants a Have back
+	Reply    bool          `cbor:"r"` // this is one; it is never answered
+}
+
+// MessageKind implements crevent.Message.
+func (Have) MessageKind() string { return "have" }
+
+// Pull asks a peer for bytes, by the digest of the value they belong to.
+type Pull struct {
+	Want []Want `cbor:"w"`
+}
+
+// Want names a value and how much of it the asker has.
+type Want struct {
+	Digest Digest `cbor:"d"`
+	Off    int    `cbor:"o"` // bytes
+}
+
+// MessageKind implements crevent.Message.
+func (Pull) MessageKind() string { return "pull" }
+
+// Push answers a Pull with as much as one message may hold. Without parts it
+// says that the sender has none of it.
+type Push struct {
+	Parts []Part `cbor:"p"`
+}
+
+// Part is a stretch of a value.
+type Part struct {
+	Digest Digest `cbor:"d"`
+	Off    int    `cbor:"o"` // bytes before Data
+	Size   int    `cbor:"s"` // bytes of the whole value
+	Data   []byte `cbor:"b"`
+}
+
+// MessageKind implements crevent.Message.
+func (Push) MessageKind() string { return "push" }
+
+// ListPull asks a peer for its list of instances from an offset.
+type ListPull struct {
+	Rev crid.Revision `cbor:"r"` // of the list that Off counts in; zero: any
+	Off int           `cbor:"o"` // instances
+}
+
+// MessageKind implements crevent.Message.
+func (ListPull) MessageKind() string { return "listpull" }
+
+// ListPush is a stretch of a list of instances.
+type ListPush struct {
+	Rev       crid.Revision         `cbor:"r"`
+	Off       int                   `cbor:"o"`
+	Total     int                   `cbor:"t"`
+	Instances []crinstance.Instance `cbor:"i"`
+}
+
+// MessageKind implements crevent.Message.
+func (ListPush) MessageKind() string { return "listpush" }
+
+// Messages returns a zero value of every message, for the codec's registry.
+func Messages() []crevent.Message {
+	return []crevent.Message{Have{}, Pull{}, Push{}, ListPull{}, ListPush{}}
+}
--- a/core/crconfig/notice.go
+++ b/core/crconfig/notice.go
@@ -1,5 +1,23 @@
 // Package crconfig decides which configuration is in force at a daemon, who
-// reads the platform, and from which peer a newer configuration is pulled.
+// reads the platform, and from which peer a newer configuration or list of
+// instances is pulled.
+//
+// The platform numbers what it publishes with one growing revision. In every
+// failure domain a few daemons, ranked by rendezvous hashing over the reachable
+// ones, hold a watch on the platform. All daemons tell a few random peers twice
+// a second what they have; who hears of a newer revision pulls the missing
+// pieces, which are addressed by digest, from one peer at a time. A revision in
+// force is replaced by a larger one only, and a configuration that fails
+// validation is refused whole while the former stays.
+//
+// # Usage
+//
+//	s := crconfig.New(crconfig.DefaultParams(), crpolicyfile.ParseManifest, crpolicyfile.Load)
+//	effects := s.Step(crevent.Started{Now: now, Self: "booking-1", Domain: "north", Seed: seed})
+//	if s.Ready() && s.Trusted(now) { ... }
+//
+// The shell answers every [WatchPlatform], [ReadPlatform] and [ReadList] effect
+// with one [WatchResult], [Read] and [ListRead] event.
 package crconfig
 
 import (
--- /dev/null
+++ b/core/crconfig/number.go
@@ -0,0 +1,18 @@
+package crconfig
+
+// Numbers of the reported events; docs/events-config.md explains each.
+const (
+	NumberInForce       = 500
+	NumberStale         = 501
+	NumberRefused       = 502
+	NumberPlatformAway  = 503
+	NumberPlatformBack  = 504
+	NumberBadPush       = 505
+	NumberTwoManifests  = 506
+	NumberBehind        = 507
+	NumberReaderStarted = 508
+	NumberReaderStopped = 509
+	NumberTrustLost     = 510
+	NumberTrustRegained = 511
+	NumberReady         = 512
+)
--- /dev/null
+++ b/core/crconfig/params.go
@@ -0,0 +1,69 @@
+package crconfig
+
+import "time"
+
+// Params are the reducer's settings.
+type Params struct {
+	Readers      int           // daemons of a domain that hold the watch
+	Spares       int           // daemons ranked next, which step in for readers that can not read
+	Fanout       int           // peers told at a time of what this daemon has
+	SpreadEvery  time.Duration // between two tellings
+	PullTimeout  time.Duration // after which a silent peer is given up
+	PullTries    int           // peers tried before the platform is read instead
+	PushBytes    int           // of values in one message
+	PushItems    int           // instances in one message
+	ReadsPerTick int           // platform calls per 50 ms of a settled reader
+	ReadTimeout  time.Duration // of one platform call, beside a watch's wait
+	WatchWait    time.Duration // for which a watch may wait
+	Fleet        int           // daemons that may start, or lose their peers, at once
+	PlatformRate int           // platform calls a second that all but the settled readers may make together
+	Settle       time.Duration // for which a rank must last before the watch starts
+	Grace        time.Duration // in which a fresh daemon without peers waits for some
+	Ask          int           // peers asked by a fresh daemon
+	Backoff      time.Duration // after a first failure of the platform or of all peers
+	BackoffMax   time.Duration // after many
+	BehindMax    time.Duration // for which a peer's newer configuration may be missing before keys are distrusted
+}
+
+// DefaultParams returns the settings for a fleet of up to 6,000 daemons.
+func DefaultParams() Params {
+	return Params{
+		Readers:      2,
+		Spares:       2,
+		Fanout:       3,
+		SpreadEvery:  500 * time.Millisecond,
+		PullTimeout:  time.Second,
+		PullTries:    4,
+		PushBytes:    60 << 10,
+		PushItems:    400,
+		ReadsPerTick: 2,
+		ReadTimeout:  5 * time.Second,
+		WatchWait:    30 * time.Second,
+		Fleet:        6000,
+		PlatformRate: 1200,
+		Settle:       2 * time.Second,
+		Grace:        3 * time.Second,
+		Ask:          8,
+		Backoff:      time.Second,
+		BackoffMax:   30 * time.Second,
+		BehindMax:    9 * time.Second,
+	}
+}
+
+// share is the rate, in platform calls a second, of one daemon that reads the
+// platform without being a settled reader. However many do so, all of them
+// together stay within PlatformRate.
+func (p Params) share() float64 {
+	return float64(p.PlatformRate) / float64(max(p.Fleet, 1))
+}
+
+// spread is the time over which daemons scatter a step that all may take at once.
+func (p Params) spread() time.Duration {
+	return time.Duration(p.Fleet) * 4 * time.Second / time.Duration(max(p.PlatformRate, 1))
+}
+
+// pages is the number of platform calls that a list of the whole fleet takes.
+func (p Params) pages() float64 { return float64(1 + p.Fleet/pageInstances) }
+
+// pageInstances is the number of instances that the platform tells in a call.
+const pageInstances = 2000
--- /dev/null
+++ b/core/crconfig/spread.go
@@ -0,0 +1,134 @@
+package crconfig
+
+import (
+	"camphorroad/core/crid"
+	"camphorroad/core/crmember"
+)
+
+func (s *State) myHave() Have {
+	return Have{Conf: s.conf.rev, Manifest: s.conf.digest, List: s.list.Revision(), Away: s.watch.away}
+}
+
+// spread tells a few random peers what this daemon has.
+func (s *State) spread() {
+	if len(s.peers) <= s.params.Fanout {
+		for _, p := range s.peers {
+			s.send(p.Daemon, s.myHave())
+		}
+		return
+	}
+	for range s.params.Fanout {
+		p := s.peers[s.rng.IntN(len(s.peers))]
+		s.send(p.Daemon, s.myHave())
+	}
+}
+
+func (s *State) tell(daemons []crid.Daemon) {
+	for _, d := range daemons {
+		s.send(d, s.myHave())
+	}
+}
+
+// have takes a peer's word. A peer that lacks something is told at once, so
+// that news travels both ways along each telling.
+func (s *State) have(now crid.Instant, from crid.Daemon, msg Have) {
+	if from == s.self {
+		return
+	}
+	s.haves[from] = msg
+	s.learn(now, msg.Conf, msg.Manifest, from)
+	s.listing.learn(s.list.Revision(), msg.List)
+	lacks := msg.Conf < s.conf.rev || msg.List < s.list.Revision()
+	if msg.Reply || (!lacks && !msg.Ask) {
+		return
+	}
+	reply := s.myHave()
+	reply.Reply = true
+	s.send(from, reply)
+}
+
+// askPeers asks, at start, peers spread over the domains.
+func (s *State) askPeers() {
+	if s.heard {
+		return
+	}
+	s.asked = s.chooseAsked()
+	msg := s.myHave()
+	msg.Ask = true
+	for _, d := range s.asked {
+		if _, ok := s.haves[d]; !ok {
+			s.send(d, msg)
+		}
+	}
+}
+
+// chooseAsked keeps the asked peers that are still reachable, and fills up with
+// others, one domain after the other.
+func (s *State) chooseAsked() []crid.Daemon {
+	chosen := make(map[crid.Daemon]bool, s.params.Ask)
+	perDomain := make(map[crid.Domain]int)
+	var asked []crid.Daemon
+	add := func(p crmember.Peer) {
+		chosen[p.Daemon] = true
+		perDomain[p.Domain]++
+		asked = append(asked, p.Daemon)
+	}
+	for _, d := range s.asked {
+		if p, ok := s.peer(d); ok {
+			add(p)
+		}
+	}
+	first := 0
+	if len(s.peers) > 0 {
+		first = s.rng.IntN(len(s.peers))
+	}
+	for level := 0; level < s.params.Ask && len(asked) < s.params.Ask; level++ {
+		for i := range s.peers {
+			p := s.peers[(first+i)%len(s.peers)]
+			if len(asked) < s.params.Ask && !chosen[p.Daemon] && perDomain[p.Domain] <= level {
+				add(p)
+			}
+		}
+	}
+	return asked
+}
+
+// checkHeard decides whether enough sources were asked for the newest of them
+// to be taken. Before that nothing is fetched: a platform that is stale, or one
+// lagging peer, would bring a withdrawn key back at every restart.
+func (s *State) checkHeard(now crid.Instant) {
+	if s.heard {
+		return
+	}
+	if len(s.peers) == 0 {
+		s.heard = s.watch.answered && now.Sub(s.startedAt) >= s.params.Grace
+		return
+	}
+	answered := 0
+	all := make(map[crid.Domain]bool)
+	told := make(map[crid.Domain]bool)
+	for _, d := range s.asked {
+		p, ok := s.peer(d)
+		if !ok {
+			continue
+		}
+		all[p.Domain] = true
+		if _, ok := s.haves[d]; ok {
+			answered++
+			told[p.Domain] = true
+		}
+	}
+	need := min(s.params.Ask, max(len(s.asked), s.members-1))/2 + 1
+	s.heard = len(s.asked) > 0 && answered >= need && len(told) >= min(2, len(all))
+}
+
+func (s *State) checkReady() {
+	if s.ready || !s.heard || s.conf.rev == 0 || s.list.Revision() == 0 {
+		return
+	}
+	if s.next != nil && s.next.atPeer {
+		return
+	}
+	s.ready = true
+	s.report(NumberReady, "inforce", rev(s.conf.rev), "list", rev(s.list.Revision()))
+}
