Add the account token reducer and the wallet

An account's rate and burst must hold over all daemons together, while no request waits for another daemon in the common case.

The limit is split in shares, each minted by one owner under tenure; entries ask for tokens ahead and hold them for a bounded time on their own clock. Builds and lints; not yet tested or measured.

--- /dev/null
+++ b/core/craccount/dump.go
@@ -0,0 +1,34 @@
+package craccount
+
+import (
+	"cmp"
+	"slices"
+)
+
+// Dump returns a JSON-ready copy of the state; it holds no key.
+func (s *State) Dump() any {
+	d := Dump{Active: s.owner.active, Minting: s.hasTenure(), Stopping: s.stopping}
+	for key, sh := range s.owner.shares {
+		d.Shares = append(d.Shares, ShareDump{
+			Account:     key.account,
+			Share:       key.share,
+			Rate:        sh.rate,
+			Burst:       sh.burst,
+			Balance:     sh.balance,
+			Outstanding: sh.outstanding,
+			Waiting:     len(sh.waiters),
+		})
+	}
+	slices.SortFunc(d.Shares, func(a, b ShareDump) int {
+		return cmp.Or(cmp.Compare(a.Account, b.Account), cmp.Compare(a.Share, b.Share))
+	})
+	for _, name := range s.entry.order {
+		a := s.entry.accounts[name]
+		dump := AccountsDump{Account: name, Demand: a.demand, Held: a.held}
+		for _, src := range a.sources {
+			dump.Owners = append(dump.Owners, src.owner)
+		}
+		d.Accounts = append(d.Accounts, dump)
+	}
+	return d
+}
--- /dev/null
+++ b/core/craccount/entry.go
@@ -0,0 +1,360 @@
+package craccount
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"camphorroad/core/crid"
+)
+
+const (
+	dryGap      = 50 * time.Millisecond  // between two notes that an account is exhausted
+	recallKeep  = 100 * time.Millisecond // demand kept when an owner recalls
+	floatFor    = 10 * time.Second       // one spare token is held this long after a request
+	lotsLinger  = time.Second            // void lots are remembered for late counts
+	refill      = 0.6                    // ask again when below this part of the target
+	maxRetry    = time.Minute
+	voidNever   = crid.Instant(math.MaxInt64)
+	warnDryGap  = 10 * time.Second // between two reports that an account is exhausted
+	minPlanning = 0.5              // tokens of demand ahead below which none are held
+)
+
+// lot is one grant held by this daemon.
+type lot struct {
+	account crid.Account
+	share   int
+	tokens  int
+	taken   int
+	back    int
+	voidAt  crid.Instant
+}
+
+// source is what an entry knows of one share's owner.
+type source struct {
+	owner      crid.Daemon
+	askedAt    crid.Instant
+	want       int // asked for and not answered; zero: none
+	shortUntil crid.Instant
+}
+
+// account is an account in use at this daemon.
+type account struct {
+	name      crid.Account
+	demand    float64 // requests a second
+	recent    int     // requests since the last estimate
+	cold      int     // requests that wait for a first token
+	held      int     // tokens in the wallet
+	rotate    int
+	ratedAt   crid.Instant
+	usedAt    crid.Instant
+	dryAt     crid.Instant
+	warnedAt  crid.Instant
+	recalled  crid.Instant // asks for no float until then
+	sources   []source
+	sourcesOK bool
+}
+
+// pending is the number of tokens asked for and not answered.
+func (a *account) pending() int {
+	n := 0
+	for i := range a.sources {
+		n += a.sources[i].want
+	}
+	return n
+}
+
+type sentAsk struct {
+	to crid.Daemon
+	at crid.Instant
+}
+
+// entry is the asking role of a daemon.
+type entry struct {
+	accounts map[crid.Account]*account
+	order    []crid.Account
+	lots     map[GrantKey]*lot
+	lotOrder []GrantKey
+	nextSeq  uint64
+	oldSeq   uint64
+	sent     map[uint64]sentAsk
+}
+
+func newEntry() entry {
+	return entry{
+		accounts: map[crid.Account]*account{},
+		lots:     map[GrantKey]*lot{},
+		sent:     map[uint64]sentAsk{},
+		nextSeq:  1,
+		oldSeq:   1,
+	}
+}
+
+func (e *entry) names() []crid.Account { return slices.Clone(e.order) }
+
+// reroute has the owners of all accounts found anew.
+func (e *entry) reroute() {
+	for _, a := range e.accounts {
+		a.sourcesOK = false
+	}
+}
+
+func (e *entry) sendSeq(to crid.Daemon, now crid.Instant) uint64 {
+	seq := e.nextSeq
+	e.nextSeq++
+	e.sent[seq] = sentAsk{to: to, at: now}
+	return seq
+}
+
+// open returns an account's state, made when there is room for it.
+func (s *State) open(name crid.Account) *account {
+	if a, ok := s.entry.accounts[name]; ok {
+		return a
+	}
+	if len(s.entry.order) >= s.params.MaxActive {
+		s.forgetOldest()
+	}
+	a := &account{name: name, ratedAt: s.now, usedAt: s.now}
+	s.entry.accounts[name] = a
+	s.entry.order = append(s.entry.order, name)
+	return a
+}
+
+func (s *State) forgetOldest() {
+	oldest := s.entry.order[0]
+	for _, name := range s.entry.order {
+		if s.entry.accounts[name].usedAt.Before(s.entry.accounts[oldest].usedAt) {
+			oldest = name
+		}
+	}
+	s.reportSeldom(EventTooMany, "account", string(oldest))
+	s.forget(oldest)
+}
+
+func (s *State) forget(name crid.Account) {
+	delete(s.entry.accounts, name)
+	i := slices.Index(s.entry.order, name)
+	s.entry.order = slices.Delete(s.entry.order, i, i+1)
+	s.emit(Forget{Account: name})
+}
+
+// route finds the owners of an account's shares under the list last known.
+func (s *State) route(a *account) {
+	if a.sourcesOK {
+		return
+	}
+	a.sourcesOK = true
+	members := s.tenure.Members
+	limit := s.limits(a.name)
+	count := shareCount(s.params.Shares, len(members), limit)
+	if len(members) == 0 || limit.Burst < 1 {
+		a.sources = nil
+		return
+	}
+	owners := shareOwners(a.name, members, count)
+	sources := make([]source, count)
+	for i, owner := range owners {
+		sources[i].owner = owner
+		if i < len(a.sources) && a.sources[i].owner == owner {
+			sources[i] = a.sources[i]
+		}
+	}
+	a.sources = sources
+}
+
+// takeUsage counts what requests did and asks for more where that is needed.
+func (s *State) takeUsage(usage []Usage) {
+	var touched []*account
+	for _, u := range usage {
+		if u.Key != (GrantKey{}) {
+			s.takeLotUsage(u)
+		}
+		asked := u.Taken + u.Refused + u.Cold
+		if asked == 0 {
+			continue
+		}
+		a := s.open(u.Account)
+		a.recent += asked
+		a.cold += u.Cold
+		a.usedAt = s.now
+		touched = append(touched, a)
+	}
+	for _, a := range touched {
+		s.plan(a)
+	}
+}
+
+func (s *State) takeLotUsage(u Usage) {
+	l, ok := s.entry.lots[u.Key]
+	if !ok {
+		return
+	}
+	l.taken += u.Taken
+	l.back += u.Back
+	if a, ok := s.entry.accounts[l.account]; ok {
+		a.held -= u.Taken + u.Back
+	}
+	s.addUse(u.Key, l)
+}
+
+func (s *State) addUse(key GrantKey, l *lot) {
+	ask := s.out.askFor(key.Owner)
+	use := Use{Account: l.account, Share: l.share, Inc: key.Inc, Grant: key.ID, Taken: l.taken, Back: l.back}
+	for i := range ask.Uses {
+		if ask.Uses[i].Grant == use.Grant && ask.Uses[i].Inc == use.Inc {
+			ask.Uses[i] = use
+			return
+		}
+	}
+	ask.Uses = append(ask.Uses, use)
+}
+
+// target is how many tokens an account should have at hand here.
+func (s *State) target(a *account) int {
+	limit := s.limits(a.name)
+	ahead := a.demand * s.params.Ahead.Seconds()
+	if ahead >= minPlanning {
+		return int(math.Min(math.Ceil(ahead), limit.Burst))
+	}
+	ample := limit.Burst >= 2*float64(len(s.tenure.Members))
+	recent := s.now.Sub(a.usedAt) < floatFor
+	if ample && recent && !s.now.Before(a.recalled) {
+		return 1
+	}
+	return 0
+}
+
+// plan asks the owners for what is missing. An owner that was short is left
+// out for a while: it remembers the Ask and sends tokens as it mints them.
+func (s *State) plan(a *account) {
+	if s.stopping {
+		return
+	}
+	s.route(a)
+	pending := a.pending()
+	var free []int
+	for i := range a.sources {
+		src := &a.sources[i]
+		if src.want == 0 && !s.now.Before(src.shortUntil) && s.askable(src.owner) {
+			free = append(free, i)
+		}
+	}
+	target := s.target(a)
+	at := a.held + pending
+	need := target + a.cold - at
+	if need <= 0 || (a.cold == 0 && float64(at) >= refill*float64(target)) {
+		return
+	}
+	if len(free) == 0 {
+		s.noteDry(a, pending)
+		return
+	}
+	s.askOwners(a, free, need)
+}
+
+// askOwners spreads an Ask over the free owners; a small one goes to a single
+// owner, in turn.
+func (s *State) askOwners(a *account, free []int, need int) {
+	part, rest := need/len(free), need%len(free)
+	for k := range free {
+		src := &a.sources[free[(a.rotate+k)%len(free)]]
+		want := part
+		if k < rest {
+			want++
+		}
+		if want == 0 {
+			continue
+		}
+		src.want, src.askedAt = want, s.now
+		share := free[(a.rotate+k)%len(free)]
+		ask := s.out.askFor(src.owner)
+		ask.Items = append(ask.Items, AskItem{Account: a.name, Share: share, Want: want})
+	}
+	a.rotate += max(1, rest)
+}
+
+// noteDry lets requests be refused at once, since no owner has a token.
+func (s *State) noteDry(a *account, pending int) {
+	if a.held > 0 || pending > 0 || (a.cold == 0 && s.now.Sub(a.dryAt) < dryGap) {
+		return
+	}
+	a.dryAt = s.now
+	a.cold = 0
+	s.emit(Deposit{Account: a.name, DryUntil: s.now.Add(s.params.ShortFor), RetryAfter: s.retryAfter(a)})
+	if a.warnedAt == 0 || s.now.Sub(a.warnedAt) >= warnDryGap {
+		a.warnedAt = s.now
+		s.report(EventExhausted, "account", string(a.name))
+	}
+}
+
+// retryAfter is the time in which the account's rate serves one second of the
+// demand seen here, and one request more.
+func (s *State) retryAfter(a *account) time.Duration {
+	limit := s.limits(a.name)
+	if limit.Rate <= 0 {
+		return maxRetry
+	}
+	seconds := (1 + a.demand) / limit.Rate
+	return min(maxRetry, time.Duration(seconds*float64(time.Second)))
+}
+
+func (s *State) tickEntry() {
+	for _, name := range s.entry.names() {
+		a := s.entry.accounts[name]
+		s.rate(a)
+		s.timeOut(a)
+		if s.now.Sub(a.usedAt) > s.params.IdleAfter && a.held == 0 {
+			s.forget(name)
+			continue
+		}
+		s.plan(a)
+		if a.pending() == 0 {
+			a.cold = 0
+		}
+	}
+	s.dropOld()
+}
+
+// rate moves the demand estimate towards the rate seen since the last one.
+func (s *State) rate(a *account) {
+	dt := s.now.Sub(a.ratedAt)
+	if dt <= 0 {
+		return
+	}
+	weight := 1 - math.Exp(-dt.Seconds()/s.params.Smooth.Seconds())
+	a.demand += weight * (float64(a.recent)/dt.Seconds() - a.demand)
+	a.recent, a.ratedAt = 0, s.now
+}
+
+// timeOut gives up Asks without an answer: the message or the owner is lost,
+// and the other owners are asked in its place.
+func (s *State) timeOut(a *account) {
+	for i := range a.sources {
+		src := &a.sources[i]
+		if src.want > 0 && s.now.Sub(src.askedAt) >= s.params.AskTimeout {
+			src.want = 0
+			a.cold = 0
+			src.shortUntil = s.now.Add(s.params.ShortFor)
+		}
+	}
+}
+
+// dropOld forgets Asks and lots that no message can refer to any more.
+func (s *State) dropOld() {
+	for s.entry.oldSeq < s.entry.nextSeq {
+		sent := s.entry.sent[s.entry.oldSeq]
+		if s.now.Before(sent.at.Add(s.params.Lifetime)) {
+			break
+		}
+		delete(s.entry.sent, s.entry.oldSeq)
+		s.entry.oldSeq++
+	}
+	for len(s.entry.lotOrder) > 0 {
+		key := s.entry.lotOrder[0]
+		if s.now.Before(s.entry.lots[key].voidAt.Add(lotsLinger)) {
+			break
+		}
+		delete(s.entry.lots, key)
+		s.entry.lotOrder = s.entry.lotOrder[1:]
+	}
+}
--- /dev/null
+++ b/core/craccount/events.go
@@ -0,0 +1,75 @@
+package craccount
+
+import (
+	"time"
+
+	"camphorroad/core/crid"
+)
+
+// Numbers of the events this package reports; docs/events-account.md lists
+// cause, what is noticed and what to do.
+const (
+	EventTenure    = 300 // this daemon mints
+	EventLapsed    = 301 // this daemon stopped minting
+	EventLateGrant = 302 // a grant came too late, or twice over a restart, and was not used
+	EventNotOwner  = 303 // asked for a share that this daemon does not own
+	EventTooMany   = 304 // more accounts in use than MaxActive
+	EventExhausted = 305 // an account's requests are being refused
+	EventStopped   = 306 // tokens are handed back before the stop
+)
+
+// quietGap is the least time between two reports of one number, so that a
+// fault on the path of every request does not fill the logs.
+const quietGap = 10 * time.Second
+
+// reportSeldom reports unless the number was reported within quietGap.
+func (s *State) reportSeldom(number int, name, value string) {
+	last, ok := s.reported[number]
+	if ok && s.now.Sub(last) < quietGap {
+		return
+	}
+	s.reported[number] = s.now
+	s.report(number, name, value)
+}
+
+func (s *State) noteTenure() {
+	if s.owner.lapsed {
+		s.owner.lapsed = false
+		s.report(EventTenure, "list", itoa(int(s.tenure.Active)))
+	}
+}
+
+func (s *State) noteLapse() {
+	if !s.owner.lapsed {
+		s.owner.lapsed = true
+		s.report(EventLapsed, "list", itoa(int(s.owner.active)))
+	}
+}
+
+// Dump is the state for the dump of the process.
+type Dump struct {
+	Active   crid.Revision  `json:"active"`
+	Minting  bool           `json:"minting"`
+	Stopping bool           `json:"stopping"`
+	Shares   []ShareDump    `json:"shares"`
+	Accounts []AccountsDump `json:"accounts"`
+}
+
+// ShareDump is a share that this daemon owns.
+type ShareDump struct {
+	Account     crid.Account `json:"account"`
+	Share       int          `json:"share"`
+	Rate        float64      `json:"rate"`
+	Burst       float64      `json:"burst"`
+	Balance     float64      `json:"balance"`
+	Outstanding int          `json:"outstanding"`
+	Waiting     int          `json:"waiting"`
+}
+
+// AccountsDump is an account in use at this daemon.
+type AccountsDump struct {
+	Account crid.Account  `json:"account"`
+	Demand  float64       `json:"demand"`
+	Held    int           `json:"held"`
+	Owners  []crid.Daemon `json:"owners"`
+}
--- /dev/null
+++ b/core/craccount/message.go
@@ -0,0 +1,132 @@
+package craccount
+
+import (
+	"time"
+
+	"camphorroad/core/crevent"
+	"camphorroad/core/crid"
+)
+
+// Ask asks the owner of shares for tokens, and reports on earlier grants.
+type Ask struct {
+	Inc   crid.Incarnation `cbor:"i"` // of the asking daemon
+	Seq   uint64           `cbor:"q"` // grows with every Ask of one incarnation
+	Items []AskItem        `cbor:"t"`
+	Uses  []Use            `cbor:"u"`
+}
+
+// MessageKind implements crevent.Message.
+func (Ask) MessageKind() string { return "ask" }
+
+// AskItem asks for tokens of one share.
+type AskItem struct {
+	Account crid.Account `cbor:"a"`
+	Share   int          `cbor:"s"`
+	Want    int          `cbor:"w"` // tokens
+}
+
+// Use reports on one grant, cumulatively, so that a duplicate changes nothing
+// and a lost report is made good by the next.
+type Use struct {
+	Account crid.Account     `cbor:"a"`
+	Share   int              `cbor:"s"`
+	Inc     crid.Incarnation `cbor:"i"` // of the granting daemon
+	Grant   uint64           `cbor:"g"`
+	Taken   int              `cbor:"t"` // tokens spent
+	Back    int              `cbor:"b"` // tokens given up unspent
+}
+
+// Grant moves tokens to the daemon that asked.
+type Grant struct {
+	Inc   crid.Incarnation `cbor:"i"` // of the granting daemon
+	To    crid.Incarnation `cbor:"o"` // of the asking daemon
+	Seq   uint64           `cbor:"q"` // of the Ask that is answered
+	Items []GrantItem      `cbor:"t"`
+}
+
+// MessageKind implements crevent.Message.
+func (Grant) MessageKind() string { return "grant" }
+
+// GrantItem moves tokens of one share; with no tokens it says that the owner
+// is short.
+type GrantItem struct {
+	Account crid.Account `cbor:"a"`
+	Share   int          `cbor:"s"`
+	ID      uint64       `cbor:"g"` // unique in the granting incarnation
+	Tokens  int          `cbor:"n"`
+	Short   bool         `cbor:"h"` // less than was asked for; the rest follows when minted
+	Recall  bool         `cbor:"r"` // others are short: give back what is not needed at once
+}
+
+// Return reports on grants without asking for more.
+type Return struct {
+	Uses []Use `cbor:"u"`
+}
+
+// MessageKind implements crevent.Message.
+func (Return) MessageKind() string { return "return" }
+
+// Messages returns a zero value of each message, for the codec's registry.
+func Messages() []crevent.Message {
+	return []crevent.Message{Ask{}, Grant{}, Return{}}
+}
+
+// GrantKey names a grant in the fleet, over all time.
+type GrantKey struct {
+	Owner crid.Daemon
+	Inc   crid.Incarnation
+	ID    uint64
+}
+
+// Deposit is the effect that puts tokens into the [Wallet], or, with no tokens,
+// tells it that the account is exhausted until DryUntil.
+type Deposit struct {
+	Account    crid.Account
+	Share      int
+	Key        GrantKey
+	Tokens     int
+	VoidAt     crid.Instant // never spent at or after this instant
+	DryUntil   crid.Instant
+	RetryAfter time.Duration // advice for refused callers while dry
+}
+
+// EffectName implements crevent.Effect.
+func (Deposit) EffectName() string { return "deposit" }
+
+// Withdraw is the effect that takes all but Keep tokens of an account out of
+// the [Wallet]; the next Drain reports them as given back.
+type Withdraw struct {
+	Account crid.Account
+	Keep    int
+}
+
+// EffectName implements crevent.Effect.
+func (Withdraw) EffectName() string { return "withdraw" }
+
+// Forget is the effect that drops an idle account from the [Wallet].
+type Forget struct {
+	Account crid.Account
+}
+
+// EffectName implements crevent.Effect.
+func (Forget) EffectName() string { return "forget" }
+
+// Usage is what happened to one grant, or to an account's requests that found
+// no token, since the last Drain. A zero Key marks the latter.
+type Usage struct {
+	Account crid.Account
+	Key     GrantKey
+	Taken   int
+	Back    int
+	Refused int
+	Cold    int
+}
+
+// Used feeds the drained counts of the [Wallet] back into the reducer.
+type Used struct {
+	Now   crid.Instant
+	Usage []Usage
+}
+
+// At implements crevent.Event.
+func (e Used) At() crid.Instant { return e.Now }
--- /dev/null
+++ b/core/craccount/share.go
@@ -0,0 +1,177 @@
+package craccount
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"camphorroad/core/crid"
+)
+
+// grantState is what an owner knows of one grant.
+type grantState struct {
+	id     uint64
+	to     crid.Daemon
+	tokens int
+	taken  int
+	back   int
+	voidAt crid.Instant
+}
+
+func (g *grantState) open() int { return g.tokens - g.taken - g.back }
+
+// waiter is an Ask that was not met in full.
+type waiter struct {
+	from   crid.Daemon
+	inc    crid.Incarnation
+	seq    uint64
+	want   int
+	until  crid.Instant
+	silent bool // has been told that this owner is short
+}
+
+// share is one share of an account at its owner: a token bucket whose level is
+// balance plus all tokens that may still be spent elsewhere.
+//
+// Its invariant is balance + outstanding <= burst. Minting first takes the time
+// up to now into the room there was, and only then may a change make room:
+// otherwise the time before a spend would be minted into the room the spend
+// made, and a window could see burst + rate*(w + that time).
+type share struct {
+	rate        float64 // tokens a second
+	burst       float64
+	balance     float64
+	outstanding int
+	minted      time.Duration // reading of the minting clock up to which is minted
+	grants      []grantState  // by id, which grow
+	waiters     []waiter
+	recalledAt  crid.Instant
+	usedAt      crid.Instant
+	rotate      int
+}
+
+// mint accrues tokens up to the reading m of the minting clock.
+func (sh *share) mint(m time.Duration) {
+	if m <= sh.minted {
+		return
+	}
+	fresh := sh.rate * (m - sh.minted).Seconds()
+	sh.minted = m
+	room := sh.burst - sh.balance - float64(sh.outstanding)
+	sh.balance += math.Max(0, math.Min(fresh, room))
+}
+
+// resize applies a new limit at once: a lower one cuts the balance, a higher
+// one is filled at the rate from now on.
+func (sh *share) resize(rate, burst float64) {
+	sh.rate, sh.burst = rate, burst
+	room := math.Max(0, burst-float64(sh.outstanding))
+	sh.balance = math.Min(sh.balance, room)
+}
+
+// grant subtracts n tokens and records them as outstanding.
+func (sh *share) grant(id uint64, to crid.Daemon, n int, voidAt crid.Instant) {
+	sh.balance -= float64(n)
+	sh.outstanding += n
+	sh.grants = append(sh.grants, grantState{id: id, to: to, tokens: n, voidAt: voidAt})
+}
+
+// settle applies a report on a grant. Reports are cumulative: a duplicate or
+// an overtaken one changes nothing. One on a grant already void is ignored,
+// since its room has been given out again.
+func (sh *share) settle(from crid.Daemon, use Use) {
+	i, ok := slices.BinarySearchFunc(sh.grants, use.Grant, func(g grantState, id uint64) int {
+		return compare(g.id, id)
+	})
+	if !ok || sh.grants[i].to != from {
+		return
+	}
+	g := &sh.grants[i]
+	taken, back := max(g.taken, use.Taken), max(g.back, use.Back)
+	if taken+back > g.tokens {
+		return
+	}
+	sh.balance += float64(back - g.back)
+	sh.outstanding -= taken + back - g.taken - g.back
+	g.taken, g.back = taken, back
+	sh.balance = math.Min(sh.balance, math.Max(0, sh.burst-float64(sh.outstanding)))
+}
+
+// expire drops grants that no entry can spend any more; their tokens come back
+// as room, not as tokens.
+func (sh *share) expire(now crid.Instant) {
+	kept := sh.grants[:0]
+	for _, g := range sh.grants {
+		void := !now.Before(g.voidAt)
+		if void {
+			sh.outstanding -= g.open()
+		}
+		if !void && g.open() > 0 {
+			kept = append(kept, g)
+		}
+	}
+	sh.grants = kept
+}
+
+// wait remembers an Ask; a newer one of the same daemon replaces it, an older
+// or repeated one is refused.
+func (sh *share) wait(w waiter) {
+	for i, old := range sh.waiters {
+		if old.from != w.from {
+			continue
+		}
+		if old.inc == w.inc && old.seq >= w.seq {
+			return
+		}
+		sh.waiters[i] = w
+		return
+	}
+	sh.waiters = append(sh.waiters, w)
+}
+
+// allot divides the whole tokens of the balance among the waiters so that the
+// worst-served gets as much as can be (max-min); the remainder rotates.
+func (sh *share) allot() []int {
+	free := int(math.Floor(sh.balance + 1e-9))
+	given := make([]int, len(sh.waiters))
+	hungry := len(sh.waiters)
+	for free > 0 && hungry > 0 {
+		part := max(1, free/hungry)
+		hungry = 0
+		for k := range sh.waiters {
+			i := (k + sh.rotate) % len(sh.waiters)
+			n := min(part, sh.waiters[i].want-given[i], free)
+			given[i] += n
+			free -= n
+			if sh.waiters[i].want > given[i] {
+				hungry++
+			}
+		}
+		sh.rotate++
+	}
+	return given
+}
+
+// prune drops waiters that were served in full or have asked too long ago.
+func (sh *share) prune(now crid.Instant) {
+	sh.waiters = slices.DeleteFunc(sh.waiters, func(w waiter) bool {
+		return w.want <= 0 || !now.Before(w.until)
+	})
+}
+
+// idle reports whether the share may be dropped: recreated later it holds no
+// more than it does now.
+func (sh *share) idle() bool {
+	full := sh.balance >= sh.burst
+	return full && len(sh.grants) == 0 && len(sh.waiters) == 0
+}
+
+func compare(a, b uint64) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	}
+	return 0
+}
