Decide reachability, standing and the active list

Change: the reducer.

Conclusion: holds at today's sizes; the limits stand in docs/design/02-standing.md.

--- /dev/null
+++ b/core/crmember/crmember.go
@@ -0,0 +1,266 @@
+// Package crmember decides what a daemon may believe of the other daemons: who
+// is reachable both ways, who is leaving, which list of instances is active,
+// and whether this daemon has standing, which means it may act on what it knows.
+//
+// Daemons exchange heartbeats ([Beat]). A beat echoes the receiver's latest
+// beat, and counts as evidence from the instant at which that one was sent. A
+// daemon has standing under a list while a majority of the list's voters has
+// answered within a horizon and holds that list as its newest. At no time do
+// two daemons have standing under different lists; docs/design/02-standing.md
+// gives the argument and its limits.
+//
+// # Usage
+//
+//	s := crmember.New(crmember.DefaultParams())
+//	for ev := range events {
+//		for _, effect := range s.Step(ev) {
+//			// Send and Report go to the shell, Tenure, Peers and
+//			// crinstance.Listed to the sibling reducers.
+//		}
+//	}
+package crmember
+
+import (
+	"encoding/binary"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"camphorroad/core/crevent"
+	"camphorroad/core/crid"
+	"camphorroad/core/crinstance"
+)
+
+// State is the reducer. It is not safe for concurrent use.
+type State struct {
+	params Params
+
+	started   bool
+	startedAt crid.Instant
+	now       crid.Instant
+	self      crid.Daemon
+	inc       crid.Incarnation
+	seed      uint64
+
+	lists     map[crid.Revision]known
+	revs      []crid.Revision // revisions of lists, sorted
+	cur       crid.Revision   // newest of revs
+	floor     crid.Revision   // newest list known to have been active
+	wantFloor crid.Revision   // a later floor whose list has not come yet
+	fresh     bool
+	coldRev   crid.Revision          // newest list at the moment of a cold start
+	forgotten map[crid.Revision]bool // lists whose voters were fresh in their majority
+	ackSince  crid.Instant           // since when this daemon itself answers for cur
+
+	peers map[crid.Daemon]*peer
+	order []crid.Daemon // keys of peers, sorted
+
+	conf      uint64
+	leaving   bool
+	seq       uint64
+	sent      [sentSlots]sending
+	roundAt   crid.Instant // latest round
+	nextRound crid.Instant
+	beatNow   bool
+	tellAll   bool          // the next round goes to all peers
+	fullAt    crid.Revision // newest list refused for want of room
+
+	tenure       Tenure
+	peersChanged bool
+	out          []crevent.Effect
+}
+
+// New returns a reducer that waits for [crevent.Started].
+func New(params Params) *State {
+	return &State{
+		params: params,
+		lists:  make(map[crid.Revision]known),
+		peers:  make(map[crid.Daemon]*peer),
+		fresh:  true,
+
+		forgotten: make(map[crid.Revision]bool),
+	}
+}
+
+// Step takes an event and returns what is to be done. Instants that go back are
+// taken as the latest one seen.
+func (s *State) Step(ev crevent.Event) []crevent.Effect {
+	if start, ok := ev.(crevent.Started); ok {
+		s.start(start)
+	}
+	if !s.started {
+		return nil
+	}
+	s.now = max(s.now, ev.At())
+	switch ev := ev.(type) {
+	case crevent.Tick:
+		s.refreshPeers()
+	case crevent.Received:
+		s.receive(ev)
+	case crinstance.Listed:
+		s.addList(ev.List)
+	case Advertise:
+		s.conf = ev.Conf
+	case crevent.Stopping:
+		s.tellAll = s.tellAll || !s.leaving
+		s.leaving = true
+	}
+	s.conclude()
+	out := s.out
+	s.out = nil
+	return out
+}
+
+func (s *State) start(ev crevent.Started) {
+	if s.started {
+		return
+	}
+	s.started = true
+	s.startedAt = ev.Now
+	s.self = ev.Self
+	s.inc = ev.Incarnation
+	s.seed = ev.Seed
+}
+
+// receive drops messages of daemons that no held list names: they can neither
+// vouch nor make this daemon send anything.
+func (s *State) receive(ev crevent.Received) {
+	p := s.peers[ev.From]
+	if p == nil {
+		return
+	}
+	switch m := ev.Msg.(type) {
+	case Beat:
+		s.onBeat(ev.From, p, m)
+		if p := s.peers[ev.From]; p != nil {
+			s.refreshPeer(ev.From, p)
+		}
+	case Fetch:
+		s.onFetch(ev.From, m)
+	case Lists:
+		s.onLists(m)
+	}
+}
+
+// conclude draws the consequences of the event.
+func (s *State) conclude() {
+	s.recoverState()
+	s.settleTenure()
+	if s.cur != 0 && (s.beatNow || s.tellAll || !s.now.Before(s.nextRound)) {
+		s.round()
+	}
+	if s.peersChanged {
+		s.tellPeers()
+	}
+}
+
+func (s *State) emit(effect crevent.Effect) {
+	s.out = append(s.out, effect)
+}
+
+// draw returns a number that depends on the seed and the arguments only.
+func (s *State) draw(a, b uint64) uint64 {
+	var buf [24]byte
+	binary.LittleEndian.PutUint64(buf[0:], s.seed)
+	binary.LittleEndian.PutUint64(buf[8:], a)
+	binary.LittleEndian.PutUint64(buf[16:], b)
+	return xxhash.Sum64(buf[:])
+}
+
+func (s *State) refreshPeers() {
+	for _, d := range s.order {
+		s.refreshPeer(d, s.peers[d])
+	}
+}
+
+// refreshPeer notices that a peer became reachable, or no longer is.
+func (s *State) refreshPeer(d crid.Daemon, p *peer) {
+	alive := s.alive(p)
+	if alive == p.reachable {
+		return
+	}
+	p.reachable = alive
+	s.peersChanged = true
+	if !s.lists[s.cur].hasVoter(d) {
+		return // sampled peers come and go by design
+	}
+	if alive {
+		s.reportPeer(EventPeerReachable, d)
+		return
+	}
+	s.reportPeer(EventPeerLost, d)
+}
+
+func (s *State) tellPeers() {
+	s.peersChanged = false
+	s.emit(Peers{Now: s.now, Peers: s.view()})
+}
+
+// view is the content of Peers.
+func (s *State) view() []Peer {
+	peers := make([]Peer, 0, len(s.order))
+	for _, d := range s.order {
+		p := s.peers[d]
+		peers = append(peers, Peer{
+			Daemon:      d,
+			Domain:      p.domain,
+			Incarnation: p.inc,
+			Reachable:   p.reachable,
+			Leaving:     p.leaving || p.listedLeaving,
+		})
+	}
+	return peers
+}
+
+// Dump is the state for the dump of a process.
+type Dump struct {
+	Incarnation crid.Incarnation `json:"incarnation"`
+	Current     crid.Revision    `json:"current"`
+	Floor       crid.Revision    `json:"floor"`
+	Lists       []crid.Revision  `json:"lists"`
+	Fresh       bool             `json:"fresh"`
+	Leaving     bool             `json:"leaving"`
+	Active      crid.Revision    `json:"active"`
+	Until       crid.Instant     `json:"until"`
+	Now         crid.Instant     `json:"now"`
+	Peers       []PeerDump       `json:"peers"`
+}
+
+// PeerDump is one peer in Dump.
+type PeerDump struct {
+	Daemon    crid.Daemon   `json:"daemon"`
+	Current   crid.Revision `json:"current"`
+	Floor     crid.Revision `json:"floor"`
+	Fresh     bool          `json:"fresh"`
+	Leaving   bool          `json:"leaving"`
+	Reachable bool          `json:"reachable"`
+	Evidence  crid.Instant  `json:"evidence"`
+}
+
+// Dump returns a [Dump].
+func (s *State) Dump() any {
+	dump := Dump{
+		Incarnation: s.inc,
+		Current:     s.cur,
+		Floor:       s.floor,
+		Lists:       slices.Clone(s.revs),
+		Fresh:       s.fresh,
+		Leaving:     s.leaving,
+		Active:      s.tenure.Active,
+		Until:       s.tenure.Until,
+		Now:         s.now,
+	}
+	for _, d := range s.order {
+		p := s.peers[d]
+		dump.Peers = append(dump.Peers, PeerDump{
+			Daemon:    d,
+			Current:   p.cur,
+			Floor:     p.floor,
+			Fresh:     p.fresh,
+			Leaving:   p.leaving || p.listedLeaving,
+			Reachable: p.reachable,
+			Evidence:  p.evidence,
+		})
+	}
+	return dump
+}
--- /dev/null
+++ b/core/crmember/list.go
@@ -0,0 +1,198 @@
+package crmember
+
+import (
+	"maps"
+	"slices"
+
+	"camphorroad/core/crevent"
+	"camphorroad/core/crid"
+	"camphorroad/core/crinstance"
+)
+
+// known is a list this daemon holds, with what follows from it.
+type known struct {
+	list    crinstance.List
+	voters  []crid.Daemon
+	daemons []crid.Daemon
+}
+
+func (k known) hasVoter(d crid.Daemon) bool {
+	_, ok := slices.BinarySearch(k.voters, d)
+	return ok
+}
+
+// addList takes a list from the platform or a peer.
+func (s *State) addList(list crinstance.List) {
+	rev := list.Revision()
+	if _, ok := s.lists[rev]; ok || rev == 0 {
+		return
+	}
+	if rev < s.floor {
+		s.reportList(EventListIgnored, rev)
+		return
+	}
+	if len(s.lists) >= s.params.MaxLists && rev != s.wantFloor {
+		s.refuseFull(rev)
+		return
+	}
+	s.lists[rev] = known{
+		list:    list,
+		voters:  Voters(list, 0, s.params.MaxVoters),
+		daemons: list.Daemons(),
+	}
+	s.emit(crinstance.Listed{Now: s.now, List: list})
+	s.indexLists()
+	if rev == s.cur {
+		s.startCurrent()
+	}
+	s.raiseFloor(s.wantFloor)
+}
+
+// refuseFull reports, once for each list, that there is no room. The lists held
+// can not be dropped for it: each may be the one under which somebody acts.
+func (s *State) refuseFull(rev crid.Revision) {
+	if rev > s.fullAt {
+		s.fullAt = rev
+		s.reportList(EventListsFull, rev)
+	}
+}
+
+// startCurrent begins to gather acknowledgements for a new newest list.
+func (s *State) startCurrent() {
+	s.reportList(EventListAdopted, s.cur)
+	s.ackSince = s.now
+	for _, p := range s.peers {
+		p.acked = false
+	}
+	if _, ok := s.lists[s.cur].list.Find(s.self); !ok {
+		s.reportList(EventNotListed, s.cur)
+	}
+	s.beatNow = true
+}
+
+// raiseFloor drops the lists before one that is known to have been active. All
+// of them had handed over before it became active, for good.
+func (s *State) raiseFloor(rev crid.Revision) {
+	if rev <= s.floor {
+		return
+	}
+	if _, ok := s.lists[rev]; !ok {
+		s.wantFloor = max(s.wantFloor, rev)
+		return
+	}
+	s.floor = rev
+	maps.DeleteFunc(s.lists, func(r crid.Revision, _ known) bool { return r < rev })
+	s.indexLists()
+}
+
+// indexLists recomputes what follows from the set of lists: the newest
+// revision, the revisions in order and the peers.
+func (s *State) indexLists() {
+	s.revs = slices.Sorted(maps.Keys(s.lists))
+	s.cur = s.revs[len(s.revs)-1]
+	wanted := make(map[crid.Daemon]bool)
+	for _, rev := range s.revs {
+		for _, d := range s.lists[rev].daemons {
+			wanted[d] = true
+		}
+	}
+	delete(wanted, s.self)
+	maps.DeleteFunc(s.peers, func(d crid.Daemon, _ *peer) bool { return !wanted[d] })
+	for d := range wanted {
+		if s.peers[d] == nil {
+			s.peers[d] = &peer{}
+		}
+	}
+	s.order = slices.Sorted(maps.Keys(s.peers))
+	for _, d := range s.order {
+		s.describe(d, s.peers[d])
+	}
+	s.peersChanged = true
+}
+
+// describe sets what the newest list that names the peer says of it.
+func (s *State) describe(d crid.Daemon, p *peer) {
+	for _, rev := range slices.Backward(s.revs) {
+		if in, ok := s.lists[rev].list.Find(d); ok {
+			p.domain = in.Domain
+			p.listedLeaving = in.Leaving()
+			return
+		}
+	}
+}
+
+// older returns the lists that have to hand over before the newest can become
+// active.
+//
+// A list that this daemon skips could have become active elsewhere. Suppose 1
+// is {a b c d e}, 2 is {a b x y z} and 3 is {x y z v w}. A majority of 1 lets 2
+// become active, and later x, y and z move on to 3. A daemon that asks only the
+// floor, list 1, finds a majority c, d, e that never heard of 2, and would let
+// 3 become active while a, b and z still answer for 2. One would notice it as
+// an account that gets twice its rate. Therefore every list that an answering
+// peer holds is fetched first (see holdsAll) and has to hand over too.
+func (s *State) older() []known {
+	var older []known
+	for _, rev := range s.revs[:len(s.revs)-1] {
+		if !s.params.has(guardChain) && rev != s.revs[0] {
+			continue
+		}
+		older = append(older, s.lists[rev])
+	}
+	return older
+}
+
+// held lists the revisions strictly between floor and newest.
+func (s *State) held() []crid.Revision {
+	var held []crid.Revision
+	for _, rev := range s.revs {
+		if rev > s.floor && rev < s.cur {
+			held = append(held, rev)
+		}
+	}
+	return held
+}
+
+// holdsAll reports whether this daemon holds each list the peer named that can
+// still matter.
+func (s *State) holdsAll(p *peer) bool {
+	if !s.params.has(guardChain) {
+		return s.holds(p.cur)
+	}
+	for _, rev := range p.held {
+		if !s.holds(rev) {
+			return false
+		}
+	}
+	return s.holds(p.cur) && s.holds(p.floor)
+}
+
+// holds reports whether a list is held or need not be.
+func (s *State) holds(rev crid.Revision) bool {
+	_, ok := s.lists[rev]
+	return ok || rev < s.floor || rev == 0
+}
+
+// onFetch answers with the lists the peer lacks.
+func (s *State) onFetch(from crid.Daemon, m Fetch) {
+	var rolls []Roll
+	for _, rev := range s.revs {
+		if rev >= m.From && !slices.Contains(m.Have, rev) {
+			rolls = append(rolls, Roll{Rev: rev, Instances: s.lists[rev].list.Instances()})
+		}
+	}
+	if len(rolls) > 0 {
+		s.emit(crevent.Send{To: from, Msg: Lists{Rolls: rolls}})
+	}
+}
+
+// onLists takes the lists in order, so that a full table keeps the oldest,
+// which are the ones that have to hand over.
+func (s *State) onLists(m Lists) {
+	if len(m.Rolls) > s.params.MaxLists {
+		return
+	}
+	for _, roll := range m.Rolls {
+		s.addList(crinstance.NewList(roll.Rev, roll.Instances))
+	}
+}
--- a/core/crmember/notice.go
+++ b/core/crmember/notice.go
@@ -1,6 +1,3 @@
-// Package crmember decides what a daemon may believe of the other daemons: who
-// is reachable both ways, who is leaving, which list of instances is active,
-// and whether this daemon has standing, which means it may act on what it knows.
 package crmember
 
 import "camphorroad/core/crid"
