--- /dev/null
+++ b/core/crmember/rapid_test.go
@@ -0,0 +1,186 @@
+package crmember
+
+import (
+	"flag"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"camphorroad/core/crid"
+	"camphorroad/core/crinstance"
+)
+
+// TestMain fixes the seed, so that CI repeats one run; another seed or number
+// of checks may be given with -rapid.seed and -rapid.checks.
+func TestMain(m *testing.M) {
+	for name, value := range map[string]string{"rapid.seed": "20261202", "rapid.checks": "60", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	flag.Parse()
+	os.Exit(m.Run())
+}
+
+// Several daemons live through loss, reordering, duplicates, pauses, restarts
+// and one-way cuts while they read different lists, new and stale ones, by
+// clocks that drift. At no true instant may two of them have standing under
+// different lists; else an account gets more than its rate. At most one daemon
+// is unrecovered at a time: the known limit of recovery without a disk.
+func TestStandingUnderOneListOnly(t *testing.T) {
+	standings := 0
+	rapid.Check(t, func(rt *rapid.T) {
+		w := newWorld(0, rapid.Uint64().Draw(rt, "network"))
+		names := ds("a", "b", "c", "d", "e", "f")
+		lists := []crinstance.List{roll(1, names...)}
+		w.startAll(lists[0])
+		for _, d := range names {
+			w.nodes[d].rate = rapid.Float64Range(0.99, 1.01).Draw(rt, "rate")
+		}
+		w.run(4 * time.Second)
+		w.chaos = true
+		m := &machine{w: w, names: names, lists: lists}
+		rt.Repeat(map[string]func(*rapid.T){
+			"publish": m.publish,
+			"read":    m.read,
+			"readAll": m.readAll,
+			"cut":     m.cut,
+			"split":   m.split,
+			"defect":  m.defect,
+			"slow":    m.slow,
+			"heal":    m.heal,
+			"pause":   func(rt *rapid.T) { w.nodes[m.pick(rt)].paused = true },
+			"wake":    func(rt *rapid.T) { w.wake(m.pick(rt)) },
+			"restart": m.restart,
+			"run":     m.run,
+			"runLong": func(*rapid.T) { w.run(3 * time.Second) },
+			"": func(rt *rapid.T) {
+				if len(w.overlaps) > 0 {
+					rt.Fatalf("two lists at once: %s", w.overlaps[0])
+				}
+			},
+		})
+		for _, n := range w.nodes {
+			if n.tenure.Active > 1 {
+				standings++
+			}
+		}
+	})
+	if standings == 0 {
+		t.Fatal("no run got beyond its first list; the check proves nothing")
+	}
+	t.Logf("daemons with a later list active at the end of a run: %d", standings)
+}
+
+type machine struct {
+	w     *world
+	names []crid.Daemon
+	lists []crinstance.List
+	left  []crid.Daemon // the sides of the latest split
+	right []crid.Daemon
+}
+
+func (m *machine) pick(rt *rapid.T) crid.Daemon {
+	return rapid.SampledFrom(m.names).Draw(rt, "daemon")
+}
+
+func (m *machine) publish(rt *rapid.T) {
+	members := rapid.Permutation(m.names).Draw(rt, "members")
+	n := rapid.IntRange(3, len(members)).Draw(rt, "n")
+	m.lists = append(m.lists, roll(crid.Revision(len(m.lists)+1), members[:n]...))
+}
+
+func (m *machine) read(rt *rapid.T) {
+	d := m.pick(rt)
+	if !m.w.nodes[d].paused {
+		m.w.read(d, rapid.SampledFrom(m.lists).Draw(rt, "list"))
+	}
+}
+
+func (m *machine) readAll(*rapid.T) {
+	for _, d := range m.names {
+		if !m.w.nodes[d].paused {
+			m.w.read(d, m.lists[len(m.lists)-1])
+		}
+	}
+}
+
+func (m *machine) cut(rt *rapid.T) {
+	from, to := m.pick(rt), m.pick(rt)
+	m.w.cuts[link{from, to}] = true
+	if rapid.Bool().Draw(rt, "both") {
+		m.w.cuts[link{to, from}] = true
+	}
+}
+
+// split cuts the fleet in two, and one side reads a list of that side.
+func (m *machine) split(rt *rapid.T) {
+	order := rapid.Permutation(m.names).Draw(rt, "order")
+	n := rapid.IntRange(3, len(order)-1).Draw(rt, "n")
+	m.left, m.right = order[:n], order[n:]
+	m.w.cut(m.left, m.right)
+	m.publishTo(m.left)
+	m.w.run(time.Duration(rapid.IntRange(0, 4000).Draw(rt, "ms")) * time.Millisecond)
+}
+
+// defect moves daemons of the side with the newer list to the other, which may
+// then read a list of its own; one of them may restart with a former list.
+func (m *machine) defect(rt *rapid.T) {
+	if len(m.left) < 2 {
+		return
+	}
+	n := rapid.IntRange(1, len(m.left)-1).Draw(rt, "n")
+	movers, stay := m.left[:n], m.left[n:]
+	side := append(slices.Clone(m.right), movers...)
+	m.heal(rt)
+	m.w.cut(side, stay)
+	m.left, m.right = side, stay
+	if rapid.Bool().Draw(rt, "restart") {
+		m.restartOne(rt, movers[0])
+	}
+	if len(side) >= 3 && rapid.Bool().Draw(rt, "publish") {
+		m.publishTo(side)
+	}
+	m.w.run(time.Duration(rapid.IntRange(0, 4000).Draw(rt, "ms")) * time.Millisecond)
+}
+
+func (m *machine) publishTo(side []crid.Daemon) {
+	list := roll(crid.Revision(len(m.lists)+1), side...)
+	m.lists = append(m.lists, list)
+	for _, d := range side {
+		if !m.w.nodes[d].paused {
+			m.w.read(d, list)
+		}
+	}
+}
+
+// slow lets a link deliver seconds late.
+func (m *machine) slow(rt *rapid.T) {
+	ms := rapid.IntRange(500, 6000).Draw(rt, "ms")
+	m.w.slow[link{m.pick(rt), m.pick(rt)}] = time.Duration(ms) * time.Millisecond
+}
+
+func (m *machine) heal(*rapid.T) {
+	clear(m.w.cuts)
+	clear(m.w.slow)
+}
+
+func (m *machine) restart(rt *rapid.T) { m.restartOne(rt, m.pick(rt)) }
+
+func (m *machine) restartOne(rt *rapid.T, d crid.Daemon) {
+	for _, n := range m.w.nodes {
+		if n.state.fresh {
+			return
+		}
+	}
+	m.w.start(d)
+	m.w.read(d, rapid.SampledFrom(m.lists).Draw(rt, "list"))
+}
+
+func (m *machine) run(rt *rapid.T) {
+	ms := rapid.IntRange(10, 1500).Draw(rt, "ms")
+	m.w.run(time.Duration(ms) * time.Millisecond)
+}
--- /dev/null
+++ b/core/crmember/world_test.go
@@ -0,0 +1,236 @@
+package crmember
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"camphorroad/core/crevent"
+	"camphorroad/core/crid"
+	"camphorroad/core/crinstance"
+)
+
+// node is a daemon in the test network, with a clock of its own.
+type node struct {
+	state  *State
+	inc    crid.Incarnation
+	base   crid.Instant
+	rate   float64
+	paused bool
+	queue  []packet // arrived while paused
+	tenure Tenure
+	peers  map[crid.Daemon]Peer
+	sent   []crevent.Message
+}
+
+func (n *node) clock(now time.Duration) crid.Instant {
+	return n.base + crid.Instant(float64(now)*n.rate)
+}
+
+type packet struct {
+	at       time.Duration
+	from, to crid.Daemon
+	msg      crevent.Message
+}
+
+type link struct{ from, to crid.Daemon }
+
+// world is a network of real reducers in simulated time.
+type world struct {
+	params   Params
+	now      time.Duration
+	nodes    map[crid.Daemon]*node
+	packets  []packet
+	cuts     map[link]bool
+	slow     map[link]time.Duration // extra delay
+	rng      *rand.Rand
+	chaos    bool // random delay, loss and duplicates
+	overlaps []string
+	lives    uint64
+}
+
+func newWorld(without guard, seed uint64) *world {
+	params := DefaultParams()
+	params.without = without
+	return &world{
+		params: params,
+		nodes:  make(map[crid.Daemon]*node),
+		cuts:   make(map[link]bool),
+		slow:   make(map[link]time.Duration),
+		rng:    rand.New(rand.NewPCG(seed, 1)),
+	}
+}
+
+// start begins a new life of a daemon; its clock rate stays.
+func (w *world) start(d crid.Daemon) *node {
+	w.lives++
+	n := &node{
+		state: New(w.params),
+		inc:   crid.Incarnation(w.lives),
+		base:  crid.Instant(1e9 * float64(1+w.lives)),
+		rate:  1,
+	}
+	if old := w.nodes[d]; old != nil {
+		n.rate = old.rate
+	}
+	w.nodes[d] = n
+	w.step(d, crevent.Started{Now: n.clock(w.now), Self: d, Incarnation: n.inc, Seed: w.lives})
+	return n
+}
+
+func (w *world) startAll(list crinstance.List) {
+	for _, d := range list.Daemons() {
+		w.start(d)
+	}
+	for _, d := range list.Daemons() {
+		w.read(d, list)
+	}
+}
+
+// read hands a daemon a list from the platform.
+func (w *world) read(d crid.Daemon, list crinstance.List) {
+	w.step(d, crinstance.Listed{Now: w.nodes[d].clock(w.now), List: list})
+}
+
+func (w *world) step(d crid.Daemon, ev crevent.Event) {
+	n := w.nodes[d]
+	for _, effect := range n.state.Step(ev) {
+		switch e := effect.(type) {
+		case crevent.Send:
+			n.sent = append(n.sent, e.Msg)
+			w.send(packet{from: d, to: e.To, msg: e.Msg})
+		case Tenure:
+			n.tenure = e
+			w.check()
+		case Peers:
+			n.peers = make(map[crid.Daemon]Peer)
+			for _, p := range e.Peers {
+				n.peers[p.Daemon] = p
+			}
+		}
+	}
+}
+
+func (w *world) send(p packet) {
+	if w.cuts[link{p.from, p.to}] {
+		return
+	}
+	p.at = w.now + 2*time.Millisecond + w.slow[link{p.from, p.to}]
+	if w.chaos {
+		if w.rng.IntN(10) == 0 {
+			return
+		}
+		if w.rng.IntN(20) == 0 {
+			again := p
+			again.at += time.Duration(w.rng.IntN(4000)) * time.Millisecond
+			w.packets = append(w.packets, again)
+		}
+		p.at += time.Duration(w.rng.IntN(300)) * time.Millisecond
+	}
+	w.packets = append(w.packets, p)
+}
+
+// holds reports whether a daemon has standing now, by its own clock.
+func (w *world) holds(d crid.Daemon) bool {
+	n := w.nodes[d]
+	return n.tenure.Until > n.clock(w.now)
+}
+
+// check notes two daemons that have standing under different lists now.
+func (w *world) check() {
+	active := make(map[crid.Revision]crid.Daemon)
+	for d, n := range w.nodes {
+		if w.holds(d) {
+			active[n.tenure.Active] = d
+		}
+	}
+	if len(active) > 1 {
+		w.overlaps = append(w.overlaps, fmt.Sprintf("%v: %v", w.now, active))
+	}
+}
+
+// run lets time pass in steps of 10 ms; a tick comes every 50 ms.
+func (w *world) run(d time.Duration) {
+	const quantum = 10 * time.Millisecond
+	for end := w.now + d; w.now < end; {
+		w.now += quantum
+		w.deliver()
+		if w.now%(5*quantum) == 0 {
+			for _, d := range w.names() {
+				if n := w.nodes[d]; !n.paused {
+					w.step(d, crevent.Tick{Now: n.clock(w.now)})
+				}
+			}
+		}
+		w.check()
+	}
+}
+
+func (w *world) names() []crid.Daemon {
+	var names []crid.Daemon
+	for d := range w.nodes {
+		names = append(names, d)
+	}
+	slices.Sort(names)
+	return names
+}
+
+func (w *world) deliver() {
+	var due, later []packet
+	for _, p := range w.packets {
+		if p.at <= w.now {
+			due = append(due, p)
+			continue
+		}
+		later = append(later, p)
+	}
+	w.packets = later
+	slices.SortStableFunc(due, func(a, b packet) int { return int(a.at - b.at) })
+	for _, p := range due {
+		n := w.nodes[p.to]
+		switch {
+		case n == nil || w.cuts[link{p.from, p.to}] && w.slow[link{p.from, p.to}] == 0:
+		case n.paused:
+			n.queue = append(n.queue, p)
+		default:
+			w.step(p.to, crevent.Received{Now: n.clock(w.now), From: p.from, Msg: p.msg})
+		}
+	}
+}
+
+// wake resumes a daemon; what queued up arrives before its first tick.
+func (w *world) wake(d crid.Daemon) {
+	n := w.nodes[d]
+	n.paused = false
+	queue := n.queue
+	n.queue = nil
+	for _, p := range queue {
+		w.step(d, crevent.Received{Now: n.clock(w.now), From: p.from, Msg: p.msg})
+	}
+}
+
+// cut severs the links between two groups, both ways.
+func (w *world) cut(a, b []crid.Daemon) {
+	for _, x := range a {
+		for _, y := range b {
+			w.cuts[link{x, y}] = true
+			w.cuts[link{y, x}] = true
+		}
+	}
+}
+
+func (w *world) holders() []crid.Daemon {
+	return slices.DeleteFunc(w.names(), func(d crid.Daemon) bool { return !w.holds(d) })
+}
+
+func roll(rev crid.Revision, names ...crid.Daemon) crinstance.List {
+	var instances []crinstance.Instance
+	for i, d := range names {
+		domain := crid.Domain(fmt.Sprintf("domain-%d", i%4))
+		instances = append(instances, crinstance.Instance{Daemon: d, Domain: domain, State: crinstance.StateLive})
+	}
+	return crinstance.NewList(rev, instances)
+}
+
+func ds(names ...crid.Daemon) []crid.Daemon { return names }
