Answer a peer's request for lists once in half an interval

Cause: lists are the largest messages; a faulty peer that asks without pause takes the whole allowance of control traffic.

Ruled out: a limit over all peers, by which one faulty peer would keep the others from catching up.

Change: the limit for each peer; what a notice of tenure covers is said.

Conclusion: the answers to one peer are bounded.

--- a/core/crmember/crmember.go
+++ b/core/crmember/crmember.go
@@ -136,7 +136,7 @@
 			s.refreshPeer(ev.From, p)
 		}
 	case Fetch:
-		s.onFetch(ev.From, m)
+		s.onFetch(ev.From, p, m)
 	case Lists:
 		s.onLists(m)
 	}
--- a/core/crmember/list.go
+++ b/core/crmember/list.go
@@ -173,8 +173,13 @@
 	return ok || rev < s.floor || rev == 0
 }
 
-// onFetch answers with the lists the peer lacks.
-func (s *State) onFetch(from crid.Daemon, m Fetch) {
+// onFetch answers with the lists the peer lacks. Lists are the largest messages
+// by far, so that a peer which asks without pause would take the whole allowance
+// of control traffic; peers ask once an interval.
+func (s *State) onFetch(from crid.Daemon, p *peer, m Fetch) {
+	if p.answered && s.now.Sub(p.answeredAt) < s.params.Interval/2 {
+		return
+	}
 	var rolls []Roll
 	for _, rev := range s.revs {
 		if rev >= m.From && !slices.Contains(m.Have, rev) {
@@ -182,6 +187,8 @@
 		}
 	}
 	if len(rolls) > 0 {
+		p.answered = true
+		p.answeredAt = s.now
 		s.emit(crevent.Send{To: from, Msg: Lists{Rolls: rolls}})
 	}
 }
--- a/core/crmember/notice.go
+++ b/core/crmember/notice.go
@@ -3,7 +3,10 @@
 import "camphorroad/core/crid"
 
 // Tenure tells the sibling reducers under which list of instances this daemon
-// may act, and until when. It is renewed as peers answer.
+// may act, and until when. It is renewed as peers answer. Until holds for all
+// that rests on facts which may be old: minting, ejecting, and trusting keys and
+// configuration. Active stays while standing is lost and may come back under the
+// same list; it is zero while a newer list is handed over.
 type Tenure struct {
 	Now     crid.Instant
 	Active  crid.Revision // revision of the active list; zero: none
--- a/core/crmember/peer.go
+++ b/core/crmember/peer.go
@@ -19,15 +19,17 @@
 	fresh   bool
 	leaving bool
 
-	heard     bool         // a beat has echoed one of ours
-	evidence  crid.Instant // sending of the newest beat of ours that it echoed
-	echoSeq   uint64
-	acked     bool         // it answers for our newest list since ackSince
-	ackSince  crid.Instant // arrival of the first such beat
-	fetchedAt crid.Instant
-	fetched   bool
-	owed      bool // it sent a beat since our last round
-	reachable bool // as last told in Peers
+	heard      bool         // a beat has echoed one of ours
+	evidence   crid.Instant // sending of the newest beat of ours that it echoed
+	echoSeq    uint64
+	acked      bool         // it answers for our newest list since ackSince
+	ackSince   crid.Instant // arrival of the first such beat
+	fetchedAt  crid.Instant
+	fetched    bool
+	answeredAt crid.Instant // our latest Lists to it
+	answered   bool
+	owed       bool // it sent a beat since our last round
+	reachable  bool // as last told in Peers
 }
 
 // sentSlots bounds the sendings remembered. A horizon holds about ten rounds;
--- a/core/crmember/recover.go
+++ b/core/crmember/recover.go
@@ -22,6 +22,7 @@
 		return
 	}
 	s.fresh = false
+	clear(s.forgotten)
 	s.ackSince = s.now
 	s.beatNow = true
 }
--- a/core/crmember/standing_test.go
+++ b/core/crmember/standing_test.go
@@ -318,6 +318,16 @@
 	}
 }
 
+// A faulty peer asks for the lists again and again.
+func TestFetchIsAnsweredOnceAnInterval(t *testing.T) {
+	g := gomega.NewWithT(t)
+	w := settled(0, roll(1, "a", "b", "c"))
+	s := w.nodes["a"].state
+	ask := crevent.Received{Now: s.now, From: "b", Msg: Fetch{}}
+	g.Expect(s.Step(ask)).To(gomega.HaveLen(1))
+	g.Expect(s.Step(ask)).To(gomega.BeEmpty())
+}
+
 // A large list has a bounded set of voters, spread over the domains, of which a
 // small change of the list replaces few.
 func TestVotersAreBoundedAndStable(t *testing.T) {
