--- a/core/craccount/wallet.go
+++ b/core/craccount/wallet.go
@@ -61,7 +61,9 @@
 
 // cell holds one account's tokens.
 type cell struct {
+	name       crid.Account
 	mu         sync.Mutex
+	listed     bool // the next Drain looks at it
 	lots       []heldLot
 	refused    int
 	cold       int
@@ -84,6 +86,9 @@
 type Wallet struct {
 	shards [walletShards]walletShard
 	wanted chan struct{}
+
+	listMu sync.Mutex
+	listed []*cell // with tokens, or used since the last Drain
 }
 
 // NewWallet returns an empty wallet.
@@ -122,7 +127,7 @@
 	if next == nil {
 		next = cells{}
 	}
-	c := &cell{}
+	c := &cell{name: account}
 	next[account] = c
 	shard.cells.Store(&next)
 	return c
@@ -134,6 +139,7 @@
 func (w *Wallet) Take(account crid.Account, now crid.Instant) Decision {
 	c := w.open(account)
 	c.mu.Lock()
+	w.list(c)
 	if c.spend(now) {
 		c.mu.Unlock()
 		return Decision{Outcome: Admitted}
@@ -150,6 +156,17 @@
 	return Decision{Outcome: Cold}
 }
 
+// list has the next Drain look at a cell whose lock is held.
+func (w *Wallet) list(c *cell) {
+	if c.listed {
+		return
+	}
+	c.listed = true
+	w.listMu.Lock()
+	w.listed = append(w.listed, c)
+	w.listMu.Unlock()
+}
+
 // spend takes from the valid lot that is void first.
 func (c *cell) spend(now crid.Instant) bool {
 	best := -1
@@ -229,6 +246,7 @@
 	c := w.open(account)
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	w.list(c)
 	if c.spend(now) {
 		c.again++
 		return Decision{Outcome: Admitted}
@@ -244,6 +262,7 @@
 	c := w.open(d.Account)
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	w.list(c)
 	if d.Tokens > 0 {
 		if c.lots == nil {
 			c.lots = make([]heldLot, 0, firstLots)
@@ -292,21 +311,33 @@
 // Drain returns what happened since the last Drain, by account and grant, and
 // takes out lots that are void at now.
 func (w *Wallet) Drain(now crid.Instant) []Usage {
+	w.listMu.Lock()
+	listed := w.listed
+	w.listed = nil
+	w.listMu.Unlock()
 	var usage []Usage
-	for i := range w.shards {
-		for account, c := range w.shards[i].load() {
-			usage = c.drain(usage, account, now)
-		}
+	for _, c := range listed {
+		usage = w.drain(usage, c, now)
 	}
 	slices.SortFunc(usage, compareUsage)
 	return usage
 }
 
-func (c *cell) drain(usage []Usage, account crid.Account, now crid.Instant) []Usage {
+// drain keeps a cell listed while it has tokens, since they will be void.
+func (w *Wallet) drain(usage []Usage, c *cell, now crid.Instant) []Usage {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	usage = c.drain(usage, now)
+	c.listed = false
+	if len(c.lots) > 0 {
+		w.list(c)
+	}
+	return usage
+}
+
+func (c *cell) drain(usage []Usage, now crid.Instant) []Usage {
 	if c.refused+c.cold+c.again > 0 {
-		usage = append(usage, Usage{Account: account, Refused: c.refused, Cold: c.cold, Again: c.again})
+		usage = append(usage, Usage{Account: c.name, Refused: c.refused, Cold: c.cold, Again: c.again})
 		c.refused, c.cold, c.again = 0, 0, 0
 	}
 	kept := c.lots[:0]
@@ -316,7 +347,7 @@
 			l.left = 0
 		}
 		if l.taken+l.back > 0 {
-			usage = append(usage, Usage{Account: account, Key: l.key, Taken: l.taken, Back: l.back})
+			usage = append(usage, Usage{Account: c.name, Key: l.key, Taken: l.taken, Back: l.back})
 			l.taken, l.back = 0, 0
 		}
 		if l.left > 0 {
