--- a/core/craccount/wallet.go
+++ b/core/craccount/wallet.go
@@ -17,6 +17,8 @@
 const (
 	walletShards = 256 // a power of two
 	firstLots    = 8
+	coldRetry    = time.Second
+	staleAfter   = 10 * time.Millisecond // less than Params.Margin
 )
 
 // Outcome is what a request for a token came to.
@@ -61,10 +63,13 @@
 
 // cell holds one account's tokens.
 type cell struct {
+	name       crid.Account
 	mu         sync.Mutex
+	listed     bool // the next Drain looks at it
 	lots       []heldLot
 	refused    int
 	cold       int
+	again      int
 	dryUntil   crid.Instant
 	retryAfter time.Duration
 	wake       chan struct{} // closed by the next Deposit; nil: nobody waits
@@ -83,6 +88,9 @@
 type Wallet struct {
 	shards [walletShards]walletShard
 	wanted chan struct{}
+
+	listMu sync.Mutex
+	listed []*cell // with tokens, or used since the last Drain
 }
 
 // NewWallet returns an empty wallet.
@@ -121,7 +129,7 @@
 	if next == nil {
 		next = cells{}
 	}
-	c := &cell{}
+	c := &cell{name: account}
 	next[account] = c
 	shard.cells.Store(&next)
 	return c
@@ -133,6 +141,7 @@
 func (w *Wallet) Take(account crid.Account, now crid.Instant) Decision {
 	c := w.open(account)
 	c.mu.Lock()
+	w.list(c)
 	if c.spend(now) {
 		c.mu.Unlock()
 		return Decision{Outcome: Admitted}
@@ -149,6 +158,17 @@
 	return Decision{Outcome: Cold}
 }
 
+// list has the next Drain look at a cell whose lock is held.
+func (w *Wallet) list(c *cell) {
+	if c.listed {
+		return
+	}
+	c.listed = true
+	w.listMu.Lock()
+	w.listed = append(w.listed, c)
+	w.listMu.Unlock()
+}
+
 // spend takes from the valid lot that is void first.
 func (c *cell) spend(now crid.Instant) bool {
 	best := -1
@@ -212,13 +232,22 @@
 // Admit takes a token and, only when the account is cold here, waits for its
 // owners until ctx ends, which the caller bounds to some 20 ms. It returns
 // Admitted or Refused.
+//
+// A process may be paused between reading the clock and taking the token, and
+// would then spend tokens long void. Admit reads the clock again and refuses
+// when more time has passed than owners allow for.
 func (w *Wallet) Admit(ctx context.Context, account crid.Account, clock func() crid.Instant) Decision {
-	d := w.Take(account, clock())
+	now := clock()
+	d := w.Take(account, now)
 	for d.Outcome == Cold {
 		if err := w.Wait(ctx, account, clock()); err != nil {
-			return Decision{Outcome: Refused, RetryAfter: time.Second}
+			return Decision{Outcome: Refused, RetryAfter: coldRetry}
 		}
-		d = w.retake(account, clock())
+		now = clock()
+		d = w.retake(account, now)
+	}
+	if d.Outcome == Admitted && clock().Sub(now) > staleAfter {
+		return Decision{Outcome: Refused, RetryAfter: coldRetry}
 	}
 	return d
 }
@@ -228,7 +257,9 @@
 	c := w.open(account)
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	w.list(c)
 	if c.spend(now) {
+		c.again++
 		return Decision{Outcome: Admitted}
 	}
 	if now.Before(c.dryUntil) {
@@ -242,12 +273,15 @@
 	c := w.open(d.Account)
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	w.list(c)
 	if d.Tokens > 0 {
 		if c.lots == nil {
 			c.lots = make([]heldLot, 0, firstLots)
 		}
 		c.lots = append(c.lots, heldLot{key: d.Key, left: d.Tokens, voidAt: d.VoidAt})
-		c.dryUntil = 0
+		if !d.Short {
+			c.dryUntil = 0
+		}
 	} else {
 		c.dryUntil, c.retryAfter = d.DryUntil, d.RetryAfter
 	}
@@ -290,22 +324,34 @@
 // Drain returns what happened since the last Drain, by account and grant, and
 // takes out lots that are void at now.
 func (w *Wallet) Drain(now crid.Instant) []Usage {
+	w.listMu.Lock()
+	listed := w.listed
+	w.listed = nil
+	w.listMu.Unlock()
 	var usage []Usage
-	for i := range w.shards {
-		for account, c := range w.shards[i].load() {
-			usage = c.drain(usage, account, now)
-		}
+	for _, c := range listed {
+		usage = w.drain(usage, c, now)
 	}
 	slices.SortFunc(usage, compareUsage)
 	return usage
 }
 
-func (c *cell) drain(usage []Usage, account crid.Account, now crid.Instant) []Usage {
+// drain keeps a cell listed while it has tokens, since they will be void.
+func (w *Wallet) drain(usage []Usage, c *cell, now crid.Instant) []Usage {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.refused+c.cold > 0 {
-		usage = append(usage, Usage{Account: account, Refused: c.refused, Cold: c.cold})
-		c.refused, c.cold = 0, 0
+	usage = c.drain(usage, now)
+	c.listed = false
+	if len(c.lots) > 0 {
+		w.list(c)
+	}
+	return usage
+}
+
+func (c *cell) drain(usage []Usage, now crid.Instant) []Usage {
+	if c.refused+c.cold+c.again > 0 {
+		usage = append(usage, Usage{Account: c.name, Refused: c.refused, Cold: c.cold, Again: c.again})
+		c.refused, c.cold, c.again = 0, 0, 0
 	}
 	kept := c.lots[:0]
 	for _, l := range c.lots {
@@ -314,7 +360,7 @@
 			l.left = 0
 		}
 		if l.taken+l.back > 0 {
-			usage = append(usage, Usage{Account: account, Key: l.key, Taken: l.taken, Back: l.back})
+			usage = append(usage, Usage{Account: c.name, Key: l.key, Taken: l.taken, Back: l.back})
 			l.taken, l.back = 0, 0
 		}
 		if l.left > 0 {
