--- a/core/crconfig/fault_test.go
+++ b/core/crconfig/fault_test.go
@@ -96,9 +96,14 @@
 	f := settled(t, 12, 3)
 	f.plat.lost = true
 	rev := f.plat.publish(content{Keys: []string{"k", "l"}})
+	f.run(3 * time.Second)
+	f.plat.lost = false
+	f.until(t, rev, 9*time.Second)
+	f.plat.lost = true
+	rev = f.plat.publish(content{Keys: []string{"k", "m"}})
 	f.run(30 * time.Second)
 	for _, d := range f.alive() {
-		if !f.daemons[d].Trusted(f.clock(d)) {
+		if !f.daemons[d].Trusted(f.clock(d)) || f.daemons[d].reports[crconfig.NumberTrustLost] > 0 {
 			t.Errorf("%s stopped trusting", d)
 		}
 	}
--- a/core/crconfig/fetch.go
+++ b/core/crconfig/fetch.go
@@ -242,7 +242,8 @@
 }
 
 // push takes what a peer sent, if it is the one asked: a late duplicate from
-// another must neither count nor disturb.
+// another must neither count nor disturb. Parts that do not fit are left out;
+// a peer that sends nothing else is given up when its time is over.
 func (s *State) push(now crid.Instant, from crid.Daemon, msg Push) {
 	f := s.next
 	if f == nil || f.peer != from {
@@ -250,19 +251,16 @@
 	}
 	took := false
 	for _, p := range msg.Parts {
-		if s.next != f {
+		took = s.takePart(from, p) || took
+		if s.next != f || f.peer == "" {
 			return
 		}
-		took = s.takePart(from, p) || took
-	}
-	if s.next != f || f.peer == "" {
-		return
 	}
-	if !took {
+	if len(msg.Parts) == 0 {
 		s.giveUp(f)
 		return
 	}
-	if len(s.missing()) > 0 {
+	if took && len(s.missing()) > 0 {
 		s.pull(now)
 	}
 }
