Measure the spread, and turn to a peer before an own share of the rate

Cause: the first run of BenchmarkStart took 32.5 s for 25 daemons with the limits of a large fleet: daemons waited for their own share of the platform's rate although a peer had the list. Ruled out: larger shares (5,500 daemons would pass the rate at a common start).

--- a/core/crconfig/fault_test.go
+++ b/core/crconfig/fault_test.go
@@ -147,6 +147,14 @@
 	keyGone(t, f, f.plat.publish(content{Keys: []string{}}))
 }
 
+// The network loses three messages in ten. A withdrawn key would go on working
+// at the daemons that are told last.
+func TestWithdrawnKeyIsGoneUnderLoss(t *testing.T) {
+	f := settled(t, 100, 3)
+	f.loss = 0.3
+	keyGone(t, f, f.plat.publish(content{Keys: []string{}}))
+}
+
 // Answers of the platform no longer reach one reader, though its own calls go
 // out; its domain has another. The withdrawal must not wait for the deaf one.
 func TestWithdrawnKeyIsGoneWithAReaderCutOneWay(t *testing.T) {
--- a/core/crconfig/fetch.go
+++ b/core/crconfig/fetch.go
@@ -139,6 +139,9 @@
 		s.install(now)
 		return
 	}
+	if f.direct && f.atPeer && s.watch.limited && len(f.reads) == 0 {
+		f.direct = false // a peer is quicker than this daemon's share of the rate
+	}
 	if f.direct {
 		s.readMissing(now)
 		return
@@ -218,7 +221,7 @@
 		}
 		wants = append(wants, Want{Digest: e.Digest, Off: len(f.parts[e.Digest])})
 	}
-	f.due = now.Add(s.params.PullTimeout)
+	f.due = now.Add(s.params.PullTimeout << min(f.tries/3, maxShift))
 	s.send(f.peer, Pull{Want: wants})
 }
 
--- a/core/crconfig/fleet_test.go
+++ b/core/crconfig/fleet_test.go
@@ -134,7 +134,8 @@
 	queue   map[time.Duration][]event // by millisecond
 	plat    *platform
 	cut     func(from, to crid.Daemon) bool
-	peers   bool // membership works
+	peers   bool    // membership works
+	loss    float64 // of messages between daemons
 	msgs    int
 }
 
@@ -227,7 +228,7 @@
 		switch e := e.(type) {
 		case crevent.Send:
 			f.msgs++
-			if f.daemons[e.To] != nil && f.peers && (f.cut == nil || !f.cut(d, e.To)) {
+			if f.daemons[e.To] != nil && f.carries(d, e.To) {
 				f.post(hop, e.To, received{from: d, msg: e.Msg})
 			}
 		case crevent.Report:
@@ -250,6 +251,14 @@
 	}
 }
 
+// carries reports whether a message gets through.
+func (f *fleet) carries(from, to crid.Daemon) bool {
+	if !f.peers || (f.cut != nil && f.cut(from, to)) {
+		return false
+	}
+	return f.loss == 0 || f.rng.Float64() >= f.loss
+}
+
 func (f *fleet) call() {
 	f.plat.calls++
 	f.plat.perSec[int(f.now/time.Second)]++
--- a/core/crconfig/list.go
+++ b/core/crconfig/list.go
@@ -28,6 +28,17 @@
 	}
 }
 
+// offeredList takes word of a list from a peer. Who waits for its share of the
+// platform's rate turns to the peer instead.
+func (s *State) offeredList(r crid.Revision) {
+	l := &s.listing
+	l.learn(s.list.Revision(), r)
+	if l.direct && !l.busy && s.watch.limited && r >= l.want {
+		l.direct = false
+		l.notBefore = 0
+	}
+}
+
 // readListFrom settles whether, after a watch that named a newer list, this
 // daemon reads it. The moment of the first read is drawn at random: a share of
 // the rate holds on average only, and fresh daemons begin together.
--- a/core/crconfig/params.go
+++ b/core/crconfig/params.go
@@ -8,7 +8,7 @@
 	Spares       int           // daemons ranked next, which step in for readers that can not read
 	Fanout       int           // peers told at a time of what this daemon has
 	SpreadEvery  time.Duration // between two tellings
-	PullTimeout  time.Duration // after which a silent peer is given up
+	PullTimeout  time.Duration // after which a silent peer is given up; doubles with every third
 	PullTries    int           // peers tried before the platform is read instead
 	PushBytes    int           // of values in one message
 	PushItems    int           // instances in one message
@@ -32,7 +32,7 @@
 		Spares:       2,
 		Fanout:       3,
 		SpreadEvery:  500 * time.Millisecond,
-		PullTimeout:  time.Second,
+		PullTimeout:  300 * time.Millisecond,
 		PullTries:    4,
 		PushBytes:    60 << 10,
 		PushItems:    400,
--- a/core/crconfig/spread.go
+++ b/core/crconfig/spread.go
@@ -37,7 +37,7 @@
 	}
 	s.haves[from] = msg
 	s.learn(now, msg.Conf, msg.Manifest, from)
-	s.listing.learn(s.list.Revision(), msg.List)
+	s.offeredList(msg.List)
 	lacks := msg.Conf < s.conf.rev || msg.List < s.list.Revision()
 	if msg.Reply || (!lacks && !msg.Ask) {
 		return
--- /dev/null
+++ b/core/crconfig/spread_bench_test.go
@@ -0,0 +1,123 @@
+package crconfig_test
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"camphorroad/core/crconfig"
+	"camphorroad/core/crid"
+	"camphorroad/core/crpolicy"
+)
+
+// BenchmarkSpread tells how long one change takes to be in force everywhere, in
+// simulated time, and what it costs the platform and the network.
+func BenchmarkSpread(b *testing.B) {
+	for _, n := range []int{25, 100, 300, 1000} {
+		b.Run(fmt.Sprintf("daemons=%d", n), func(b *testing.B) {
+			f := settled(b, n, 9)
+			var worst, sum time.Duration
+			calls, msgs := f.plat.calls, f.msgs
+			changes := 0
+			for b.Loop() {
+				for i := range 5 {
+					f.run(time.Duration(i) * 110 * time.Millisecond)
+					took := f.until(b, f.plat.publish(content{Keys: []string{fmt.Sprint(changes)}}), 9*time.Second)
+					worst = max(worst, took)
+					sum += took
+					changes++
+				}
+			}
+			b.ReportMetric(worst.Seconds(), "worst-s")
+			b.ReportMetric(sum.Seconds()/float64(changes), "mean-s")
+			b.ReportMetric(float64(f.plat.calls-calls)/float64(changes), "calls/change")
+			b.ReportMetric(float64(f.msgs-msgs)/float64(changes)/float64(n), "msgs/change/daemon")
+		})
+	}
+}
+
+// BenchmarkIdle tells what a fleet without changes costs.
+func BenchmarkIdle(b *testing.B) {
+	for _, n := range []int{25, 1000} {
+		b.Run(fmt.Sprintf("daemons=%d", n), func(b *testing.B) {
+			f := settled(b, n, 9)
+			calls, msgs, from := f.plat.calls, f.msgs, f.now
+			for b.Loop() {
+				f.run(60 * time.Second)
+			}
+			seconds := (f.now - from).Seconds()
+			b.ReportMetric(float64(f.plat.calls-calls)/seconds, "calls/s")
+			b.ReportMetric(float64(f.msgs-msgs)/seconds/float64(n), "msgs/s/daemon")
+		})
+	}
+}
+
+// BenchmarkStart tells what a common start costs when peers are known at once,
+// with the default limits and with those of a small fleet.
+func BenchmarkStart(b *testing.B) {
+	for _, c := range []struct {
+		n      int
+		params crconfig.Params
+	}{
+		{25, quick()},
+		{25, crconfig.DefaultParams()},
+		{300, crconfig.DefaultParams()},
+		{1000, crconfig.DefaultParams()},
+	} {
+		b.Run(fmt.Sprintf("daemons=%d/fleet=%d", c.n, c.params.Fleet), func(b *testing.B) {
+			var took time.Duration
+			var f *fleet
+			for b.Loop() {
+				f = newFleet(c.n, 9, c.params)
+				rev := f.plat.publish(content{})
+				f.start(f.names...)
+				took = f.until(b, rev, 60*time.Second)
+			}
+			peak := 0
+			for _, calls := range f.plat.perSec {
+				peak = max(peak, calls)
+			}
+			b.ReportMetric(took.Seconds(), "all-s")
+			b.ReportMetric(float64(f.plat.calls), "calls")
+			b.ReportMetric(float64(peak), "peak-calls/s")
+		})
+	}
+}
+
+// BenchmarkSnapshotMemory tells the bytes that an account and a further key
+// take in a Snapshot.
+func BenchmarkSnapshotMemory(b *testing.B) {
+	const accounts = 50_000
+	for _, keys := range []int{0, 1, 2, 4} {
+		b.Run(fmt.Sprintf("keys=%d", keys), func(b *testing.B) {
+			var bytes uint64
+			for b.Loop() {
+				before := heap()
+				snapshot := bigSnapshot(accounts, keys)
+				bytes = heap() - before
+				runtime.KeepAlive(snapshot)
+			}
+			b.ReportMetric(float64(bytes)/accounts, "B/account")
+		})
+	}
+}
+
+func heap() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
+
+func bigSnapshot(n, keys int) *crpolicy.Snapshot {
+	accounts := make([]crpolicy.Account, 0, n)
+	for i := range n {
+		a := crpolicy.Account{Name: crid.Account(fmt.Sprintf("account-%06d", i)), Rate: 1, Burst: 1}
+		for k := range keys {
+			a.Keys = append(a.Keys, crpolicy.HashKey(fmt.Sprint(i, k)))
+		}
+		accounts = append(accounts, a)
+	}
+	return crpolicy.NewSnapshot(1, nil, accounts)
+}
