Trust after a cut or a pause only on fresh answers

Cause: a daemon that was cut off or frozen has standing within a moment of its return, but took its old configuration, with a withdrawn key, until the next telling. Answers that lay in its queue would have passed as news. Ruled out: a fixed wait after each return (it delays all and proves nothing). Change: when standing was lost and comes back, a new question is asked; trust waits until enough peers echoed it and the newest they told is in force.

--- a/core/crconfig/fault_test.go
+++ b/core/crconfig/fault_test.go
@@ -193,6 +193,31 @@
 	}
 }
 
+// A daemon was cut off for a minute, in which a key was withdrawn, and is linked
+// again. Not for a moment may it take the key once it acts again.
+func TestRelinkedDaemonNeverTrustsTheWithdrawnKey(t *testing.T) {
+	f := settled(t, 12, 3)
+	alone := crid.Daemon("d0005")
+	f.cut = func(from, to crid.Daemon) bool { return from == alone || to == alone }
+	f.plat.cutFrom = map[crid.Daemon]bool{alone: true}
+	f.membership()
+	f.run(10 * time.Second)
+	rev := f.plat.publish(content{Keys: []string{}})
+	f.run(50 * time.Second)
+	f.cut = nil
+	f.membership()
+	d := f.daemons[alone]
+	for range 5000 {
+		f.run(time.Millisecond)
+		if d.Trusted(f.clock(alone)) && d.Revision() < rev {
+			t.Fatal("it trusts the former configuration")
+		}
+	}
+	if !d.Trusted(f.clock(alone)) {
+		t.Errorf("trust did not come back: %+v", d.Dump())
+	}
+}
+
 // Every daemon of a fleet starts in the same instant, after a power cut say,
 // first without knowing a peer. The platform would refuse calls over its rate,
 // and with them the calls of everybody else.
--- a/core/crconfig/message.go
+++ b/core/crconfig/message.go
@@ -12,8 +12,9 @@
 	Manifest Digest        `cbor:"m"`
 	List     crid.Revision `cbor:"l"` // zero: none
 	Away     bool          `cbor:"a"` // the sender can not read the platform
-	Ask      bool          `cbor:"q"` // the sender wants a Have back
-	Reply    bool          `cbor:"r"` // this is one; it is never answered
+	Ask      uint64        `cbor:"q"` // not zero: the sender wants a Have back with this as Echo
+	Echo     uint64        `cbor:"e"` // Ask of what this answers
+	Reply    bool          `cbor:"r"` // this is an answer; it is never answered
 }
 
 // MessageKind implements crevent.Message.
--- a/core/crconfig/push_test.go
+++ b/core/crconfig/push_test.go
@@ -15,6 +15,7 @@
 type puller struct {
 	*crconfig.State
 	now crid.Instant
+	ask uint64 // of the reducer's last question, which the peers echo
 }
 
 func newPuller(peers ...crid.Daemon) *puller {
@@ -31,10 +32,23 @@
 
 func (p *puller) after(d time.Duration) []crevent.Effect {
 	p.now = p.now.Add(d)
-	return p.Step(crevent.Tick{Now: p.now})
+	effects := p.Step(crevent.Tick{Now: p.now})
+	for _, e := range effects {
+		if send, ok := e.(crevent.Send); ok {
+			if have, ok := send.Msg.(crconfig.Have); ok && have.Ask != 0 {
+				p.ask = have.Ask
+			}
+		}
+	}
+	return effects
 }
 
 func (p *puller) hear(from crid.Daemon, msg crevent.Message) []crevent.Effect {
+	if have, ok := msg.(crconfig.Have); ok {
+		have.Echo = p.ask
+		have.Reply = true
+		msg = have
+	}
 	return p.Step(crevent.Received{Now: p.now, From: from, Msg: msg})
 }
 
@@ -198,3 +212,34 @@
 		t.Errorf("has %d: %+v", p.Revision(), p.Dump())
 	}
 }
+
+// A daemon is frozen, and in its queue wait old words of its peers. Meanwhile a
+// key is withdrawn. Woken, it has standing within a moment, but would still take
+// the key until the next telling; callers could act with it for that time.
+func TestWokenDaemonTrustsOnlyFreshAnswers(t *testing.T) {
+	p := newPuller("a", "b")
+	p.Step(crmember.Tenure{Now: p.now, Until: p.now.Add(lease)})
+	p.hear("b", crconfig.Have{})
+	p.bring(t, "a", 3, makeBundle(content{Keys: []string{"k"}}))
+	if !p.Trusted(p.now) {
+		t.Fatalf("not trusted before: %+v", p.Dump())
+	}
+	p.now = p.now.Add(time.Minute)
+	p.Step(crmember.Tenure{Now: p.now, Until: p.now.Add(lease)})
+	for _, d := range []crid.Daemon{"a", "b"} {
+		p.hear(d, crconfig.Have{Conf: 3, Manifest: makeBundle(content{Keys: []string{"k"}}).digest()})
+	}
+	if p.Trusted(p.now) {
+		t.Error("trusts on answers to an old question")
+	}
+	p.after(tick)
+	newer := makeBundle(content{})
+	p.hear("a", crconfig.Have{Conf: 4, Manifest: newer.digest()})
+	if p.Trusted(p.now) {
+		t.Error("trusts while it knows of a newer configuration")
+	}
+	p.bring(t, "b", 4, newer)
+	if !p.Trusted(p.now) {
+		t.Errorf("trust did not come back: %+v", p.Dump())
+	}
+}
--- a/core/crconfig/spread.go
+++ b/core/crconfig/spread.go
@@ -36,13 +36,17 @@
 		return
 	}
 	s.haves[from] = msg
+	if msg.Echo != 0 && msg.Echo == s.ask {
+		s.told[from] = true
+	}
 	s.learn(now, msg.Conf, msg.Manifest, from)
 	s.offeredList(msg.List)
 	lacks := msg.Conf < s.conf.rev || msg.List < s.list.Revision()
-	if msg.Reply || (!lacks && !msg.Ask) {
+	if msg.Reply || (!lacks && msg.Ask == 0) {
 		return
 	}
 	reply := s.myHave()
+	reply.Echo = msg.Ask
 	reply.Reply = true
 	s.send(from, reply)
 }
@@ -54,9 +58,9 @@
 	}
 	s.asked = s.chooseAsked()
 	msg := s.myHave()
-	msg.Ask = true
+	msg.Ask = s.ask
 	for _, d := range s.asked {
-		if _, ok := s.haves[d]; !ok {
+		if !s.told[d] {
 			s.send(d, msg)
 		}
 	}
@@ -113,7 +117,7 @@
 			continue
 		}
 		all[p.Domain] = true
-		if _, ok := s.haves[d]; ok {
+		if s.told[d] {
 			answered++
 			told[p.Domain] = true
 		}
@@ -122,11 +126,31 @@
 	s.heard = len(s.asked) > 0 && answered >= need && len(told) >= min(2, len(all))
 }
 
-func (s *State) checkReady() {
-	if s.ready || !s.heard || s.conf.rev == 0 || s.list.Revision() == 0 {
+// forget turns this daemon's knowledge of what is newest into old fact: it was
+// cut off, or has just been woken. A key may have been withdrawn meanwhile, so
+// trust waits until enough peers answered a question asked after now; answers
+// that lay in a queue echo an older one.
+func (s *State) forget(now crid.Instant) {
+	s.heard = false
+	s.caught = false
+	s.ask = s.rng.Uint64() | 1
+	s.told = make(map[crid.Daemon]bool)
+	s.asked = nil
+	s.startedAt = now
+	s.watch.answered = false
+	s.spreadAt = now
+}
+
+// checkCaught notices that this daemon has the newest of what its sources told.
+func (s *State) checkCaught() {
+	if s.caught || !s.heard || s.conf.rev == 0 || (s.next != nil && s.next.atPeer) {
 		return
 	}
-	if s.next != nil && s.next.atPeer {
+	s.caught = true
+}
+
+func (s *State) checkReady() {
+	if s.ready || !s.caught || s.list.Revision() == 0 {
 		return
 	}
 	s.ready = true
--- a/core/crconfig/state.go
+++ b/core/crconfig/state.go
@@ -48,13 +48,17 @@
 	haves   map[crid.Daemon]Have
 	members int // daemons of the active list, with this one
 	until   crid.Instant
+	lapsed  bool // standing was lost and has not come back
 	trusted bool
 	behind  bool
 
 	watch    watch
 	spreadAt crid.Instant
+	ask      uint64 // marks answers to questions of this life, or since trust was lost
 	asked    []crid.Daemon
-	heard    bool // enough sources were asked at start
+	told     map[crid.Daemon]bool // who answered ask
+	heard    bool                 // enough of them did
+	caught   bool                 // and the newest of what they told is in force
 	ready    bool
 	out      []crevent.Effect
 }
@@ -70,9 +74,10 @@
 func (s *State) Ready() bool { return s.ready }
 
 // Trusted reports whether keys and policy may still be acted on: the daemon has
-// standing, and no peer has had a newer configuration that it could not get.
+// standing, has asked enough peers for news since it last lost standing, and no
+// peer has had a newer configuration for long that it could not get.
 func (s *State) Trusted(now crid.Instant) bool {
-	return s.conf.rev > 0 && now.Before(s.until) && !s.isBehind(now)
+	return s.caught && now.Before(s.until) && !s.isBehind(now)
 }
 
 // Snapshot returns the configuration in force; nil for none.
@@ -106,8 +111,7 @@
 	case crmember.Peers:
 		s.setPeers(now, ev.Peers)
 	case crmember.Tenure:
-		s.until = ev.Until
-		s.members = len(ev.Members)
+		s.tenure(now, ev)
 	case crinstance.Listed:
 		if ev.List.Revision() > s.list.Revision() {
 			s.adopt(ev.List)
@@ -124,6 +128,7 @@
 	s.checkHeard(now)
 	s.advance(now)
 	s.advanceList(now)
+	s.checkCaught()
 	s.checkReady()
 	return s.out
 }
@@ -131,12 +136,12 @@
 func (s *State) start(ev crevent.Started) {
 	s.self = ev.Self
 	s.domain = ev.Domain
-	s.startedAt = ev.Now
 	s.rng = rand.New(rand.NewPCG(ev.Seed, uint64(ev.Incarnation)))
 	s.survey()
 	s.watch.refilledAt = ev.Now
 	s.watch.credit = s.rng.Float64()
 	s.watch.aloneAfter = s.params.Grace + s.jitter(s.params.spread())
+	s.forget(ev.Now)
 	s.spreadAt = ev.Now.Add(s.jitter(s.params.SpreadEvery))
 }
 
@@ -182,6 +187,19 @@
 	s.rank(now)
 }
 
+// tenure takes news of this daemon's standing.
+func (s *State) tenure(now crid.Instant, ev crmember.Tenure) {
+	if s.until != 0 && (ev.Until == 0 || !now.Before(s.until)) {
+		s.lapsed = true
+	}
+	if s.lapsed && now.Before(ev.Until) {
+		s.lapsed = false
+		s.forget(now)
+	}
+	s.until = ev.Until
+	s.members = len(ev.Members)
+}
+
 // checkTrust reports when trust is lost or regained.
 func (s *State) checkTrust(now crid.Instant) {
 	if behind := s.isBehind(now); behind != s.behind {
