--- a/core/crconfig/fault_test.go
+++ b/core/crconfig/fault_test.go
@@ -96,9 +96,14 @@
 	f := settled(t, 12, 3)
 	f.plat.lost = true
 	rev := f.plat.publish(content{Keys: []string{"k", "l"}})
+	f.run(3 * time.Second)
+	f.plat.lost = false
+	f.until(t, rev, 9*time.Second)
+	f.plat.lost = true
+	rev = f.plat.publish(content{Keys: []string{"k", "m"}})
 	f.run(30 * time.Second)
 	for _, d := range f.alive() {
-		if !f.daemons[d].Trusted(f.clock(d)) {
+		if !f.daemons[d].Trusted(f.clock(d)) || f.daemons[d].reports[crconfig.NumberTrustLost] > 0 {
 			t.Errorf("%s stopped trusting", d)
 		}
 	}
@@ -142,6 +147,14 @@
 	keyGone(t, f, f.plat.publish(content{Keys: []string{}}))
 }
 
+// The network loses three messages in ten. A withdrawn key would go on working
+// at the daemons that are told last.
+func TestWithdrawnKeyIsGoneUnderLoss(t *testing.T) {
+	f := settled(t, 100, 3)
+	f.loss = 0.3
+	keyGone(t, f, f.plat.publish(content{Keys: []string{}}))
+}
+
 // Answers of the platform no longer reach one reader, though its own calls go
 // out; its domain has another. The withdrawal must not wait for the deaf one.
 func TestWithdrawnKeyIsGoneWithAReaderCutOneWay(t *testing.T) {
@@ -180,6 +193,31 @@
 	}
 }
 
+// A daemon was cut off for a minute, in which a key was withdrawn, and is linked
+// again. Not for a moment may it take the key once it acts again.
+func TestRelinkedDaemonNeverTrustsTheWithdrawnKey(t *testing.T) {
+	f := settled(t, 12, 3)
+	alone := crid.Daemon("d0005")
+	f.cut = func(from, to crid.Daemon) bool { return from == alone || to == alone }
+	f.plat.cutFrom = map[crid.Daemon]bool{alone: true}
+	f.membership()
+	f.run(10 * time.Second)
+	rev := f.plat.publish(content{Keys: []string{}})
+	f.run(50 * time.Second)
+	f.cut = nil
+	f.membership()
+	d := f.daemons[alone]
+	for range 5000 {
+		f.run(time.Millisecond)
+		if d.Trusted(f.clock(alone)) && d.Revision() < rev {
+			t.Fatal("it trusts the former configuration")
+		}
+	}
+	if !d.Trusted(f.clock(alone)) {
+		t.Errorf("trust did not come back: %+v", d.Dump())
+	}
+}
+
 // Every daemon of a fleet starts in the same instant, after a power cut say,
 // first without knowing a peer. The platform would refuse calls over its rate,
 // and with them the calls of everybody else.
--- a/core/crconfig/fetch.go
+++ b/core/crconfig/fetch.go
@@ -83,7 +83,8 @@
 // checkSame reports two manifests under one revision, which no honest platform
 // publishes; the first stays.
 func (s *State) checkSame(r crid.Revision, ours, theirs Digest) {
-	if ours != theirs {
+	if ours != theirs && s.conflict != r {
+		s.conflict = r // once a revision: the peer tells it twice a second
 		s.report(NumberTwoManifests, "revision", rev(r), "ours", ours.String(), "other", theirs.String())
 	}
 }
@@ -139,6 +140,9 @@
 		s.install(now)
 		return
 	}
+	if f.direct && f.atPeer && s.watch.limited && len(f.reads) == 0 {
+		f.direct = false // a peer is quicker than this daemon's share of the rate
+	}
 	if f.direct {
 		s.readMissing(now)
 		return
@@ -218,7 +222,7 @@
 		}
 		wants = append(wants, Want{Digest: e.Digest, Off: len(f.parts[e.Digest])})
 	}
-	f.due = now.Add(s.params.PullTimeout)
+	f.due = now.Add(s.params.PullTimeout << min(f.tries/3, maxShift))
 	s.send(f.peer, Pull{Want: wants})
 }
 
@@ -242,7 +246,8 @@
 }
 
 // push takes what a peer sent, if it is the one asked: a late duplicate from
-// another must neither count nor disturb.
+// another must neither count nor disturb. Parts that do not fit are left out;
+// a peer that sends nothing else is given up when its time is over.
 func (s *State) push(now crid.Instant, from crid.Daemon, msg Push) {
 	f := s.next
 	if f == nil || f.peer != from {
@@ -250,19 +255,16 @@
 	}
 	took := false
 	for _, p := range msg.Parts {
-		if s.next != f {
+		took = s.takePart(from, p) || took
+		if s.next != f || f.peer == "" {
 			return
 		}
-		took = s.takePart(from, p) || took
-	}
-	if s.next != f || f.peer == "" {
-		return
 	}
-	if !took {
+	if len(msg.Parts) == 0 {
 		s.giveUp(f)
 		return
 	}
-	if len(s.missing()) > 0 {
+	if took && len(s.missing()) > 0 {
 		s.pull(now)
 	}
 }
