--- a/cmd/camphorroad/main.go
+++ b/cmd/camphorroad/main.go
@@ -3,18 +3,9 @@
 package main
 
 import (
-	"context"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"camphorroad/command"
-	"camphorroad/command/factory"
 )
 
-func main() {
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	code := command.Run(ctx, factory.System(), os.Args[1:])
-	stop()
-	os.Exit(code)
-}
+func main() { os.Exit(command.RunProcess(os.Args[1:])) }
--- a/command/command.go
+++ b/command/command.go
@@ -2,13 +2,16 @@
 //
 // # Usage
 //
-//	os.Exit(command.Run(ctx, factory.System(), os.Args[1:]))
+//	os.Exit(command.RunProcess(os.Args[1:]))
 package command
 
 import (
 	"context"
 	"fmt"
+	"os"
+	"os/signal"
 	"runtime/debug"
+	"syscall"
 
 	"github.com/alecthomas/kong"
 
@@ -51,6 +54,13 @@
 	return factory.Exit(f, parsed.Run())
 }
 
+// RunProcess runs the command with the process's own streams and signals.
+func RunProcess(args []string) int {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	return Run(ctx, factory.System(), args)
+}
+
 type versionOptions struct{}
 
 // Run prints the module's version, or "devel".
--- a/core/crmember/crmember.go
+++ b/core/crmember/crmember.go
@@ -68,6 +68,9 @@
 	tenure       Tenure
 	peersChanged bool
 	out          []crevent.Effect
+
+	askedStranger bool
+	strangerAt    crid.Instant
 }
 
 // New returns a reducer that waits for [crevent.Started].
@@ -127,6 +130,7 @@
 func (s *State) receive(ev crevent.Received) {
 	p := s.peers[ev.From]
 	if p == nil {
+		s.fromStranger(ev.From, ev.Msg)
 		return
 	}
 	switch m := ev.Msg.(type) {
--- a/io/crcontrol/crcontrol.go
+++ b/io/crcontrol/crcontrol.go
@@ -35,9 +35,11 @@
 	Clock func() crid.Instant
 	// Do carries out one effect; it must not block, nor call Dump.
 	Do func(eff crevent.Effect)
-	// Before is called with each tick's instant before the tick is applied; it
-	// returns the traffic side's counters as events.
+	// Before is called before each tick, and when Wake fires; it returns the
+	// traffic side's counters as events.
 	Before func(now crid.Instant) []crevent.Event
+	// Wake fires when Before should run without waiting for the next tick.
+	Wake <-chan struct{}
 	// Record is called with each event before it is applied; nil: none.
 	Record func(ev crevent.Event)
 }
@@ -72,6 +74,17 @@
 	}
 }
 
+// PostWait queues an event that must not be lost, waiting for room until ctx
+// ends.
+func (l *Loop) PostWait(ctx context.Context, ev crevent.Event) error {
+	select {
+	case l.events <- ev:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
 // Dropped is the number of events that found the queue full.
 func (l *Loop) Dropped() int64 { return l.dropped.Load() }
 
@@ -84,7 +97,11 @@
 		case ev := <-l.events:
 			l.apply(ev)
 		case <-ticker.C:
-			l.tick()
+			now := l.opts.Clock()
+			l.collect(now)
+			l.apply(crevent.Tick{Now: now})
+		case <-l.opts.Wake:
+			l.collect(l.opts.Clock())
 		case ask := <-l.asks:
 			ask <- l.root.Dump(l.opts.Clock())
 		case <-ctx.Done():
@@ -93,14 +110,13 @@
 	}
 }
 
-func (l *Loop) tick() {
-	now := l.opts.Clock()
-	if l.opts.Before != nil {
-		for _, ev := range l.opts.Before(now) {
-			l.apply(ev)
-		}
+func (l *Loop) collect(now crid.Instant) {
+	if l.opts.Before == nil {
+		return
+	}
+	for _, ev := range l.opts.Before(now) {
+		l.apply(ev)
 	}
-	l.apply(crevent.Tick{Now: now})
 }
 
 func (l *Loop) apply(ev crevent.Event) {
--- a/io/crdaemon/crdaemon.go
+++ b/io/crdaemon/crdaemon.go
@@ -20,10 +20,13 @@
 	"go.uber.org/fx"
 	"go.uber.org/fx/fxevent"
 
+	"camphorroad/core/craccount"
+	"camphorroad/core/crconfig"
 	"camphorroad/core/crdaemon"
 	"camphorroad/core/crevent"
 	"camphorroad/core/crforward"
 	"camphorroad/core/crid"
+	"camphorroad/core/crmember"
 	"camphorroad/core/crview"
 	"camphorroad/io/cradmin"
 	"camphorroad/io/crclock"
@@ -34,6 +37,7 @@
 	"camphorroad/io/crlog"
 	"camphorroad/io/crpeer"
 	"camphorroad/io/crplatform"
+	"camphorroad/io/crpolicyfile"
 	"camphorroad/io/crsettings"
 	"camphorroad/io/crwire"
 )
@@ -86,7 +90,9 @@
 	return crpeer.LoadIdentity(cfg.TLS.Cert, cfg.TLS.Key, cfg.TLS.CA)
 }
 
-func newRegistry() (*crwire.Registry, error) { return crwire.NewRegistry() }
+func newRegistry() (*crwire.Registry, error) {
+	return crwire.NewRegistry(crmember.Messages(), crconfig.Messages(), craccount.Messages())
+}
 
 func newPlatform(cfg crsettings.Settings) (*crplatform.Client, error) {
 	return crplatform.NewClient(cfg.Platform.URL)
@@ -110,12 +116,21 @@
 		loads: crview.NewLoads(),
 	}
 	s.in = crview.Input{Self: s.self, Domain: crid.Domain(cfg.Domain), Loads: s.loads}
-	s.loop = crcontrol.New(newRoot(), crcontrol.Options{Clock: crclock.Now, Do: s.do, Before: s.before})
+	s.wallet = craccount.NewWallet()
+	params := crconfig.DefaultParams()
+	params.Fleet = cfg.Platform.Fleet
+	s.config = crconfig.New(params, crpolicyfile.ParseManifest, crpolicyfile.Load)
+	root := crdaemon.New(
+		crdaemon.Part{Name: "member", Reducer: crmember.New(crmember.DefaultParams())},
+		crdaemon.Part{Name: "config", Reducer: s.config},
+		crdaemon.Part{Name: "account", Reducer: craccount.New(craccount.DefaultParams())},
+	)
+	s.loop = crcontrol.New(root, crcontrol.Options{
+		Clock: crclock.Now, Do: s.do, Before: s.before, Wake: s.wallet.Wanted(),
+	})
 	return s
 }
 
-func newRoot() *crdaemon.State { return crdaemon.New(crdaemon.Part{Name: "config", Reducer: relay{}}) }
-
 func newPeers(lc fx.Lifecycle, cfg crsettings.Settings, id *crpeer.Identity, reg *crwire.Registry, s *shell) (*crpeer.Transport, error) {
 	t, err := crpeer.Listen(context.Background(), crpeer.Options{Addr: cfg.Listen.Peer, Identity: id, Registry: reg, Handler: s})
 	if err != nil {
@@ -130,7 +145,7 @@
 	return crentry.New(crentry.Options{
 		View:    s.view.Load,
 		Trusted: s.isTrusted,
-		Admit:   everyRequest{},
+		Admit:   s,
 		Hop:     &hop{self: s.self, exit: s.exit, client: crhop.NewClient(peers), clock: crclock.Now},
 		Clock:   crclock.Now,
 		Observe: s.observe,
@@ -158,7 +173,7 @@
 	d := &daemon{cfg: cfg, log: log, shell: s, entry: entry, exit: exit}
 	d.callers = callerServer(cfg, entry)
 	d.admin = &http.Server{
-		Handler:           cradmin.New(cradmin.Options{Ready: s.ready, State: d.state, Metrics: registry}),
+		Handler:           cradmin.New(cradmin.Options{Ready: s.checkReady, State: d.state, Metrics: registry}),
 		ReadHeaderTimeout: cfg.Limits.HeaderTime.Duration,
 	}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -199,6 +214,10 @@
 	d.log.Event(crlog.DaemonStarted, crlog.Fields{
 		"http": callers.Addr().String(), "peer": d.shell.peers.Addr(), "admin": admin.Addr().String(),
 	})
+	d.shell.reader = &reader{
+		ctx: ctx, port: platform, loop: d.shell.loop, clock: crclock.Now,
+		timeout: crconfig.DefaultParams().ReadTimeout,
+	}
 	go d.shell.loop.Run(ctx)
 	started := crevent.Started{
 		Now: crclock.Now(), Self: d.cfg.Daemon(), Domain: crid.Domain(d.cfg.Domain),
@@ -207,7 +226,6 @@
 	if err := d.shell.loop.Post(started); err != nil {
 		return err
 	}
-	go d.follow(ctx, platform)
 	go d.serveCallers(callers)
 	go func() { _ = d.admin.Serve(admin) }()
 	return nil
@@ -283,10 +301,3 @@
 	Running  int64         `json:"running"`  // at this daemon's targets
 	Control  crdaemon.Dump `json:"control"`
 }
-
-type everyRequest struct{}
-
-// Admit implements crentry.Admitter.
-func (everyRequest) Admit(context.Context, crid.Account, crid.Instant) (bool, time.Duration) {
-	return true, 0
-}
--- a/io/crdaemon/shell.go
+++ b/io/crdaemon/shell.go
@@ -9,6 +9,7 @@
 
 	"github.com/quic-go/quic-go"
 
+	"camphorroad/core/craccount"
 	"camphorroad/core/crconfig"
 	"camphorroad/core/crevent"
 	"camphorroad/core/crforward"
@@ -26,20 +27,26 @@
 // shell stands between the control loop and the world: it carries effects out,
 // and holds what traffic goroutines read.
 type shell struct {
-	self  crid.Daemon
-	log   *crlog.Logger
-	clock func() crid.Instant
-	pulse *crforward.Pulse
-	exit  *crexit.Exit
-	loads *crview.Loads
-	peers *crpeer.Transport
-	loop  *crcontrol.Loop
+	self   crid.Daemon
+	log    *crlog.Logger
+	clock  func() crid.Instant
+	pulse  *crforward.Pulse
+	exit   *crexit.Exit
+	loads  *crview.Loads
+	peers  *crpeer.Transport
+	loop   *crcontrol.Loop
+	reader *reader
+	wallet *craccount.Wallet
 
 	view    atomic.Pointer[crview.View]
-	trusted atomic.Int64 // the instant up to which this daemon has standing
-
-	in    crview.Input // owned by the control goroutine
-	dirty bool
+	trusted atomic.Int64 // the instant up to which keys and policy may be acted on
+	ready   atomic.Bool  // the newest configuration that could be learnt is in force
+
+	// The rest is the control goroutine's.
+	config *crconfig.State
+	in     crview.Input
+	until  crid.Instant // of the last tenure
+	dirty  bool
 }
 
 var _ crpeer.Handler = (*shell)(nil)
@@ -65,13 +72,38 @@
 	case crinstance.Listed:
 		s.listed(eff.List)
 	case crmember.Tenure:
-		s.trusted.Store(int64(eff.Until))
+		s.until = eff.Until
+		s.trust(eff.Now)
 	case crmember.Peers:
 		s.in.Peers = eff.Peers
 		s.dirty = true
 	case crconfig.InForce:
 		s.inForce(eff)
+	case crconfig.WatchPlatform:
+		go s.reader.watch(eff)
+	case crconfig.ReadPlatform:
+		go s.reader.read(eff)
+	case crconfig.ReadList:
+		go s.reader.list()
+	case craccount.Deposit:
+		s.wallet.Deposit(eff)
+	case craccount.Withdraw:
+		s.wallet.Withdraw(eff)
+	case craccount.Forget:
+		s.wallet.Forget(eff)
+	}
+}
+
+// trust tells the traffic side how long it may act on what it knows. A daemon
+// that knows of a newer configuration which it can not get may hold keys that
+// were withdrawn in it, and trusts none.
+func (s *shell) trust(now crid.Instant) {
+	s.ready.Store(s.config.Ready())
+	if !s.config.Trusted(now) {
+		s.trusted.Store(0)
+		return
 	}
+	s.trusted.Store(int64(s.until))
 }
 
 func (s *shell) listed(list crinstance.List) {
@@ -87,6 +119,7 @@
 }
 
 func (s *shell) inForce(eff crconfig.InForce) {
+	_ = s.loop.Post(crmember.Advertise{Now: eff.Now, Conf: uint64(eff.Snapshot.Revision())})
 	first := s.view.Load() == nil
 	in := s.in
 	in.Snapshot = eff.Snapshot
@@ -115,12 +148,17 @@
 		s.view.Store(view.With(s.in))
 		s.dirty = false
 	}
-	return nil
+	s.trust(now)
+	usage := s.wallet.Drain(now)
+	if len(usage) == 0 {
+		return nil
+	}
+	return []crevent.Event{craccount.Used{Now: now, Usage: usage}}
 }
 
 // isTrusted reports whether this daemon may act on what it knows.
 func (s *shell) isTrusted(now crid.Instant) bool {
-	return now.Before(crid.Instant(s.trusted.Load()))
+	return s.ready.Load() && now.Before(crid.Instant(s.trusted.Load()))
 }
 
 var (
@@ -128,9 +166,9 @@
 	errNoStanding      = errors.New("cut off from the fleet")
 )
 
-func (s *shell) ready() error {
+func (s *shell) checkReady() error {
 	switch {
-	case s.view.Load() == nil:
+	case s.view.Load() == nil || !s.ready.Load():
 		return errNoConfiguration
 	case !s.isTrusted(s.clock()):
 		return errNoStanding
@@ -138,4 +176,16 @@
 	return nil
 }
 
+// Admit implements crentry.Admitter. Only an account that was not seen here
+// lately waits, for one round trip to its owners at most.
+func (s *shell) Admit(ctx context.Context, account crid.Account, _ crid.Instant) (bool, time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, coldWait)
+	defer cancel()
+	d := s.wallet.Admit(ctx, account, s.clock)
+	return d.Outcome == craccount.Admitted, d.RetryAfter
+}
+
+// coldWait bounds the wait for an account's first tokens.
+const coldWait = 200 * time.Millisecond
+
 func (s *shell) observe(crid.Service, crid.Target, crid.Account, crentry.Outcome, time.Duration) {}
--- a/io/crpeer/crpeer.go
+++ b/io/crpeer/crpeer.go
@@ -52,6 +52,8 @@
 	maxDatagram      = 1100
 	messageTimeout   = 2 * time.Second
 	outboxLength     = 64
+	outboxIdle       = time.Minute // after which a silent peer's goroutine ends
+	maxCallers       = 10_000
 )
 
 // Handler receives what peers send. Its methods are called on transport
@@ -89,6 +91,7 @@
 	sessions map[crid.Daemon]*Session
 	failed   map[crid.Daemon]time.Time
 	outboxes map[crid.Daemon]chan []byte
+	callers  map[crid.Daemon]string // where sessions that peers dialled came from
 }
 
 // Listen opens the socket and serves it until ctx ends or Close is called.
@@ -106,6 +109,7 @@
 		sessions: make(map[crid.Daemon]*Session),
 		failed:   make(map[crid.Daemon]time.Time),
 		outboxes: make(map[crid.Daemon]chan []byte),
+		callers:  make(map[crid.Daemon]string),
 	}
 	t.addrs.Store(&map[crid.Daemon]string{})
 	t.ln, err = t.quic.Listen(opts.Identity.serverConfig(), quicConfig())
@@ -184,6 +188,7 @@
 		_ = conn.CloseWithError(1, "no name in certificate")
 		return
 	}
+	t.met(from, conn.RemoteAddr().String())
 	t.wg.Add(2)
 	go t.datagrams(conn, from)
 	go t.messages(conn, from)
@@ -201,6 +206,27 @@
 	}
 }
 
+// met remembers where a peer dials from. Peers dial from the socket they listen
+// on, so this is where they can be reached. A fresh daemon whose platform is away
+// has no list of instances, and learns everything from the peers that dial it.
+func (t *Transport) met(peer crid.Daemon, addr string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(t.callers) < maxCallers || t.callers[peer] != "" {
+		t.callers[peer] = addr
+	}
+}
+
+func (t *Transport) addrOf(peer crid.Daemon) (string, bool) {
+	if addr, ok := (*t.addrs.Load())[peer]; ok {
+		return addr, true
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	addr, ok := t.callers[peer]
+	return addr, ok
+}
+
 func (t *Transport) datagrams(conn *quic.Conn, from crid.Daemon) {
 	defer t.wg.Done()
 	for {
--- a/io/crpeer/session.go
+++ b/io/crpeer/session.go
@@ -42,7 +42,7 @@
 // none. A peer whose dial has just failed is refused at once for a short while,
 // so that requests are not held up one by one by a dead peer.
 func (t *Transport) Session(ctx context.Context, peer crid.Daemon) (*Session, error) {
-	addr, ok := (*t.addrs.Load())[peer]
+	addr, ok := t.addrOf(peer)
 	if !ok {
 		return nil, fmt.Errorf("%w: %s", ErrUnknownPeer, peer)
 	}
@@ -111,15 +111,6 @@
 	if err != nil {
 		return err
 	}
-	select {
-	case t.outbox(peer) <- b:
-		return nil
-	default:
-		return fmt.Errorf("%w: outbox to %s is full", ErrUnreachable, peer)
-	}
-}
-
-func (t *Transport) outbox(peer crid.Daemon) chan []byte {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	ch, ok := t.outboxes[peer]
@@ -129,21 +120,47 @@
 		t.wg.Add(1)
 		go t.deliverOutbox(peer, ch)
 	}
-	return ch
+	select {
+	case ch <- b:
+		return nil
+	default:
+		return fmt.Errorf("%w: outbox to %s is full", ErrUnreachable, peer)
+	}
 }
 
+// deliverOutbox ends once the peer has been sent nothing for a while, or the
+// goroutines of all daemons ever replaced would add up.
 func (t *Transport) deliverOutbox(peer crid.Daemon, ch chan []byte) {
 	defer t.wg.Done()
+	idle := time.NewTimer(outboxIdle)
+	defer idle.Stop()
 	for {
 		select {
 		case b := <-ch:
 			t.sendNow(peer, b)
+			idle.Reset(outboxIdle)
+		case <-idle.C:
+			if t.dropOutbox(peer, ch) {
+				return
+			}
+			idle.Reset(outboxIdle)
 		case <-t.ctx.Done():
 			return
 		}
 	}
 }
 
+// dropOutbox forgets an outbox that is empty; Send fills it under the same lock.
+func (t *Transport) dropOutbox(peer crid.Daemon, ch chan []byte) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(ch) > 0 {
+		return false
+	}
+	delete(t.outboxes, peer)
+	return true
+}
+
 func (t *Transport) sendNow(peer crid.Daemon, b []byte) {
 	s, err := t.Session(t.ctx, peer)
 	if err != nil {
--- a/io/crsettings/crsettings.go
+++ b/io/crsettings/crsettings.go
@@ -41,7 +41,8 @@
 
 // Platform says where the platform is read.
 type Platform struct {
-	URL string `toml:"url"`
+	URL   string `toml:"url"`
+	Fleet int    `toml:"fleet"` // daemons that may start at once; each reads the more slowly the more there are
 }
 
 // TLS names PEM files. The peer certificate's DNS name is the daemon's name.
@@ -91,10 +92,14 @@
 	return nil
 }
 
+// defaultFleet suits the fleets of today, of some thirty daemons.
+const defaultFleet = 100
+
 // Defaults are the settings before the file is read.
 func Defaults() Settings {
 	return Settings{
-		Log: Log{Level: "info"},
+		Log:      Log{Level: "info"},
+		Platform: Platform{Fleet: defaultFleet},
 		Limits: Limits{
 			HeaderBytes:  32 << 10,
 			HeaderTime:   Duration{5 * time.Second},
@@ -187,6 +192,9 @@
 			errs = append(errs, at.fault("limits."+key, "must be above zero"))
 		}
 	}
+	if s.Platform.Fleet <= 0 {
+		errs = append(errs, at.fault("platform.fleet", "must be above zero"))
+	}
 	positive("headerbytes", s.Limits.HeaderBytes > 0)
 	positive("headertime", s.Limits.HeaderTime.Duration > 0)
 	positive("bodyidle", s.Limits.BodyIdle.Duration > 0)
--- a/lab/crupstream/crupstream.go
+++ b/lab/crupstream/crupstream.go
@@ -19,6 +19,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -86,9 +87,17 @@
 	mu   sync.Mutex
 	runs map[string]int
 	by   map[string]int
+	log  []Run
 	peak int64
 }
 
+// Run is one request that ran.
+type Run struct {
+	ID      string // the load tool's name
+	Account string
+	At      time.Time
+}
+
 // New returns an upstream without a fault.
 func New(opts Options) *Upstream {
 	u := &Upstream{
@@ -238,9 +247,17 @@
 	defer u.mu.Unlock()
 	u.runs[r.Header.Get(HeaderLabID)]++
 	u.by[r.Header.Get(headerAccount)]++
+	u.log = append(u.log, Run{ID: r.Header.Get(HeaderLabID), Account: r.Header.Get(headerAccount), At: time.Now()})
 	u.peak = max(u.peak, n)
 }
 
+// Log returns every run in the order of its start.
+func (u *Upstream) Log() []Run {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return slices.Clone(u.log)
+}
+
 func carriesKey(r *http.Request) bool {
 	uri, _ := url.QueryUnescape(r.RequestURI)
 	if strings.Contains(uri, keyMark) || r.Header.Get("Authorization") != "" {
