Ask half of a small fleet's peers, not more

Cause: with one of three daemons dead and the platform away, the two others never trusted their configuration again after a lost link, and a replaced one never got ready: two answers of one peer were wanted. All callers refused. Ruled out: one answer at any size; the first may be the one peer that lags. Change: half of the peers below 8, a majority of 8 asked above; half shares a daemon with every majority. A shorter pause when all peers were tried. Conclusion: small fleets go on; the promise at a restart is as before.

--- a/core/crconfig/fault_test.go
+++ b/core/crconfig/fault_test.go
@@ -218,6 +218,30 @@
 	}
 }
 
+// Of three daemons one is dead and the platform is away; then the link between
+// the two others breaks and comes back, and one of them is replaced. Nobody is
+// left to ask but the other one, and callers depend on both.
+func TestTwoOfThreeGoOnWithoutThePlatform(t *testing.T) {
+	f := settled(t, 3, 3)
+	f.plat.away = true
+	f.kill("d0002")
+	f.run(5 * time.Second)
+	f.peers = false
+	f.membership()
+	f.run(10 * time.Second)
+	f.peers = true
+	f.membership()
+	f.run(3 * time.Second)
+	f.kill("d0001")
+	f.start("d0001")
+	f.run(3 * time.Second)
+	for _, d := range f.alive() {
+		if !f.daemons[d].Ready() || !f.daemons[d].Trusted(f.clock(d)) {
+			t.Errorf("%s does not go on: %+v", d, f.daemons[d].Dump())
+		}
+	}
+}
+
 // Every daemon of a fleet starts in the same instant, after a power cut say,
 // first without knowing a peer. The platform would refuse calls over its rate,
 // and with them the calls of everybody else.
--- a/core/crconfig/fetch.go
+++ b/core/crconfig/fetch.go
@@ -185,7 +185,7 @@
 	}
 	if !ok {
 		clear(f.tried)
-		f.notBefore = now.Add(s.backoff(0))
+		f.notBefore = now.Add(s.params.PullTimeout + s.jitter(s.params.PullTimeout))
 	}
 }
 
--- a/core/crconfig/spread.go
+++ b/core/crconfig/spread.go
@@ -122,8 +122,18 @@
 			told[p.Domain] = true
 		}
 	}
-	need := min(s.params.Ask, max(len(s.asked), s.members-1))/2 + 1
-	s.heard = len(s.asked) > 0 && answered >= need && len(told) >= min(2, len(all))
+	s.heard = answered >= s.quorum() && len(told) >= min(2, len(all))
+}
+
+// quorum is the number of answers that share a daemon with every majority of
+// the peers. Of a small fleet it is half of the peers and no more: with three
+// daemons, one of them dead and the platform away, the two others must go on.
+func (s *State) quorum() int {
+	peers := max(len(s.asked), s.members-1, 1)
+	if peers < s.params.Ask {
+		return (peers + 1) / 2
+	}
+	return s.params.Ask/2 + 1
 }
 
 // forget turns this daemon's knowledge of what is newest into old fact: it was
