Spread the list of instances as differences

Ruled out: a difference by the platform (its protocol has none, and it is read by few daemons); a log of changes (each daemon sees other steps in between). Change: every daemon remembers under which list an instance last changed or left, and sends who has an older list the difference to it, where it knows it. Conclusion: bytes follow the changes; a fresh daemon still pulls the whole.

--- a/core/crconfig/fleet_test.go
+++ b/core/crconfig/fleet_test.go
@@ -102,6 +102,16 @@
 	return h.Rev
 }
 
+// relist changes the list of instances.
+func (p *platform) relist(instances []crinstance.Instance) crid.Revision {
+	h := p.heads[len(p.heads)-1]
+	h.Rev++
+	h.List = h.Rev
+	p.list = crinstance.NewList(h.Rev, instances)
+	p.heads = append(p.heads, h)
+	return h.Rev
+}
+
 type event struct {
 	to crid.Daemon
 	ev crevent.Event
@@ -137,6 +147,7 @@
 	peers   bool    // membership works
 	loss    float64 // of messages between daemons
 	msgs    int
+	listed  int // instances sent between daemons
 }
 
 func newFleet(n, domains int, params crconfig.Params) *fleet {
@@ -228,6 +239,9 @@
 		switch e := e.(type) {
 		case crevent.Send:
 			f.msgs++
+			if push, ok := e.Msg.(crconfig.ListPush); ok {
+				f.listed += len(push.Instances)
+			}
 			if f.daemons[e.To] != nil && f.carries(d, e.To) {
 				f.post(hop, e.To, received{from: d, msg: e.Msg})
 			}
--- a/core/crconfig/list.go
+++ b/core/crconfig/list.go
@@ -99,7 +99,7 @@
 	l.due = now.Add(s.params.PullTimeout)
 	l.rev = 0
 	l.got = nil
-	s.send(holder, ListPull{})
+	s.send(holder, ListPull{Have: s.list.Revision()})
 }
 
 func (s *State) listHolder() (crid.Daemon, bool) {
@@ -132,6 +132,10 @@
 	if s.list.Revision() == 0 || msg.Off < 0 {
 		return
 	}
+	if changed, gone, ok := s.changes.after(msg.Have, s.list, s.params.PushItems); ok {
+		s.send(to, ListPush{Rev: s.list.Revision(), Since: msg.Have, Gone: gone, Total: len(changed), Instances: changed})
+		return
+	}
 	off := msg.Off
 	if msg.Rev != 0 && msg.Rev != s.list.Revision() {
 		off = 0 // the list has changed under the asker; begin anew
@@ -149,6 +153,14 @@
 	if !l.busy || l.peer != from || msg.Rev <= s.list.Revision() {
 		return
 	}
+	if msg.Since != 0 {
+		// The list may have been replaced since the asking; a difference to
+		// another list would leave out what changed in between.
+		if msg.Since == s.list.Revision() {
+			s.setList(now, patch(s.list, msg.Rev, msg.Instances, msg.Gone))
+		}
+		return
+	}
 	if msg.Off == 0 {
 		l.rev = msg.Rev
 		l.got = nil
@@ -188,6 +200,7 @@
 }
 
 func (s *State) adopt(list crinstance.List) {
+	s.changes.record(s.list, list)
 	s.list = list
 	s.listed = 0
 	for _, in := range list.Instances() {
--- a/core/crconfig/message.go
+++ b/core/crconfig/message.go
@@ -51,18 +51,22 @@
 // MessageKind implements crevent.Message.
 func (Push) MessageKind() string { return "push" }
 
-// ListPull asks a peer for its list of instances from an offset.
+// ListPull asks a peer for its list of instances from an offset, or for what
+// changed since the list that the asker has.
 type ListPull struct {
-	Rev crid.Revision `cbor:"r"` // of the list that Off counts in; zero: any
-	Off int           `cbor:"o"` // instances
+	Have crid.Revision `cbor:"h"` // the asker's list; zero: none, or the whole is wanted
+	Rev  crid.Revision `cbor:"r"` // of the list that Off counts in; zero: any
+	Off  int           `cbor:"o"` // instances
 }
 
 // MessageKind implements crevent.Message.
 func (ListPull) MessageKind() string { return "listpull" }
 
-// ListPush is a stretch of a list of instances.
+// ListPush is a stretch of a list of instances, or its difference to a former.
 type ListPush struct {
 	Rev       crid.Revision         `cbor:"r"`
+	Since     crid.Revision         `cbor:"s"` // not zero: only what changed since that list
+	Gone      []crid.Daemon         `cbor:"g"` // removed since then
 	Off       int                   `cbor:"o"`
 	Total     int                   `cbor:"t"`
 	Instances []crinstance.Instance `cbor:"i"`
--- a/core/crconfig/state.go
+++ b/core/crconfig/state.go
@@ -43,6 +43,7 @@
 	list     crinstance.List
 	listed   int // live instances of this domain on the list
 	listing  listFetch
+	changes  changes // for peers with an older list
 
 	peers   []crmember.Peer // reachable ones, sorted by daemon
 	haves   map[crid.Daemon]Have
