--- a/core/crconfig/fetch.go
+++ b/core/crconfig/fetch.go
@@ -10,9 +10,6 @@
 // maxRefused bounds the memory of refused configurations.
 const maxRefused = 32
 
-// maxWants bounds the values named in one Pull.
-const maxWants = 64
-
 // maxText bounds an error's text in a report.
 const maxText = 300
 
@@ -213,85 +210,6 @@
 	return "", false
 }
 
-func (s *State) pull(now crid.Instant) {
-	f := s.next
-	var wants []Want
-	for _, e := range s.missing() {
-		if len(wants) == maxWants {
-			break
-		}
-		wants = append(wants, Want{Digest: e.Digest, Off: len(f.parts[e.Digest])})
-	}
-	f.due = now.Add(s.params.PullTimeout << min(f.tries/3, maxShift))
-	s.send(f.peer, Pull{Want: wants})
-}
-
-// servePull answers with as much as one message may hold.
-func (s *State) servePull(to crid.Daemon, msg Pull) {
-	var parts []Part
-	room := s.params.PushBytes
-	for _, want := range msg.Want {
-		data, ok := s.conf.values[want.Digest]
-		if want.Digest == s.conf.digest {
-			data, ok = s.conf.raw, s.conf.rev > 0
-		}
-		if !ok || want.Off < 0 || want.Off >= len(data) || room == 0 {
-			continue
-		}
-		n := min(room, len(data)-want.Off)
-		room -= n
-		parts = append(parts, Part{Digest: want.Digest, Off: want.Off, Size: len(data), Data: data[want.Off : want.Off+n]})
-	}
-	s.send(to, Push{Parts: parts})
-}
-
-// push takes what a peer sent, if it is the one asked: a late duplicate from
-// another must neither count nor disturb. Parts that do not fit are left out;
-// a peer that sends nothing else is given up when its time is over.
-func (s *State) push(now crid.Instant, from crid.Daemon, msg Push) {
-	f := s.next
-	if f == nil || f.peer != from {
-		return
-	}
-	took := false
-	for _, p := range msg.Parts {
-		took = s.takePart(from, p) || took
-		if s.next != f || f.peer == "" {
-			return
-		}
-	}
-	if len(msg.Parts) == 0 {
-		s.giveUp(f)
-		return
-	}
-	if took && len(s.missing()) > 0 {
-		s.pull(now)
-	}
-}
-
-// takePart appends a part that continues what is here; it reports whether it did.
-func (s *State) takePart(from crid.Daemon, p Part) bool {
-	f := s.next
-	have := f.parts[p.Digest]
-	wanted := slices.ContainsFunc(s.missing(), func(e Entry) bool { return e.Digest == p.Digest })
-	if !wanted || p.Off != len(have) || len(p.Data) == 0 || p.Size >= MaxValue || len(have)+len(p.Data) > p.Size {
-		return false
-	}
-	data := append(have, p.Data...)
-	if len(data) < p.Size {
-		f.parts[p.Digest] = data
-		return true
-	}
-	delete(f.parts, p.Digest)
-	if DigestOf(data) != p.Digest {
-		s.report(NumberBadPush, "from", string(from), "digest", p.Digest.String())
-		s.giveUp(f)
-		return false
-	}
-	s.collect(p.Digest, data)
-	return true
-}
-
 // readMissing reads from the platform, within this tick's budget.
 func (s *State) readMissing(now crid.Instant) {
 	f := s.next
