--- a/core/crconfig/fleet_test.go
+++ b/core/crconfig/fleet_test.go
@@ -73,35 +73,6 @@
 	return crpolicy.NewSnapshot(rev, nil, []crpolicy.Account{acct}), nil
 }
 
-// platform is a fake of what is published, as of a moment.
-type platform struct {
-	heads   []crconfig.Head // oldest first
-	values  map[crconfig.Digest][]byte
-	list    crinstance.List
-	away    bool
-	back    int // serves a head this many changes old
-	calls   int
-	pages   int // calls that the list takes
-	perSec  map[int]int
-	lost    bool                 // values can not be read
-	cutFrom map[crid.Daemon]bool // one way: answers do not arrive
-}
-
-func (p *platform) head() crconfig.Head { return p.heads[max(0, len(p.heads)-1-p.back)] }
-
-func (p *platform) publish(c content) crid.Revision {
-	b := makeBundle(c)
-	for d, data := range b.values {
-		p.values[d] = data
-	}
-	h := p.heads[len(p.heads)-1]
-	h.Rev++
-	h.Conf = h.Rev
-	h.Manifest = b.digest()
-	p.heads = append(p.heads, h)
-	return h.Rev
-}
-
 type event struct {
 	to crid.Daemon
 	ev crevent.Event
@@ -137,6 +108,7 @@
 	peers   bool    // membership works
 	loss    float64 // of messages between daemons
 	msgs    int
+	listed  int // instances sent between daemons
 }
 
 func newFleet(n, domains int, params crconfig.Params) *fleet {
@@ -228,6 +200,9 @@
 		switch e := e.(type) {
 		case crevent.Send:
 			f.msgs++
+			if push, ok := e.Msg.(crconfig.ListPush); ok {
+				f.listed += len(push.Instances)
+			}
 			if f.daemons[e.To] != nil && f.carries(d, e.To) {
 				f.post(hop, e.To, received{from: d, msg: e.Msg})
 			}
