--- a/core/craccount/account_test.go
+++ b/core/craccount/account_test.go
@@ -278,11 +278,7 @@
 	admitted := 0
 	for range 100 {
 		for _, nd := range w.nodes[:2] {
-			w.request(nd, acct, func(ok bool) {
-				if ok {
-					admitted++
-				}
-			})
+			w.request(nd, acct, count(&admitted))
 		}
 	}
 	w.run(100 * time.Millisecond)
@@ -301,11 +297,7 @@
 	w.run(100 * time.Millisecond)
 	admitted := 0
 	for range 5 {
-		w.request(w.nodes[1], acct, func(ok bool) {
-			if ok {
-				admitted++
-			}
-		})
+		w.request(w.nodes[1], acct, count(&admitted))
 		w.run(250 * time.Millisecond)
 	}
 	g.Expect(admitted).To(BeNumerically(">=", 4))
--- a/core/craccount/chaos_test.go
+++ b/core/craccount/chaos_test.go
@@ -39,20 +39,15 @@
 	}
 	for range callers {
 		for _, a := range chaosAccounts() {
-			w.abandon(nd, a.Name)
+			if nd.wallet.Take(a.Name, w.clock(nd)).Outcome == Admitted {
+				w.oracles[a.Name].admit(w.now)
+			}
 		}
 	}
 	now := w.clock(nd)
 	w.step(nd, Used{Now: now, Usage: nd.wallet.Drain(now)})
 }
 
-// abandon is a request whose caller leaves when it would have to wait.
-func (w *testNet) abandon(nd *node, account crid.Account) {
-	if nd.wallet.Take(account, w.clock(nd)).Outcome == Admitted {
-		w.oracles[account].admit(w.now)
-	}
-}
-
 // steady keeps the entries' demand up, so that they hold tokens ahead.
 func (w *testNet) steady(d time.Duration) {
 	for end := w.now + d; w.now < end; {
--- a/core/craccount/measure_test.go
+++ b/core/craccount/measure_test.go
@@ -83,12 +83,8 @@
 	}
 	params.Shares = max(1, shares)
 	w := newNet(seed, fleetSize, params, accounts...)
-	splits := make([]*LocalSplit, fleetSize)
-	for i := range splits {
-		splits[i] = NewLocalSplit(fleetSize, func(a crid.Account) crpolicy.Account {
-			limit, _ := w.snap.Account(a)
-			return limit
-		})
+	for _, nd := range w.nodes {
+		nd.split = NewLocalSplit(fleetSize, w.limit)
 	}
 	tallies := map[crid.Account]*tally{}
 	victim := ownerToLose(accounts[len(accounts)-1], w.members, params)
@@ -108,7 +104,7 @@
 				c.offer(w.now)
 			}
 			if shares == 0 {
-				d := splits[w.index(nd)].Take(a.Name, w.clock(nd))
+				d := nd.split.Take(a.Name, w.clock(nd))
 				done(d.Outcome == Admitted)
 			} else {
 				w.request(nd, a.Name, done)
@@ -145,13 +141,9 @@
 	w.at(2*time.Second, func() { w.next = rest })
 }
 
-func (w *testNet) index(nd *node) int {
-	for i := range w.nodes {
-		if w.nodes[i] == nd {
-			return i
-		}
-	}
-	return -1
+func (w *testNet) limit(name crid.Account) crpolicy.Account {
+	a, _ := w.snap.Account(name)
+	return a
 }
 
 // pickEntry chooses a living entry: callers turn to another address at once.
--- a/core/craccount/net_test.go
+++ b/core/craccount/net_test.go
@@ -1,9 +1,10 @@
 package craccount
 
 import (
-	"container/heap"
+	"cmp"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -24,24 +25,8 @@
 
 // job is something that happens at a true time.
 type job struct {
-	at  time.Duration
-	seq int
-	do  func()
-}
-
-type jobs []job
-
-func (j jobs) Len() int { return len(j) }
-func (j jobs) Less(a, b int) bool {
-	return j[a].at < j[b].at || (j[a].at == j[b].at && j[a].seq < j[b].seq)
-}
-func (j jobs) Swap(a, b int) { j[a], j[b] = j[b], j[a] }
-func (j *jobs) Push(x any)   { *j = append(*j, x.(job)) }
-func (j *jobs) Pop() any {
-	old := *j
-	last := old[len(old)-1]
-	*j = old[:len(old)-1]
-	return last
+	at time.Duration
+	do func()
 }
 
 // oracle holds all admissions of an account to burst + rate*w for every w: a
@@ -77,6 +62,7 @@
 	paused time.Duration // until
 	dead   bool
 	colds  []coldRequest
+	split  *LocalSplit // the baseline's part of this daemon
 }
 
 // testNet runs real reducers and wallets over a network that may lose, repeat
@@ -84,8 +70,7 @@
 type testNet struct {
 	rng      *rand.Rand
 	now      time.Duration
-	queue    jobs
-	seq      int
+	queue    []job // by time, then in the order of coming
 	nodes    []*node
 	params   Params
 	snap     *crpolicy.Snapshot
@@ -136,8 +121,8 @@
 }
 
 func (w *testNet) at(d time.Duration, do func()) {
-	w.seq++
-	heap.Push(&w.queue, job{at: w.now + d, seq: w.seq, do: do})
+	i, _ := slices.BinarySearchFunc(w.queue, w.now+d+1, func(j job, at time.Duration) int { return cmp.Compare(j.at, at) })
+	w.queue = slices.Insert(w.queue, i, job{at: w.now + d, do: do})
 }
 
 func (w *testNet) every(d time.Duration, do func()) {
@@ -150,7 +135,8 @@
 func (w *testNet) run(d time.Duration) {
 	end := w.now + d
 	for len(w.queue) > 0 && w.queue[0].at <= end {
-		j := heap.Pop(&w.queue).(job)
+		j := w.queue[0]
+		w.queue = w.queue[1:]
 		w.now = j.at
 		j.do()
 	}
@@ -322,6 +308,15 @@
 	w.step(nd, Used{Now: now, Usage: nd.wallet.Drain(now)})
 }
 
+// count returns a done that counts admissions.
+func count(n *int) func(bool) {
+	return func(ok bool) {
+		if ok {
+			*n++
+		}
+	}
+}
+
 // retry lets waiting requests take what has been deposited.
 func (w *testNet) retry(nd *node) {
 	if nd.dead || w.now < nd.paused {
