Tell contact and bridge beside tenure

Ruled out: trusting on tenure of the former list (two lists would act at once); shortening the silence (it is what makes the hand-over safe). Change: Tenure carries Contact (a majority is heard both ways) and Bridge with Over: up to when whatever each list from the last active one to the newest gives a daemon is still its own. rapid checks that any two daemons that act have a list in common.

--- a/core/crmember/notice.go
+++ b/core/crmember/notice.go
@@ -3,15 +3,26 @@
 import "camphorroad/core/crid"
 
 // Tenure tells the sibling reducers under which list of instances this daemon
-// may act, and until when. It is renewed as peers answer. Until holds for all
-// that rests on facts which may be old: minting, ejecting, and trusting keys and
-// configuration. Active stays while standing is lost and may come back under the
-// same list; it is zero while a newer list is handed over.
+// may act, and until when. It is renewed as peers answer. Active stays while
+// tenure is lost (Until zero), and is zero during a handover.
+//
+// At no true instant do two daemons act without a list in common: one acts under
+// {Active} up to Until, and one that hands over under all lists of Over up to
+// Bridge.
 type Tenure struct {
 	Now     crid.Instant
 	Active  crid.Revision // revision of the active list; zero: none
 	Members []crid.Daemon // all daemons of the active list, sorted
-	Until   crid.Instant  // zero: no standing
+	Until   crid.Instant  // zero: no tenure
+	Contact crid.Instant  // up to which a majority is heard both ways; what is known may be trusted
+	Bridge  crid.Instant  // up to which what every list of Over gives this daemon is still its own
+	Over    []Membership  // the lists from the last active one to the newest; not to be changed
+}
+
+// Membership is who belongs to a list of instances.
+type Membership struct {
+	Rev     crid.Revision
+	Members []crid.Daemon // sorted
 }
 
 // At implements crevent.Event.
--- a/core/crmember/rapid_test.go
+++ b/core/crmember/rapid_test.go
@@ -61,6 +61,9 @@
 				if len(w.overlaps) > 0 {
 					rt.Fatalf("two lists at once: %s", w.overlaps[0])
 				}
+				if len(w.apart) > 0 {
+					rt.Fatalf("no list in common: %s", w.apart[0])
+				}
 			},
 		})
 		for _, n := range w.nodes {
--- a/core/crmember/tenure.go
+++ b/core/crmember/tenure.go
@@ -8,7 +8,7 @@
 
 // settleTenure recomputes until when this daemon may act, and tells it.
 func (s *State) settleTenure() {
-	next := Tenure{Now: s.now}
+	next := Tenure{Now: s.now, Contact: s.contact(), Bridge: s.bridge()}
 	if s.settledCurrent() {
 		next.Active = s.cur
 		next.Until = s.until()
@@ -23,7 +23,7 @@
 
 func (s *State) tellTenure(next Tenure) {
 	last := s.tenure
-	if next.Until == last.Until && next.Active == last.Active {
+	if next.Until == last.Until && next.Active == last.Active && next.Contact == last.Contact && next.Bridge == last.Bridge {
 		return
 	}
 	s.tenure = next
@@ -34,6 +34,7 @@
 		s.reportList(EventStandingLost, last.Active)
 	}
 	next.Members = slices.Clone(next.Members)
+	next.Over = s.memberships()
 	s.emit(next)
 }
 
@@ -133,7 +134,13 @@
 			return 0
 		}
 	}
-	need := majority(len(k.voters))
+	return s.horizonOf(evidence, len(k.voters))
+}
+
+// horizonOf is the end of the horizon of the newest evidence that a majority of
+// so many voters gives; zero if it has passed or there is none.
+func (s *State) horizonOf(evidence []crid.Instant, voters int) crid.Instant {
+	need := majority(voters)
 	if len(evidence) < need {
 		return 0
 	}
--- a/core/crmember/world_test.go
+++ b/core/crmember/world_test.go
@@ -45,7 +45,8 @@
 	cuts     map[link]bool
 	slow     map[link]time.Duration // extra delay
 	rng      *rand.Rand
-	chaos    bool // random delay, loss and duplicates
+	chaos    bool     // random delay, loss and duplicates
+	apart    []string // daemons that acted without a list in common
 	overlaps []string
 	lives    uint64
 }
@@ -148,6 +149,38 @@
 	if len(active) > 1 {
 		w.overlaps = append(w.overlaps, fmt.Sprintf("%v: %v", w.now, active))
 	}
+	w.checkBridges()
+}
+
+// lists returns the lists under all of which a daemon acts now.
+func (w *world) lists(d crid.Daemon) []crid.Revision {
+	n := w.nodes[d]
+	if w.holds(d) {
+		return []crid.Revision{n.tenure.Active}
+	}
+	if n.tenure.Bridge <= n.clock(w.now) {
+		return nil
+	}
+	var revs []crid.Revision
+	for _, m := range n.tenure.Over {
+		revs = append(revs, m.Rev)
+	}
+	return revs
+}
+
+// checkBridges notes two daemons that act now without a list in common: each
+// could mint the same share under a list of its own.
+func (w *world) checkBridges() {
+	names := w.names()
+	for i, a := range names {
+		for _, b := range names[i+1:] {
+			ra, rb := w.lists(a), w.lists(b)
+			common := slices.ContainsFunc(ra, func(r crid.Revision) bool { return slices.Contains(rb, r) })
+			if len(ra) > 0 && len(rb) > 0 && !common {
+				w.apart = append(w.apart, fmt.Sprintf("%v: %s acts under %v, %s under %v", w.now, a, ra, b, rb))
+			}
+		}
+	}
 }
 
 // run lets time pass in steps of 10 ms; a tick comes every 50 ms.
