Ask one owner for each eight tokens

Small Asks went to all four owners, so that four shares cost twice the bytes of one. Asking the fullest owner was ruled out for now: it needs a balance in every Grant that is stale at once.

--- a/core/craccount/entry.go
+++ b/core/craccount/entry.go
@@ -15,6 +15,7 @@
 	recallKeep  = 100 * time.Millisecond // demand kept when an owner recalls
 	floatFor    = 10 * time.Second       // one spare token is held this long after a request
 	aheadPart   = 0.25                   // of the burst, that all entries together hold ahead of demand
+	askChunk    = 8                      // tokens asked of one owner before the next is asked, too
 	refill      = 0.6                    // ask again when below this part of the target
 	maxRetry    = time.Minute
 	voidNever   = crid.Instant(math.MaxInt64)
@@ -231,22 +232,20 @@
 // askOwners spreads an Ask over the free owners; a small one goes to a single
 // owner, in turn.
 func (s *State) askOwners(a *account, free []int, need int, keep bool) {
-	part, rest := need/len(free), need%len(free)
-	for k := range free {
-		src := &a.sources[free[(a.rotate+k)%len(free)]]
+	asked := min(len(free), (need+askChunk-1)/askChunk)
+	part, rest := need/asked, need%asked
+	for k := range asked {
+		share := free[(a.rotate+k)%len(free)]
+		src := &a.sources[share]
 		want := part
 		if k < rest {
 			want++
 		}
-		if want == 0 {
-			continue
-		}
 		src.want, src.askedAt = want, s.now
-		share := free[(a.rotate+k)%len(free)]
 		ask := s.out.askFor(src.owner)
 		ask.Items = append(ask.Items, AskItem{Account: a.name, Share: share, Want: want, Keep: keep})
 	}
-	a.rotate += max(1, rest)
+	a.rotate += asked
 }
 
 // noteDry lets requests be refused at once, since no owner has a token.
