--- a/core/craccount/chaos_test.go
+++ b/core/craccount/chaos_test.go
@@ -8,6 +8,7 @@
 	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
 
+	"camphorroad/core/crconfig"
 	"camphorroad/core/crid"
 	"camphorroad/core/crpolicy"
 )
@@ -187,3 +188,40 @@
 		})
 	})
 }
+
+// Operators change a limit to and fro, and daemons learn of it at different
+// times. Callers must not get more than the larger limit in any window, or,
+// where the number of shares changes too, than both limits together.
+func TestBoundHoldsWhileConfigurationsDiffer(t *testing.T) {
+	for name, limits := range map[string][2]crpolicy.Account{
+		"same shares":  {{Name: "ample", Rate: 100, Burst: 80}, {Name: "ample", Rate: 50, Burst: 40}},
+		"other shares": {{Name: "ample", Rate: 100, Burst: 80}, {Name: "ample", Rate: 50, Burst: 15}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			g := NewWithT(t)
+			w := newNet(11, 5, DefaultParams(), chaosAccounts()...)
+			bound := w.oracles["ample"]
+			bound.rate, bound.burst = 100*(1+clockError), 80+1e-6
+			if name == "other shares" {
+				bound.rate, bound.burst = 150*(1+clockError), 95+1e-6
+			}
+			for round := range 30 {
+				w.snap = crpolicy.NewSnapshot(crid.Revision(round+2), nil, limits[round%2:round%2+1])
+				for _, nd := range w.nodes {
+					ev := crconfig.InForce{Snapshot: w.snap}
+					w.at(time.Duration(w.rng.Int64N(int64(4*time.Second))), func() {
+						ev.Now = w.clock(nd)
+						w.step(nd, ev)
+					})
+				}
+				for range 6 {
+					w.hoard(w.nodes[w.rng.IntN(5)], 40)
+					w.run(time.Duration(w.rng.Int64N(int64(1500 * time.Millisecond))))
+					w.greed(150)
+				}
+			}
+			g.Expect(bound.worst).To(BeZero())
+		})
+	}
+}
