Race a start against a revocation in a test

Cause: the tables and the machine run in one goroutine, so nothing showed that Start and Revoke exclude each other when the traffic's goroutines share a ledger.

Change: two starts and a revocation at once, a thousand times, under -race.

--- a/core/crforward/ledger_test.go
+++ b/core/crforward/ledger_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"sync"
 	"testing"
 	"time"
 
@@ -162,3 +163,25 @@
 	}
 	g.Expect(retries).To(gomega.BeNumerically("~", 5+100+10, 1))
 }
+
+// The slot comes free at the very moment when the entry gives up. If both the
+// start and the revocation were granted, the entry would send the filing on while
+// it runs.
+func TestStartAndRevokeExcludeEachOther(t *testing.T) {
+	g := gomega.NewWithT(t)
+	l := newLedger()
+	for n := range 1000 {
+		g.Expect(l.Offer(name(n), crpolicy.ClassOnce, opened, deadline)).To(gomega.Succeed())
+		var started [2]error
+		var verdict Verdict
+		var group sync.WaitGroup
+		for i := range started {
+			group.Go(func() { started[i] = l.Start(name(n), opened) })
+		}
+		group.Go(func() { verdict = l.Revoke(name(n), session, opened) })
+		group.Wait()
+		g.Expect(started[0] == nil && started[1] == nil).To(gomega.BeFalse())
+		g.Expect(started[0] == nil || started[1] == nil).To(gomega.Equal(verdict == VerdictStarted))
+		l.Finish(name(n), opened)
+	}
+}
