--- a/spec/handover.pml
+++ b/spec/handover.pml
@@ -214,40 +214,45 @@
 }
 
 #define MEMBER(m) \
-	:: atomic { list[m] < LAST(m) -> adopt(m, list[m] + 1); check() } \
-	:: atomic { restarts > 0 -> restart(m); check() } \
-	:: atomic { life[m] == ASKS && list[m] == 2 -> settle(m); check() } \
-	:: atomic { life[m] == ASKS && TELLS(OTHER(m), m) -> hear(m, OTHER(m), 1); check() } \
-	:: atomic { life[m] == ASKS && list[m] < 2 && TELLS(THIRD(m), m) -> hear(m, THIRD(m), 2); check() }
+	:: list[m] < LAST(m) -> adopt(m, list[m] + 1) \
+	:: restarts > 0 -> restart(m) \
+	:: life[m] == ASKS && list[m] == 2 -> settle(m) \
+	:: life[m] == ASKS && TELLS(OTHER(m), m) -> hear(m, OTHER(m), 1) \
+	:: life[m] == ASKS && list[m] < 2 && TELLS(THIRD(m), m) -> hear(m, THIRD(m), 2)
 
 /* a and b answer x, y and whoever asks whether a list is handed over */
 #ifdef EVIDENCE_FROM_ARRIVAL
 #define ANSWER_X(v) \
-	:: atomic { VOICES(v) && list[v] == 0 && list[X] == 0 -> late[v] = 1 } \
-	:: atomic { late[v] && list[X] == 0 -> late[v] = 0; xEv[v] = 0; check() }
+	:: VOICES(v) && list[v] == 0 && list[X] == 0 -> late[v] = 1 \
+	:: late[v] && list[X] == 0 -> late[v] = 0; xEv[v] = 0
 #else
 #define ANSWER_X(v) \
-	:: atomic { VOICES(v) && list[v] == 0 && list[X] == 0 -> xEv[v] = 0; check() }
+	:: VOICES(v) && list[v] == 0 && list[X] == 0 -> xEv[v] = 0
 #endif
 
 #define VOTER(v) \
 	ANSWER_X(v) \
-	:: atomic { VOICES(v) && list[v] == 1 && list[Y] == 1 -> yEv[v] = 0; check() } \
-	:: atomic { VOICES(v) && list[v] >= 1 && silence0 > H -> ack0[v] = 0; check() } \
-	:: atomic { VOICES(v) && list[v] == 2 && silence1 > H -> ack1[v] = 0; check() }
+	:: VOICES(v) && list[v] == 1 && list[Y] == 1 -> yEv[v] = 0 \
+	:: VOICES(v) && list[v] >= 1 && silence0 > H -> ack0[v] = 0 \
+	:: VOICES(v) && list[v] == 2 && silence1 > H -> ack1[v] = 0
 
 active proctype system() {
 	list[Y] = 1;
 end:
 	do
-	:: atomic { tick(); check() }
-	MEMBER(A)
-	MEMBER(B)
-	MEMBER(X)
-	MEMBER(Y)
-	VOTER(A)
-	VOTER(B)
-	:: atomic { VOICES(X) && list[X] >= 1 && silence0 > H -> ack0[2] = 0; check() }
-	:: atomic { VOICES(Y) && list[Y] == 2 && silence1 > H -> ack1[2] = 0; check() }
+	:: atomic {
+		if
+		:: 1 -> tick()
+		MEMBER(A)
+		MEMBER(B)
+		MEMBER(X)
+		MEMBER(Y)
+		VOTER(A)
+		VOTER(B)
+		:: VOICES(X) && list[X] >= 1 && silence0 > H -> ack0[2] = 0
+		:: VOICES(Y) && list[Y] == 2 && silence1 > H -> ack1[2] = 0
+		fi;
+		check()
+	}
 	od
 }
