Find sick targets and eject them within the floor

Targets fail gray and their own reports mislead; entries that eject each on its own view add up to a breach of the floor, and see too little each.

Every entry sends its counts to the service's arbiter, the first by rank among the members of the active list. Permits counted like tokens were ruled out: a second custody protocol that does not say who is worst. Fixed thresholds on own evidence stay as baseline.

--- /dev/null
+++ b/core/crhealth/dump.go
@@ -0,0 +1,75 @@
+package crhealth
+
+import (
+	"maps"
+	"slices"
+
+	"camphorroad/core/crid"
+)
+
+// TargetDump is the arbiter's view of a target that is not in plain health.
+type TargetDump struct {
+	Target    crid.Target `json:"target"`
+	Cause     string      `json:"cause"`
+	Ejected   bool        `json:"ejected"`
+	ForFloor  bool        `json:"keptForFloor"`
+	Suspicion int         `json:"suspicion"`
+	Strikes   int         `json:"strikes"`
+	HoldLeft  string      `json:"holdLeft,omitempty"`
+}
+
+// ServiceDump is the state of one service.
+type ServiceDump struct {
+	Service   crid.Service  `json:"service"`
+	Arbiter   crid.Daemon   `json:"arbiter"`
+	Allowance int           `json:"allowance"` // targets that may be ejected at one time
+	Steered   []TargetState `json:"steered"`   // what traffic here was told
+	Senders   int           `json:"senders"`   // entries heard, as arbiter
+	Targets   []TargetDump  `json:"targets"`   // as arbiter
+}
+
+// Dump is the state for the state dump.
+type Dump struct {
+	Standing bool          `json:"standing"`
+	Services []ServiceDump `json:"services"` // sorted
+}
+
+// Dump returns the state at the last event.
+func (s *State) Dump() any {
+	dump := Dump{Standing: s.mayAct()}
+	for _, service := range sortedServices(s.targets) {
+		sd := ServiceDump{Service: service, Arbiter: s.arbiter(service), Allowance: s.allowance(service)}
+		if e := s.entries[service]; e != nil {
+			sd.Steered = slices.Clone(e.steered.Targets)
+		}
+		if d := s.dockets[service]; d != nil {
+			sd.Senders = len(d.senders)
+			sd.Targets = s.dumpTargets(d)
+		}
+		dump.Services = append(dump.Services, sd)
+	}
+	return dump
+}
+
+func (s *State) dumpTargets(d *docket) []TargetDump {
+	var targets []TargetDump
+	for _, target := range d.targets() {
+		r := d.records[target]
+		if !r.ejected && r.suspicion == 0 && r.strikes == 0 {
+			continue
+		}
+		td := TargetDump{
+			Target: target, Cause: r.finding.Cause.String(), Ejected: r.ejected,
+			ForFloor: r.kept, Suspicion: r.suspicion, Strikes: r.strikes,
+		}
+		if r.ejected {
+			td.HoldLeft = r.holdUntil.Sub(s.now).String()
+		}
+		targets = append(targets, td)
+	}
+	return targets
+}
+
+func sortedDaemons[V any](m map[crid.Daemon]V) []crid.Daemon {
+	return slices.Sorted(maps.Keys(m))
+}
--- /dev/null
+++ b/core/crhealth/evidence.go
@@ -0,0 +1,90 @@
+package crhealth
+
+import (
+	"math"
+	"time"
+)
+
+// The spans judged, from short to long: thin traffic needs a longer look.
+var spans = [...]time.Duration{time.Second, 3 * time.Second, 9 * time.Second}
+
+// enough is the number of attempts at which a longer span is not looked at.
+const enough = 24
+
+// The bounds of corroboration.
+const (
+	otherLeast   = 5    // attempts of the others that can contradict one account
+	otherBadRate = 0.05 // bad share of the others below which they contradict it
+	loneBad      = 2    // bad attempts of a contradicted account that still count
+)
+
+// evidenceOf sums up a target's window over the shortest span that is enough.
+func evidenceOf(c *counts, cold, guarded bool) Evidence {
+	total := c.total()
+	n, median := c.median()
+	e := Evidence{
+		N: total.n, Bad: total.bad, Wrong: total.wrong, Answers: n, Median: median,
+		Hint: c.hint, Cold: cold, latency: c.latency,
+	}
+	if !guarded {
+		return e
+	}
+	bad, wrong := borneOut(c, total)
+	if !seenByMost(c, total) {
+		bad = min(bad, loneBad)
+		wrong = 0
+	}
+	e.Bad = bad
+	e.Wrong = wrong
+	return e
+}
+
+// borneOut counts bad attempts, but hardly those of one group of accounts that
+// all others contradict.
+//
+// A caller may send requests that fail or stall on any target. If they counted
+// fully, the targets they happened to reach would be ejected one after another,
+// for a fault of the caller. Nobody else would see these targets fail.
+func borneOut(c *counts, total tally) (bad, wrong uint32) {
+	for i, own := range c.groups {
+		others := total.without(own)
+		contradicted := i != 0 && others.n >= otherLeast && others.badRate() < otherBadRate
+		if contradicted {
+			bad += min(own.bad, loneBad)
+			wrong += min(own.wrong, loneBad-1)
+			continue
+		}
+		bad += own.bad
+		wrong += own.wrong
+	}
+	return bad, wrong
+}
+
+// seenByMost reports whether the daemons with traffic on the target see it fail
+// about alike: of those that would, were the failures spread evenly over all
+// attempts, more than half do.
+//
+// In a one-way cut some daemons get no answers from a target that serves all
+// others well. They avoid it by themselves; ejecting it would take it from all.
+func seenByMost(c *counts, total tally) bool {
+	well := 1 - total.badRate()
+	expected, seen := 0.0, 0.0
+	for _, t := range c.senders {
+		expected += 1 - math.Pow(well, float64(t.n))
+		if t.bad > 0 {
+			seen++
+		}
+	}
+	return 2*seen > expected
+}
+
+// evidence returns the evidence of one span.
+func (r *record) evidence(s *State, span time.Duration, cold bool) Evidence {
+	return evidenceOf(r.window.sum(s.now, span), cold, s.params.has(guardAccounts))
+}
+
+// holdFor is the hold-off of the given ejection in a row.
+func holdFor(base, most time.Duration, strikes int) time.Duration {
+	hold := float64(base) * math.Pow(2, float64(min(strikes, 30)))
+	return time.Duration(min(hold, float64(most)))
+}
--- /dev/null
+++ b/core/crhealth/measure_test.go
@@ -0,0 +1,151 @@
+package crhealth
+
+import (
+	"flag"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"camphorroad/core/crid"
+)
+
+var seeds = flag.Uint64("seeds", 1, "number of seeds of TestMeasure; with more than one, baselines run as well")
+
+// measureLength is how long a fault lasts in one run.
+const measureLength = 15 * time.Second
+
+type measureCase struct {
+	name   string
+	sick   []crid.Target
+	act    behaviour
+	poison crid.Account
+	all    bool
+}
+
+var measureCases = []measureCase{
+	{name: "calm"},
+	{name: "slow x5", sick: []crid.Target{sick}, act: slowBy(5)},
+	{name: "slow x3", sick: []crid.Target{sick}, act: slowBy(3)},
+	{name: "wrong 5%", sick: []crid.Target{sick}, act: endsWith(ResultWrong, 0.05)},
+	{name: "failing 30%", sick: []crid.Target{sick}, act: endsWith(ResultFailed, 0.3)},
+	{name: "flapping 3 s", sick: []crid.Target{sick}, act: flapping(3*time.Second, endsWith(ResultFailed, 0.8))},
+	{name: "two slow", sick: []crid.Target{sick, "t01"}, act: slowBy(5)},
+	{name: "all slow x20", all: true, act: slowBy(20)},
+	{name: "poison", poison: "a3"},
+}
+
+// shape is a service of today: a daemon beside each target, all entries.
+type shape struct {
+	name    string
+	targets int
+	floor   int
+	perStep int
+}
+
+var shapes = []shape{{"booking", 15, 10, 4}, {"ledger", 5, 3, 1}}
+
+func policies() map[string]Params {
+	chosen := DefaultParams()
+	fixed := DefaultParams()
+	fixed.Judge = FixedJudge{Rate: 0.2, Median: 60 * time.Millisecond, Least: 5}
+	fixed.Alone = true
+	fixed.without = guardAccounts
+	none := DefaultParams()
+	none.Judge = NoJudge{}
+	return map[string]Params{"chosen": chosen, "fixed": fixed, "none": none}
+}
+
+type measured struct {
+	detect  []time.Duration // of runs in which all daemons ejected all sick targets
+	runs    int
+	wrongly int // ejections of targets that were not sick
+}
+
+func (m *measured) String() string {
+	if len(m.detect) == 0 {
+		return fmt.Sprintf("0/%d\t-\t-\t%d", m.runs, m.wrongly)
+	}
+	slices.Sort(m.detect)
+	n := len(m.detect)
+	return fmt.Sprintf("%d/%d\t%v\t%v\t%d", n, m.runs, m.detect[n/2], m.detect[n-1], m.wrongly)
+}
+
+func (m *measured) run(p Params, s shape, c measureCase, seed uint64) {
+	w := newWorld(p, seed, s.targets, s.targets, s.floor)
+	w.perStep = s.perStep
+	w.run(6 * time.Second)
+	w.poison = c.poison
+	if c.all {
+		for _, target := range w.targets {
+			w.acts[target] = c.act
+		}
+	}
+	for _, target := range c.sick {
+		w.acts[target] = c.act
+	}
+	start := w.now
+	var found time.Duration
+	for w.now < start+measureLength {
+		w.advance()
+		if found == 0 && len(c.sick) > 0 && !slices.ContainsFunc(c.sick, func(t crid.Target) bool { return !w.everywhere(t) }) {
+			found = w.now - start
+			m.detect = append(m.detect, found)
+		}
+	}
+	m.runs++
+	for target, n := range w.ejected {
+		if !slices.Contains(c.sick, target) {
+			m.wrongly += n
+		}
+	}
+}
+
+// TestMeasure prints detection time (until no entry sends work to a sick target)
+// and false ejections, for the chosen way and the baselines in the same runs.
+func TestMeasure(t *testing.T) {
+	g := gomega.NewWithT(t)
+	fmt.Println("service\tcase\tpolicy\tfound\tmedian\tmost\tfalse ejections")
+	for _, s := range shapes {
+		for _, c := range measureCases {
+			for _, name := range []string{"chosen", "fixed", "none"} {
+				if name != "chosen" && *seeds == 1 {
+					continue
+				}
+				var m measured
+				for seed := range *seeds {
+					m.run(policies()[name], s, c, seed)
+				}
+				fmt.Printf("%s\t%s\t%s\t%s\n", s.name, c.name, name, m.String())
+				if name == "chosen" {
+					g.Expect(m.wrongly).To(gomega.BeZero(), c.name)
+				}
+			}
+		}
+	}
+}
+
+func BenchmarkRecord(b *testing.B) {
+	r := NewRecorder()
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			r.Record("booking-7", ResultOK, 21*time.Millisecond, "survey-firm")
+		}
+	})
+}
+
+// BenchmarkArbiterTick is a tick of the arbiter of 26 targets with 26 entries.
+func BenchmarkArbiterTick(b *testing.B) {
+	w := newWorld(DefaultParams(), 1, 26, 26, 10)
+	w.run(12 * time.Second)
+	n := w.arbiter()
+	now := n.clock(w.now)
+	b.ReportAllocs()
+	for b.Loop() {
+		n.state.now = now.Add(DefaultParams().JudgeEvery)
+		n.state.judge(booking, n.state.dockets[booking])
+	}
+}
--- /dev/null
+++ b/core/crhealth/suspect.go
@@ -0,0 +1,95 @@
+package crhealth
+
+import (
+	"slices"
+
+	"camphorroad/core/crid"
+)
+
+// survey holds the evidence on the targets of a service that take work, over
+// each span; it is worked out when first asked for.
+type survey struct {
+	state   *State
+	docket  *docket
+	targets []crid.Target
+	spans   [len(spans)]map[crid.Target]Evidence
+}
+
+func (s *State) survey(d *docket) *survey {
+	v := &survey{state: s, docket: d}
+	for _, target := range d.targets() {
+		if s.places[target] != nil && !d.records[target].ejected {
+			v.targets = append(v.targets, target)
+		}
+	}
+	return v
+}
+
+func (v *survey) over(span int) map[crid.Target]Evidence {
+	if v.spans[span] == nil {
+		v.spans[span] = make(map[crid.Target]Evidence, len(v.targets))
+		for _, target := range v.targets {
+			cold := v.state.coldNow(v.state.places[target])
+			v.spans[span][target] = v.docket.records[target].evidence(v.state, spans[span], cold)
+		}
+	}
+	return v.spans[span]
+}
+
+// compare returns a target's evidence over the shortest span that is enough for
+// it, and that of its peers over the same span.
+//
+// If each target had a span of its own, then in the moment when all grow slow
+// those with a short span would look sick beside those whose longer span still
+// is full of the time before.
+func (v *survey) compare(target crid.Target) (Evidence, []Evidence) {
+	span := 0
+	for span < len(spans)-1 && v.over(span)[target].N < enough {
+		span++
+	}
+	peers := make([]Evidence, 0, len(v.targets))
+	for _, name := range v.targets {
+		if name != target {
+			peers = append(peers, v.over(span)[name])
+		}
+	}
+	return v.over(span)[target], peers
+}
+
+// suspects judges each target against its peers and returns those confirmed
+// sick, worst first.
+func (s *State) suspects(d *docket) []crid.Target {
+	v := s.survey(d)
+	var sick []crid.Target
+	for _, target := range v.targets {
+		e, peers := v.compare(target)
+		if s.confirm(d.records[target], e, peers) {
+			sick = append(sick, target)
+		}
+	}
+	slices.SortStableFunc(sick, d.worse)
+	return sick
+}
+
+// confirm counts the judgements in a row that found the target sick. Wrong
+// answers need one only; a bad report of the target itself saves one.
+func (s *State) confirm(r *record, e Evidence, peers []Evidence) bool {
+	if !r.fresh {
+		return r.suspicion >= s.params.Confirm
+	}
+	r.fresh = false
+	r.finding = s.params.Judge.Judge(e, peers)
+	if r.finding.Cause == CauseNone {
+		r.suspicion = 0
+		r.kept = false
+		return false
+	}
+	r.suspicion++
+	if r.finding.Cause == CauseWrong {
+		r.suspicion = max(r.suspicion, s.params.Confirm)
+	}
+	if e.Hint && r.suspicion == s.params.Confirm-1 {
+		r.suspicion++
+	}
+	return r.suspicion >= s.params.Confirm
+}
