Drain the recorder without keeping traffic waiting

A drain held the recorder's lock while it swapped 87 counters of each target, and traffic goroutines waited for it. Attempts and failures were counted in separate words, so that a drain between the two saw more failures than attempts; the arbiter drops such a group as malformed, and evidence was lost.

The three counts of a group now share one atomic word, empty counters are only read, and the lock is held just to copy the map. Sharding by processor was ruled out: recording costs little beside a request.

--- a/core/crhealth/recorder.go
+++ b/core/crhealth/recorder.go
@@ -1,6 +1,7 @@
 package crhealth
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -48,8 +49,30 @@
 	idle    int // drains without a record; owned by Drain
 }
 
+// groupCell packs the three counts of a group into one word, so that a drain
+// never sees a bad attempt without its attempt. A drain comes every 50 ms; the
+// fields hold a million each.
 type groupCell struct {
-	n, bad, wrong atomic.Uint32
+	packed atomic.Uint64
+}
+
+const (
+	badShift   = 20
+	wrongShift = 40
+	countMask  = 1<<badShift - 1
+	oneOK      = uint64(1)
+	oneBad     = oneOK | 1<<badShift
+	oneWrong   = oneBad | 1<<wrongShift
+)
+
+func (g *groupCell) add(one uint64) { g.packed.Add(one) }
+
+func (g *groupCell) take() tally {
+	if g.packed.Load() == 0 {
+		return tally{}
+	}
+	v := g.packed.Swap(0)
+	return tally{n: uint32(v & countMask), bad: uint32(v >> badShift & countMask), wrong: uint32(v >> wrongShift & countMask)}
 }
 
 // NewRecorder returns an empty recorder.
@@ -65,15 +88,14 @@
 	}
 	c := r.cell(target)
 	g := &c.groups[groupOf(account)]
-	g.n.Add(1)
 	switch result {
 	case ResultOK:
+		g.add(oneOK)
 		c.latency[bucketOf(latency)].Add(1)
 	case ResultWrong:
-		g.wrong.Add(1)
-		g.bad.Add(1)
+		g.add(oneWrong)
 	default:
-		g.bad.Add(1)
+		g.add(oneBad)
 	}
 }
 
@@ -98,12 +120,11 @@
 }
 
 // Drain returns what was recorded since the last call, sorted by target, and
-// starts anew. An attempt recorded meanwhile may be split between two drains.
+// starts anew; one goroutine calls it. An attempt recorded meanwhile may be split between two drains.
 func (r *Recorder) Drain() []Sample {
-	r.mu.Lock()
-	defer r.mu.Unlock()
 	var samples []Sample
-	for target, c := range r.cells {
+	var idle []crid.Target
+	for target, c := range r.snapshot() {
 		s := c.drain(target)
 		if len(s.Groups) > 0 {
 			samples = append(samples, s)
@@ -111,27 +132,44 @@
 			continue
 		}
 		if c.idle++; c.idle > idleDrains {
-			delete(r.cells, target)
+			idle = append(idle, target)
 		}
 	}
+	r.drop(idle)
 	slices.SortFunc(samples, func(a, b Sample) int { return strings.Compare(string(a.Target), string(b.Target)) })
 	return samples
 }
 
+// snapshot copies the map, so that draining does not keep traffic waiting.
+func (r *Recorder) snapshot() map[crid.Target]*cell {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return maps.Clone(r.cells)
+}
+
+func (r *Recorder) drop(idle []crid.Target) {
+	if len(idle) == 0 {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, target := range idle {
+		delete(r.cells, target)
+	}
+}
+
 func (c *cell) drain(target crid.Target) Sample {
 	s := Sample{Target: target, Hint: c.hint.Load()}
 	for i := range c.groups {
-		g := &c.groups[i]
-		n := g.n.Swap(0)
-		if n == 0 {
-			continue
+		if t := c.groups[i].take(); t.n > 0 {
+			s.Groups = append(s.Groups, Group{Index: uint8(i), N: t.n, Bad: t.bad, Wrong: t.wrong})
 		}
-		s.Groups = append(s.Groups, Group{Index: uint8(i), N: n, Bad: g.bad.Swap(0), Wrong: g.wrong.Swap(0)})
 	}
 	for i := range c.latency {
-		if n := c.latency[i].Swap(0); n > 0 {
-			s.Latency = append(s.Latency, Bucket{Index: uint8(i), N: n})
+		if c.latency[i].Load() == 0 {
+			continue
 		}
+		s.Latency = append(s.Latency, Bucket{Index: uint8(i), N: c.latency[i].Swap(0)})
 	}
 	return s
 }
--- /dev/null
+++ b/core/crhealth/recorder_test.go
@@ -0,0 +1,77 @@
+package crhealth
+
+import (
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/onsi/gomega"
+
+	"camphorroad/core/crid"
+)
+
+// Traffic goroutines record while the control goroutine drains. An attempt that
+// is lost or counted twice would shift the evidence.
+func TestRecorderLosesNothing(t *testing.T) {
+	r := NewRecorder()
+	var wg sync.WaitGroup
+	for i := range 4 {
+		wg.Go(func() {
+			for range 5000 {
+				r.Record("t1", ResultOK, time.Duration(i)*time.Millisecond, "a")
+				r.Record("t1", ResultWrong, 0, "b")
+				r.Record("t1", ResultShed, 0, "b")
+			}
+		})
+	}
+	done := make(chan struct{})
+	go func() {
+		wg.Wait()
+		close(done)
+	}()
+	var sum counts
+	broken := false
+	for running := true; running; {
+		select {
+		case <-done:
+			running = false
+		default:
+		}
+		for _, s := range r.Drain() {
+			for _, g := range s.Groups {
+				t := tally{n: g.N, bad: g.Bad, wrong: g.Wrong}
+				if t.bad > t.n || t.wrong > t.bad {
+					broken = true
+				}
+				sum.groups[g.Index].add(t)
+			}
+		}
+	}
+	g := gomega.NewWithT(t)
+	g.Expect(sum.total()).To(gomega.Equal(tally{n: 40_000, bad: 20_000, wrong: 20_000}))
+	g.Expect(broken).To(gomega.BeFalse(), "a drain saw a bad attempt without its attempt")
+	g.Expect(r.cells).To(gomega.HaveLen(1))
+}
+
+// BenchmarkDigestSize reports the bytes on the wire of one target in a digest.
+func BenchmarkDigestSize(b *testing.B) {
+	w := newWorld(DefaultParams(), 1, 15, 15, 10)
+	w.run(time.Second)
+	n := w.nodes["d00"]
+	for range 100 {
+		w.traffic(n)
+	}
+	d := Digest{Service: booking, Life: 1 << 60, Seq: 1 << 20}
+	var encoded []byte
+	for b.Loop() {
+		d.Samples = append([]Sample{{Target: "booking-07"}}, n.recorder.Drain()...)
+		encoded, _ = cbor.Marshal(d)
+		w.traffic(n)
+	}
+	b.ReportMetric(float64(len(encoded))/float64(len(d.Samples)), "bytes/target")
+	var back Digest
+	if err := cbor.Unmarshal(encoded, &back); err != nil || back.Service != crid.Service("booking") {
+		b.Fatal(err)
+	}
+}
