Make the fleet of the proofs a package of the lab

Cause: the harness that starts daemons as processes, relays their datagrams and holds the stand-ins lived in e2e's test files, failed through gomega, and knew one shape of fleet. The measure of the users' four figures needs the same fleet from a program.

Change: lab/crfleet has it, with errors in place of assertions, functional options for domains, daemons, services and their targets, accounts, delay of links and the daemon's program, and a context that ends all processes. A daemon is now named apart from its targets, so that it can carry several. e2e is a thin user; its specs are the same ones with the same bounds.

Ruled out: a copy for the measure, which would drift apart; importing the command tree into the package, which would let it be linked into it: the program hands its own entry point in.

--- a/e2e/config_test.go
+++ b/e2e/config_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"strings"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -18,55 +17,55 @@
 	// An operator withdraws a key while its callers are connected. For as long
 	// as any daemon takes it, whoever stole it can still act as the account.
 	It("stops a withdrawn key at every daemon within nine seconds", func() {
-		kept := account{name: "kept", rate: 1000, burst: 1000}
-		gone := account{name: "gone", rate: 1000, burst: 1000}
+		kept := account("kept", 1000, 1000)
+		gone := account("gone", 1000, 1000)
 		f := newFleet(5, time.Millisecond, kept, gone)
-		f.accounts = []account{kept}
-		f.publish()
+		_, err := f.SetAccounts(kept)
+		must(err)
 		start := time.Now()
-		for _, d := range f.daemons {
-			Eventually(func() int { return d.get(gone, "/kits/1").status }, inForce, "50ms").Should(Equal(http.StatusUnauthorized), d.name)
+		for _, d := range f.Daemons() {
+			Eventually(func() int { return d.Get(gone, "/kits/1").Status }, inForce, "50ms").Should(Equal(http.StatusUnauthorized), d.Name())
 		}
 		AddReportEntry("everywhere after", time.Since(start).String())
-		for _, d := range f.daemons {
-			Expect(d.get(kept, "/kits/1").status).To(Equal(http.StatusOK))
+		for _, d := range f.Daemons() {
+			Expect(d.Get(kept, "/kits/1").Status).To(Equal(http.StatusOK))
 		}
 	})
 
 	// The platform is away for long, and a daemon is replaced meanwhile. It has
 	// nothing on disk; its configuration can come only from its peers.
 	It("outlives a platform that is away, also through a daemon's restart", func() {
-		a := account{name: "survey", rate: 1000, burst: 1000}
+		a := account("survey", 1000, 1000)
 		f := newFleet(5, time.Millisecond, a)
-		f.platform.SetFault(labplatform.Fault{Mode: labplatform.ModeAway})
+		f.Platform().SetFault(labplatform.Fault{Mode: labplatform.ModeAway})
 		time.Sleep(3 * time.Second)
-		for _, d := range f.daemons {
-			Expect(d.get(a, "/kits/1").status).To(Equal(http.StatusOK), d.name)
+		for _, d := range f.Daemons() {
+			Expect(d.Get(a, "/kits/1").Status).To(Equal(http.StatusOK), d.Name())
 		}
-		f.daemons[0].kill()
-		f.daemons[0].start()
-		Eventually(f.daemons[0].ready, "15s", "100ms").Should(Succeed(), func() string { return f.daemons[0].log.String() })
-		Eventually(func() int { return f.daemons[0].get(a, "/kits/1").status }, "5s", "100ms").Should(Equal(http.StatusOK))
+		must(f.Daemon(0).Kill())
+		must(f.Daemon(0).Start())
+		must(f.Daemon(0).WaitReady(within(15 * time.Second)))
+		Eventually(func() int { return f.Daemon(0).Get(a, "/kits/1").Status }, "5s", "100ms").Should(Equal(http.StatusOK))
 	})
 
 	// The platform comes back from a backup with the state of yesterday. Had a
 	// daemon believed it, a key withdrawn today would work again.
 	It("never goes back when the platform serves an older revision", func() {
-		kept := account{name: "kept", rate: 1000, burst: 1000}
-		gone := account{name: "gone", rate: 1000, burst: 1000}
+		kept := account("kept", 1000, 1000)
+		gone := account("gone", 1000, 1000)
 		f := newFleet(4, time.Millisecond, kept, gone)
-		f.accounts = []account{kept}
-		f.publish()
-		for _, d := range f.daemons {
-			Eventually(func() int { return d.get(gone, "/kits/1").status }, inForce, "50ms").Should(Equal(http.StatusUnauthorized))
+		_, err := f.SetAccounts(kept)
+		must(err)
+		for _, d := range f.Daemons() {
+			Eventually(func() int { return d.Get(gone, "/kits/1").Status }, inForce, "50ms").Should(Equal(http.StatusUnauthorized))
 		}
-		f.platform.SetFault(labplatform.Fault{Mode: labplatform.ModeStale, Back: 1})
-		f.daemons[1].kill()
-		f.daemons[1].start()
-		Eventually(f.daemons[1].ready, "15s", "100ms").Should(Succeed())
+		f.Platform().SetFault(labplatform.Fault{Mode: labplatform.ModeStale, Back: 1})
+		must(f.Daemon(1).Kill())
+		must(f.Daemon(1).Start())
+		must(f.Daemon(1).WaitReady(within(15 * time.Second)))
 		Consistently(func() bool {
-			for _, d := range f.daemons {
-				if d.get(gone, "/kits/1").status == http.StatusOK {
+			for _, d := range f.Daemons() {
+				if d.Get(gone, "/kits/1").Status == http.StatusOK {
 					return false
 				}
 			}
@@ -78,41 +77,33 @@
 	// keys were withdrawn since. It must stop acting on what it knows, and say
 	// so at once, while the others go on.
 	It("is not acted on by a daemon that is cut off alone", func() {
-		a := account{name: "survey", rate: 1000, burst: 1000}
+		a := account("survey", 1000, 1000)
 		f := newFleet(5, time.Millisecond, a)
-		alone := f.daemons[4]
-		for _, d := range f.daemons[:4] {
-			f.relays.cut(alone.name, d.name)
-			f.relays.cut(d.name, alone.name)
+		alone := f.Daemon(4)
+		for _, d := range f.Daemons()[:4] {
+			f.Links().CutBoth(alone.Name(), d.Name())
 		}
-		Eventually(func() int { return alone.get(a, "/kits/1").status }, "5s", "50ms").Should(Equal(http.StatusServiceUnavailable))
-		r := alone.get(a, "/kits/1")
-		Expect(r.outcome).To(Equal("notrun"))
-		Expect(r.header.Get("Retry-After")).NotTo(BeEmpty())
-		for _, d := range f.daemons[:4] {
-			Expect(d.get(a, "/kits/1").status).To(Equal(http.StatusOK), d.name)
+		Eventually(func() int { return alone.Get(a, "/kits/1").Status }, "5s", "50ms").Should(Equal(http.StatusServiceUnavailable))
+		r := alone.Get(a, "/kits/1")
+		Expect(r.Outcome).To(Equal("notrun"))
+		Expect(r.Header.Get("Retry-After")).NotTo(BeEmpty())
+		for _, d := range f.Daemons()[:4] {
+			Expect(d.Get(a, "/kits/1").Status).To(Equal(http.StatusOK), d.Name())
 		}
-		for _, d := range f.daemons[:4] {
-			f.relays.heal(alone.name, d.name)
-			f.relays.heal(d.name, alone.name)
-		}
-		Eventually(func() int { return alone.get(a, "/kits/1").status }, "10s", "100ms").Should(Equal(http.StatusOK))
+		f.Links().HealAll()
+		Eventually(func() int { return alone.Get(a, "/kits/1").Status }, "10s", "100ms").Should(Equal(http.StatusOK))
 	})
 
 	// Whatever goes wrong, keys must not stand in what operators collect.
 	It("shows no key in a state dump or log", func() {
-		a := account{name: "survey", rate: 1000, burst: 1000}
+		a := account("survey", 1000, 1000)
 		f := newFleet(3, time.Millisecond, a)
-		d := f.daemons[0]
-		resp, err := http.Get("http://" + d.admin + "/state") //nolint:noctx // a test's request
-		Expect(err).NotTo(HaveOccurred())
-		defer resp.Body.Close()
-		var b strings.Builder
-		_, err = copyTo(&b, resp.Body)
-		Expect(err).NotTo(HaveOccurred())
-		Expect(b.String()).To(ContainSubstring(d.name))
-		Expect(b.String() + d.log.String()).NotTo(ContainSubstring(a.key()))
-		for _, u := range f.upstreams {
+		d := f.Daemon(0)
+		state, err := d.State(within(5 * time.Second))
+		must(err)
+		Expect(string(state.Raw)).To(ContainSubstring(d.Name()))
+		Expect(string(state.Raw) + d.Log()).NotTo(ContainSubstring(a.Key()))
+		for _, u := range f.Targets() {
 			Expect(u.Runs().Leaks).To(BeZero())
 		}
 	})
--- a/e2e/list_test.go
+++ b/e2e/list_test.go
@@ -1,7 +1,6 @@
 package e2e_test
 
 import (
-	"context"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -16,20 +15,19 @@
 	// under it; were that time also without trust in keys, every caller of every
 	// service would be refused for seconds, dozens of times a day.
 	It("refuses hardly any caller while the fleet hands over", func() {
-		a := account{name: "survey", rate: 400, burst: 400}
+		a := account("survey", 400, 400)
 		f := newFleet(5, 2*time.Millisecond, a)
-		go func() {
-			defer GinkgoRecover()
-			time.Sleep(time.Second)
-			f.daemons[4].kill()
-			time.Sleep(time.Second)
-			f.platform.SetInstances(f.instances()[:4])
-		}()
-		report, err := crload.Run(context.Background(), crload.Plan{
-			Seconds: 8, Seed: 5, Entries: f.urls()[:4],
-			Accounts: []crload.Account{{Name: a.name, Key: a.key(), Rate: 200, Calls: []crload.Call{{Method: "GET", Path: "/kits/1"}}}},
+		wait := timeline(
+			time.Second,
+			f.Daemon(4).Kill,
+			time.Second,
+			func() { f.List(f.Instances()[:4]) },
+		)
+		report := run(crload.Plan{
+			Seconds: 8, Seed: 5, Entries: f.URLs()[:4],
+			Accounts: []crload.Account{{Name: a.Name, Key: a.Key(), Rate: 200, Calls: reads}},
 		})
-		Expect(err).NotTo(HaveOccurred())
+		wait()
 		line := report.Lines()[0]
 		AddReportEntry("results", line.Results)
 		AddReportEntry("statuses", line.Statuses)
--- /dev/null
+++ b/lab/crfleet/options.go
@@ -0,0 +1,130 @@
+package crfleet
+
+import (
+	"os"
+	"time"
+
+	"camphorroad/lab/crupstream"
+)
+
+// Option configures a fleet.
+type Option func(*options)
+
+// Service is a service and the shape of its upstreams.
+type Service struct {
+	Name    string
+	Policy  string        // the policy file's TOML
+	Targets int           // zero: one beside each daemon
+	Slots   int           // zero: 5
+	Queue   int           // requests that wait before the upstream sheds; zero: 20
+	Time    time.Duration // service time; zero: 5 ms
+	Cold    time.Duration // cold start
+}
+
+const (
+	defaultDaemons = 5
+	defaultSlots   = 5
+	defaultQueue   = 20
+	defaultTime    = 5 * time.Millisecond
+)
+
+func (s Service) count(daemons int) int {
+	if s.Targets > 0 {
+		return s.Targets
+	}
+	return daemons
+}
+
+func (s Service) upstream(name string) crupstream.Options {
+	opts := crupstream.Options{Name: name, Slots: s.Slots, Queue: s.Queue, Service: s.Time, Cold: s.Cold}
+	if opts.Slots == 0 {
+		opts.Slots = defaultSlots
+	}
+	if opts.Queue == 0 {
+		opts.Queue = defaultQueue
+	}
+	if opts.Service == 0 {
+		opts.Service = defaultTime
+	}
+	return opts
+}
+
+// BookingPolicy is the policy of the service that a fleet has by default: reads
+// below /kits may repeat, holds below /holds run at most once.
+const BookingPolicy = `
+[service]
+name = "booking"
+floor = 2
+slots = 5
+queue = 40
+connections = 300
+echo = "X-Request-Echo"
+[[route]]
+name = "kits"
+methods = ["GET"]
+prefix = "/kits"
+class = "repeat"
+timeout = "2s"
+[[route]]
+name = "hold"
+methods = ["POST"]
+prefix = "/holds"
+class = "once"
+timeout = "2s"
+`
+
+type options struct {
+	daemons  int
+	domains  []string
+	services []Service
+	accounts []Account
+	binary   string
+	delay    time.Duration
+	noWait   bool
+	settings string
+}
+
+func newOptions(opts []Option) options {
+	o := options{
+		daemons:  defaultDaemons,
+		domains:  []string{"domain-1", "domain-2", "domain-3"},
+		services: []Service{{Name: "booking", Policy: BookingPolicy}},
+		binary:   os.Args[0],
+	}
+	for _, opt := range opts {
+		opt(&o)
+	}
+	return o
+}
+
+// WithDaemons sets the number of daemons; default 5.
+func WithDaemons(n int) Option { return func(o *options) { o.daemons = n } }
+
+// WithDomains names the failure domains, over which daemons are dealt in turn;
+// default three.
+func WithDomains(names ...string) Option {
+	return func(o *options) { o.domains = append([]string(nil), names...) }
+}
+
+// WithServices replaces the default service. Targets are dealt over the daemons
+// in turn, service after service.
+func WithServices(services ...Service) Option {
+	return func(o *options) { o.services = append([]Service(nil), services...) }
+}
+
+// WithAccounts sets the accounts; default none.
+func WithAccounts(accounts ...Account) Option {
+	return func(o *options) { o.accounts = append([]Account(nil), accounts...) }
+}
+
+// WithBinary runs the daemons from another program than this one.
+func WithBinary(path string) Option { return func(o *options) { o.binary = path } }
+
+// WithDelay delays each datagram between daemons by d, one way.
+func WithDelay(d time.Duration) Option { return func(o *options) { o.delay = d } }
+
+// WithSettings adds TOML tables to each daemon's settings, such as [limits].
+func WithSettings(text string) Option { return func(o *options) { o.settings = text } }
+
+// WithoutWaiting makes New return at once after starting the processes.
+func WithoutWaiting() Option { return func(o *options) { o.noWait = true } }
