Mint and trust on through a handover; steer traffic by the health verdicts

Ruled out: letting a new owner count the time of the handover as its own (the former owner goes on in it; a test with that guard off mints a full burst beside tokens that are out). Change: trust hangs on contact; an owner goes on with the shares that all lists of the handover give it, from an epoch that was active here; the chaos network hands out bridges with lists that differ; crhealth joins the daemon, and its verdicts steer the choice of targets.

--- a/core/craccount/account_test.go
+++ b/core/craccount/account_test.go
@@ -206,6 +206,43 @@
 	g.Expect(x.ask(ms(6001), 20).Tokens).To(Equal(20))
 }
 
+// bridged tells a reducer of a handover from list 1 to list 2.
+func (r *rig) bridged(from, until int, first, second crid.Daemon) {
+	over := []crmember.Membership{{Rev: 1, Members: []crid.Daemon{first}}, {Rev: 2, Members: []crid.Daemon{second}}}
+	for at := from; at < until; at += 500 {
+		r.Step(crmember.Tenure{Now: ms(at), Bridge: ms(at + 600), Over: over})
+	}
+}
+
+// A daemon is lost, and the others hand over to a list without it. Did their
+// owners stop meanwhile, every account would be refused for seconds.
+func TestOwnerGoesOnThroughAHandover(t *testing.T) {
+	g := NewWithT(t)
+	x := newRig("x", flaws{})
+	x.tenured(1, 0, 5000, "x")
+	x.bridged(5000, 9000, "x", "x")
+	g.Expect(x.ask(ms(9000), 20).Tokens).To(Equal(20))
+	x = newRig("x", flaws{})
+	x.tenured(1, 0, 5000, "x")
+	x.bridged(5000, 9000, "x", "y")
+	g.Expect(x.ask(ms(9000), 20).Tokens).To(BeZero(), "the newest list gives the share to another")
+}
+
+// A handover takes long, and the former owner goes on in it. Did the next one
+// count that time as its own, it would mint beside tokens that are still out.
+func TestHandoverGivesNothingToANewOwner(t *testing.T) {
+	g := NewWithT(t)
+	tokens := func(f flaws) int {
+		y := newRig("y", f)
+		y.tenured(1, 0, 5000, "x")
+		y.bridged(5000, 15000, "x", "y")
+		y.tenured(2, 15000, 60000, "y")
+		return y.ask(ms(15010), 20).Tokens
+	}
+	g.Expect(tokens(flaws{})).To(BeZero())
+	g.Expect(tokens(flaws{bridgeAll: true})).To(Equal(20))
+}
+
 // The list flaps and two daemons swap a share, and swap it again, within two
 // seconds. If a daemon that never began to mint counted as the former owner,
 // both would fill the same bucket.
--- a/core/craccount/chaos_test.go
+++ b/core/craccount/chaos_test.go
@@ -67,7 +67,8 @@
 			list = append(list, nd.name)
 		}
 	}
-	w.next = list
+	takes := []time.Duration{0, 0, time.Second, 6 * time.Second}
+	w.relistTo(list, takes[w.rng.IntN(len(takes))])
 }
 
 func (w *testNet) worst() float64 {
--- a/core/craccount/craccount.go
+++ b/core/craccount/craccount.go
@@ -69,6 +69,7 @@
 	shortEpochs     bool
 	settleFirst     bool
 	tightVoid       bool
+	bridgeAll       bool
 }
 
 // DefaultParams returns the documented defaults.
--- a/core/craccount/measure_test.go
+++ b/core/craccount/measure_test.go
@@ -138,7 +138,7 @@
 		}
 		rest = append(rest, nd.name)
 	}
-	w.at(2*time.Second, func() { w.next = rest })
+	w.at(2*time.Second, func() { w.relistTo(rest, 0) })
 }
 
 func (w *testNet) limit(name crid.Account) crpolicy.Account {
--- a/core/craccount/net_test.go
+++ b/core/craccount/net_test.go
@@ -62,7 +62,8 @@
 	paused time.Duration // until
 	dead   bool
 	colds  []coldRequest
-	split  *LocalSplit // the baseline's part of this daemon
+	knows  crid.Revision // newest list it was told of in a handover
+	split  *LocalSplit   // the baseline's part of this daemon
 }
 
 // testNet runs real reducers and wallets over a network that may lose, repeat
@@ -76,8 +77,9 @@
 	snap     *crpolicy.Snapshot
 	rev      crid.Revision
 	members  []crid.Daemon
-	next     []crid.Daemon // list to come, when the tenure under the old one is over
-	tenureTo time.Duration
+	over     []crmember.Membership // the active list and those to come
+	tenureTo time.Duration         // nothing that lacks the newest list holds after this
+	handTo   time.Duration         // the handover takes at least until then
 	loss     float64
 	dup      float64
 	late     float64
@@ -108,6 +110,7 @@
 		w.nodes = append(w.nodes, nd)
 		w.members = append(w.members, nd.name)
 	}
+	w.over = []crmember.Membership{{Rev: w.rev, Members: w.members}}
 	for _, nd := range w.nodes {
 		w.start(nd)
 	}
@@ -186,27 +189,56 @@
 	}
 }
 
+// relistTo begins the handover to a list.
+func (w *testNet) relistTo(list []crid.Daemon, takes time.Duration) {
+	rev := w.over[len(w.over)-1].Rev + 1
+	w.over = append(w.over, crmember.Membership{Rev: rev, Members: list})
+	w.handTo = w.now + takes
+}
+
 // beat renews tenure; evidence counts from now, whenever it arrives.
 func (w *testNet) beat() {
-	if w.next != nil && w.now > w.tenureTo {
-		w.members, w.next = w.next, nil
-		w.rev++
+	if newest := w.over[len(w.over)-1]; len(w.over) > 1 && w.now > w.tenureTo && w.now > w.handTo {
+		w.members, w.rev = newest.Members, newest.Rev
+		w.over = w.over[len(w.over)-1:]
 	}
-	if w.next != nil {
+	if len(w.over) > 1 {
+		w.bridge()
 		return
 	}
 	w.tenureTo = w.now + horizon + horizon/50
 	for _, nd := range w.nodes {
-		ev := crmember.Tenure{Members: w.members}
-		for _, m := range w.members {
-			if m == nd.name {
-				ev.Active, ev.Until = w.rev, w.clock(nd).Add(horizon)
-			}
+		ev := crmember.Tenure{Members: w.members, Over: w.over}
+		if slices.Contains(w.members, nd.name) {
+			ev.Active, ev.Until = w.rev, w.clock(nd).Add(horizon)
 		}
 		w.tellTenure(nd, ev)
 	}
 }
 
+// bridge tells some daemons, as crmember does during a handover, that they may
+// go on with what all lists that they know give them. Who does not know the
+// newest list holds up its activation.
+func (w *testNet) bridge() {
+	for _, nd := range w.nodes {
+		if w.now > w.handTo || w.rng.IntN(12) == 0 {
+			nd.knows = w.over[len(w.over)-1].Rev
+		}
+		over := slices.DeleteFunc(slices.Clone(w.over), func(m crmember.Membership) bool {
+			return m.Rev > max(nd.knows, w.over[0].Rev)
+		})
+		named := !slices.ContainsFunc(over, func(m crmember.Membership) bool { return !slices.Contains(m.Members, nd.name) })
+		if w.rng.IntN(3) == 0 || !named {
+			w.tellTenure(nd, crmember.Tenure{})
+			continue
+		}
+		if len(over) < len(w.over) {
+			w.tenureTo = w.now + horizon + horizon/50
+		}
+		w.tellTenure(nd, crmember.Tenure{Bridge: w.clock(nd).Add(horizon), Over: over})
+	}
+}
+
 func (w *testNet) tellTenure(nd *node, ev crmember.Tenure) {
 	w.deliver(nd, func() {
 		ev.Now = w.clock(nd)
--- a/core/craccount/owner.go
+++ b/core/craccount/owner.go
@@ -21,10 +21,13 @@
 	share   int
 }
 
-// epoch is a time, on the minting clock, from which a list was active here.
+// epoch is a time, on the minting clock, from which a list was active here, or
+// from which it might have been active elsewhere.
 type epoch struct {
+	rev     crid.Revision
 	members roster
 	start   time.Duration
+	bridged bool // never active here so far
 }
 
 // owner is the minting role of a daemon.
@@ -83,15 +86,16 @@
 		s.members = newRoster(ev.Members)
 		s.entry.reroute()
 	}
+	kept := s.now.Sub(s.owner.heldTo) <= s.params.Lifetime
+	acts := ev.Active != 0 && s.now.Before(ev.Until)
 	s.tenure = ev
 	s.tenure.Members = nil
-	if ev.Active == 0 || !s.now.Before(ev.Until) {
-		s.tenure.Until = 0
-		s.noteLapse()
+	s.tenure.Over = nil
+	if !acts {
+		s.takeBridge(ev, kept)
 		return
 	}
 	s.noteTenure()
-	kept := s.now.Sub(s.owner.heldTo) <= s.params.Lifetime
 	s.owner.heldTo = s.now
 	if ev.Active != s.owner.active || !kept {
 		s.beginEpoch(ev, kept)
@@ -106,10 +110,18 @@
 		s.owner.epochs = nil
 	}
 	s.owner.active = ev.Active
-	s.owner.epochs = append(s.owner.epochs, epoch{members: s.members, start: s.owner.clock})
+	s.addEpoch(epoch{rev: ev.Active, members: s.members, start: s.owner.clock})
+	s.dropLost()
+}
+
+func (s *State) addEpoch(e epoch) {
+	s.owner.epochs = append(s.owner.epochs, e)
 	if len(s.owner.epochs) > maxHistory {
 		s.owner.epochs = slices.Delete(s.owner.epochs, 0, 1)
 	}
+}
+
+func (s *State) dropLost() {
 	for key := range s.owner.shares {
 		since, ok := s.ownedSince(key)
 		if !ok || since == s.owner.clock {
@@ -132,7 +144,8 @@
 // The first epoch that counts must have lasted a lifetime, or be the present
 // one. In a shorter one this daemon had not begun to mint, and the owner before
 // it might have come back within a lifetime and kept its tokens: two daemons
-// that swap a share quickly would both take it for theirs.
+// that swap a share quickly would both take it for theirs. Nor does a time count
+// in which the list was handed over, for the owner before went on in it.
 func (s *State) ownedSince(key shareKey) (time.Duration, bool) {
 	limit := s.limits(key.account)
 	count := s.params.shareCount(len(s.minters().names), limit)
@@ -152,6 +165,12 @@
 	for !s.params.flaws.shortEpochs && first < last && s.owner.epochs[first+1].start-s.owner.epochs[first].start < s.params.ownerLifetime() {
 		first++
 	}
+	for !s.params.flaws.bridgeAll && first <= last && s.owner.epochs[first].bridged {
+		first++
+	}
+	if first > last {
+		return 0, false
+	}
 	return s.owner.epochs[first].start, true
 }
 
--- a/core/crconfig/state.go
+++ b/core/crconfig/state.go
@@ -188,17 +188,21 @@
 	s.rank(now)
 }
 
-// tenure takes news of this daemon's standing.
+// tenure takes news of this daemon's contact with the others. Contact, not
+// tenure, is what trust hangs on: during a handover to a new list of instances
+// nobody has tenure, while all go on telling one another of configurations.
 func (s *State) tenure(now crid.Instant, ev crmember.Tenure) {
-	if s.until != 0 && (ev.Until == 0 || !now.Before(s.until)) {
+	if s.until != 0 && (ev.Contact == 0 || !now.Before(s.until)) {
 		s.lapsed = true
 	}
-	if s.lapsed && now.Before(ev.Until) {
+	if s.lapsed && now.Before(ev.Contact) {
 		s.lapsed = false
 		s.forget(now)
 	}
-	s.until = ev.Until
-	s.members = len(ev.Members)
+	s.until = ev.Contact
+	if len(ev.Members) > 0 {
+		s.members = len(ev.Members)
+	}
 }
 
 // checkTrust reports when trust is lost or regained.
--- a/io/crdaemon/crdaemon.go
+++ b/io/crdaemon/crdaemon.go
@@ -25,6 +25,7 @@
 	"camphorroad/core/crdaemon"
 	"camphorroad/core/crevent"
 	"camphorroad/core/crforward"
+	"camphorroad/core/crhealth"
 	"camphorroad/core/crid"
 	"camphorroad/core/crmember"
 	"camphorroad/core/crview"
@@ -91,7 +92,7 @@
 }
 
 func newRegistry() (*crwire.Registry, error) {
-	return crwire.NewRegistry(crmember.Messages(), crconfig.Messages(), craccount.Messages())
+	return crwire.NewRegistry(crmember.Messages(), crconfig.Messages(), craccount.Messages(), crhealth.Messages())
 }
 
 func newPlatform(cfg crsettings.Settings) (*crplatform.Client, error) {
@@ -117,6 +118,8 @@
 	}
 	s.in = crview.Input{Self: s.self, Domain: crid.Domain(cfg.Domain), Loads: s.loads}
 	s.wallet = craccount.NewWallet()
+	s.recorder = crhealth.NewRecorder()
+	s.steers = make(map[crid.Service]crhealth.Steer)
 	params := crconfig.DefaultParams()
 	params.Fleet = cfg.Platform.Fleet
 	s.config = crconfig.New(params, crpolicyfile.ParseManifest, crpolicyfile.Load)
@@ -124,6 +127,7 @@
 		crdaemon.Part{Name: "member", Reducer: crmember.New(crmember.DefaultParams())},
 		crdaemon.Part{Name: "config", Reducer: s.config},
 		crdaemon.Part{Name: "account", Reducer: craccount.New(craccount.DefaultParams())},
+		crdaemon.Part{Name: "health", Reducer: crhealth.New(crhealth.DefaultParams())},
 	)
 	s.loop = crcontrol.New(root, crcontrol.Options{
 		Clock: crclock.Now, Do: s.do, Before: s.before, Wake: s.wallet.Wanted(),
--- a/io/crdaemon/shell.go
+++ b/io/crdaemon/shell.go
@@ -13,12 +13,12 @@
 	"camphorroad/core/crconfig"
 	"camphorroad/core/crevent"
 	"camphorroad/core/crforward"
+	"camphorroad/core/crhealth"
 	"camphorroad/core/crid"
 	"camphorroad/core/crinstance"
 	"camphorroad/core/crmember"
 	"camphorroad/core/crview"
 	"camphorroad/io/crcontrol"
-	"camphorroad/io/crentry"
 	"camphorroad/io/crexit"
 	"camphorroad/io/crlog"
 	"camphorroad/io/crpeer"
@@ -36,17 +36,20 @@
 	peers  *crpeer.Transport
 	loop   *crcontrol.Loop
 	reader *reader
-	wallet *craccount.Wallet
+
+	wallet   *craccount.Wallet
+	recorder *crhealth.Recorder
 
 	view    atomic.Pointer[crview.View]
 	trusted atomic.Int64 // the instant up to which keys and policy may be acted on
 	ready   atomic.Bool  // the newest configuration that could be learnt is in force
 
 	// The rest is the control goroutine's.
-	config *crconfig.State
-	in     crview.Input
-	until  crid.Instant // of the last tenure
-	dirty  bool
+	config  *crconfig.State
+	steers  map[crid.Service]crhealth.Steer
+	in      crview.Input
+	contact crid.Instant // up to which the fleet is known to be in contact
+	dirty   bool
 }
 
 var _ crpeer.Handler = (*shell)(nil)
@@ -72,7 +75,7 @@
 	case crinstance.Listed:
 		s.listed(eff.List)
 	case crmember.Tenure:
-		s.until = eff.Until
+		s.contact = eff.Contact
 		s.trust(eff.Now)
 	case crmember.Peers:
 		s.in.Peers = eff.Peers
@@ -85,6 +88,8 @@
 		go s.reader.read(eff)
 	case crconfig.ReadList:
 		go s.reader.list()
+	case crhealth.Steer:
+		s.steer(eff)
 	case craccount.Deposit:
 		s.wallet.Deposit(eff)
 	case craccount.Withdraw:
@@ -103,7 +108,7 @@
 		s.trusted.Store(0)
 		return
 	}
-	s.trusted.Store(int64(s.until))
+	s.trusted.Store(int64(s.contact))
 }
 
 func (s *shell) listed(list crinstance.List) {
@@ -144,16 +149,18 @@
 	if s.pulse.Beat(now) {
 		s.log.Event(crlog.DaemonPaused, nil)
 	}
+	s.expireSteers(now)
 	if view := s.view.Load(); s.dirty && view != nil {
+		s.in.Steers = s.steerTargets()
 		s.view.Store(view.With(s.in))
 		s.dirty = false
 	}
 	s.trust(now)
-	usage := s.wallet.Drain(now)
-	if len(usage) == 0 {
-		return nil
-	}
-	return []crevent.Event{craccount.Used{Now: now, Usage: usage}}
+	return s.drained(now)
+}
+
+func usedOf(now crid.Instant, usage []craccount.Usage) crevent.Event {
+	return craccount.Used{Now: now, Usage: usage}
 }
 
 // isTrusted reports whether this daemon may act on what it knows.
@@ -187,5 +194,3 @@
 
 // coldWait bounds the wait for an account's first tokens.
 const coldWait = 200 * time.Millisecond
-
-func (s *shell) observe(crid.Service, crid.Target, crid.Account, crentry.Outcome, time.Duration) {}
