Prove the seven promises over processes under more faults

Ruled out: a spec for each pair of step and fault: 40 fleets. The steps of one fault stand side by side in one fleet, each checked to be at its step.

--- a/e2e/account_test.go
+++ b/e2e/account_test.go
@@ -8,6 +8,7 @@
 
 	"camphorroad/lab/crfleet"
 	"camphorroad/lab/crload"
+	labplatform "camphorroad/lab/crplatform"
 )
 
 // spread bounds the time between a request's admission and its start at the
@@ -57,3 +58,91 @@
 		Expect(float64(line.Results[crload.NotRun])).To(BeNumerically("<=", 0.01*float64(line.Sent)))
 	})
 })
+
+// surge sends an account's requests far above its rate through the entries.
+func surge(f *crfleet.Fleet, a crfleet.Account, seconds float64, entries []string) *crload.Report {
+	return run(crload.Plan{
+		Seconds: seconds, Seed: 13, Entries: entries,
+		Accounts: []crload.Account{{Name: a.Name, Key: a.Key(), Rate: 8 * a.Rate, Calls: reads}},
+	})
+}
+
+// expectWithinRate looks at every window of what ran.
+func expectWithinRate(f *crfleet.Fleet, a crfleet.Account, atLeast int) {
+	GinkgoHelper()
+	at := f.Admitted(a.Name)
+	excess := crfleet.Excess(at, a, spread)
+	AddReportEntry("admitted", len(at))
+	AddReportEntry("worst window over burst + rate*w", excess)
+	Expect(len(at)).To(BeNumerically(">", atLeast))
+	Expect(excess).To(BeNumerically("<=", 0))
+}
+
+var _ = Describe("An account's rate through long faults", func() {
+	// The daemons that mint an account's tokens are suspended with their virtual
+	// machines for longer than any other waits for them, first two and then
+	// most of the fleet, and wake up believing that they still mint. The
+	// platform is away all the time.
+	It("holds while the daemons that mint are frozen beyond the horizon", func() {
+		a := account("surge", 60, 60)
+		f := newFleet(5, 2*time.Millisecond, a)
+		f.Platform().SetFault(labplatform.Fault{Mode: labplatform.ModeAway})
+		wait := timeline(
+			time.Second,
+			f.Daemon(0).Freeze, f.Daemon(1).Freeze,
+			3500*time.Millisecond,
+			f.Daemon(0).Resume, f.Daemon(1).Resume,
+			time.Second,
+			f.Daemon(2).Freeze, f.Daemon(3).Freeze, f.Daemon(4).Freeze,
+			3500*time.Millisecond,
+			f.Daemon(2).Resume, f.Daemon(3).Resume, f.Daemon(4).Resume,
+		)
+		surge(f, a, 13, f.URLs())
+		wait()
+		expectWithinRate(f, a, 200)
+	})
+
+	// Instances are replaced under a surge: the list names others, the old ones
+	// are still running, and one of them is frozen when the list changes and
+	// wakes up after others have taken its share.
+	It("holds while instances are replaced", func() {
+		a := account("surge", 60, 60)
+		f := startFleet(
+			crfleet.WithDaemons(5), crfleet.WithSpares(2),
+			crfleet.WithServices(booking(2*time.Millisecond)), crfleet.WithAccounts(a),
+		)
+		all := f.Instances()
+		wait := timeline(
+			time.Second,
+			f.Daemon(0).Freeze, f.Daemon(5).Start,
+			func() { f.List(all[1:6]) },
+			3500*time.Millisecond,
+			f.Daemon(0).Resume,
+			time.Second,
+			f.Daemon(1).Kill, f.Daemon(6).Start,
+			func() { f.List(all[2:7]) },
+		)
+		surge(f, a, 11, f.URLs()[:5])
+		wait()
+		expectWithinRate(f, a, 200)
+	})
+
+	// A tenant keeps within its rate, spread over all daemons, while another one
+	// sends eight times its own. The first must hardly notice.
+	It("is all there for others, and for callers spread over all daemons", func() {
+		steady, loud := account("steady", 100, 50), account("loud", 60, 60)
+		f := newFleet(5, 2*time.Millisecond, steady, loud)
+		report := run(crload.Plan{
+			Seconds: 6, Seed: 14, Entries: f.URLs(),
+			Accounts: []crload.Account{
+				{Name: steady.Name, Key: steady.Key(), Rate: 80, Calls: reads},
+				{Name: loud.Name, Key: loud.Key(), Rate: 480, Calls: reads},
+			},
+		})
+		line := report.Lines()[0]
+		AddReportEntry("steady", line.Results)
+		AddReportEntry("loud", report.Lines()[1].Results)
+		Expect(float64(line.Results[crload.NotRun])).To(BeNumerically("<=", 0.02*float64(line.Sent)))
+		Expect(crfleet.Excess(f.Admitted(loud.Name), loud, spread)).To(BeNumerically("<=", 0))
+	})
+})
--- /dev/null
+++ b/e2e/fair_test.go
@@ -0,0 +1,68 @@
+package e2e_test
+
+import (
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"camphorroad/lab/crfleet"
+	"camphorroad/lab/crload"
+)
+
+// fairSmall is the number of small accounts beside the large one.
+const fairSmall = 4
+
+// fairPlan sends little for each small account and much for the large one.
+func fairPlan(f *crfleet.Fleet, seed uint64, accounts []crfleet.Account, large crload.Account) crload.Plan {
+	plan := crload.Plan{Seconds: 6, Seed: seed, Entries: f.URLs(), Accounts: []crload.Account{large}}
+	for _, a := range accounts[1:] {
+		plan.Accounts = append(plan.Accounts, crload.Account{Name: a.Name, Key: a.Key(), Rate: 20, Calls: reads})
+	}
+	return plan
+}
+
+// expectFair checks the worst-served small account.
+func expectFair(report *crload.Report) {
+	GinkgoHelper()
+	lines := report.Lines()
+	large := lines[0]
+	AddReportEntry("large", fmt.Sprintf("%d sent, %v, p99 %s", large.Sent, large.Results, large.P99))
+	for _, l := range lines[1 : 1+fairSmall] {
+		AddReportEntry(l.Account, fmt.Sprintf("%d sent, %v, p50 %s, p99 %s", l.Sent, l.Results, l.P50, l.P99))
+		Expect(float64(l.Results[crload.Answered])).To(BeNumerically(">=", 0.95*float64(l.Sent)), l.Account)
+		Expect(l.P99).To(BeNumerically("<", 1200*time.Millisecond), l.Account)
+	}
+	Expect(lines[0].Results[crload.NotRun]).To(BeNumerically(">", large.Sent/10), "capacity was not short")
+}
+
+var _ = Describe("Shares of short capacity", func() {
+	// The upstreams can do 300 requests a second in all, every account is within
+	// its rate, and one sends far more than that. In the order of arrival the
+	// others would wait behind it and be refused as often.
+	It("leave the others near what they ask when one account sends too much", func() {
+		accounts := fairAccounts()
+		f := startFleet(crfleet.WithDaemons(3), crfleet.WithServices(booking(50*time.Millisecond)), crfleet.WithAccounts(accounts...))
+		large := accounts[0]
+		expectFair(run(fairPlan(f, 61, accounts, crload.Account{Name: large.Name, Key: large.Key(), Rate: 500, Calls: reads})))
+	})
+
+	// One account sends no more requests than others, but each holds a slot for
+	// half a second; all slots would be its own before long.
+	It("leave the others near what they ask when one account's requests are long", func() {
+		accounts := fairAccounts()
+		f := startFleet(crfleet.WithDaemons(3), crfleet.WithServices(booking(20*time.Millisecond)), crfleet.WithAccounts(accounts...))
+		large := accounts[0]
+		long := []crload.Call{{Method: "GET", Path: "/kits/1?work=500"}}
+		expectFair(run(fairPlan(f, 62, accounts, crload.Account{Name: large.Name, Key: large.Key(), Rate: 60, Calls: long})))
+	})
+})
+
+func fairAccounts() []crfleet.Account {
+	accounts := []crfleet.Account{account("large", 5000, 5000)}
+	for i := range fairSmall {
+		accounts = append(accounts, account(fmt.Sprintf("small-%d", i+1), 5000, 5000))
+	}
+	return accounts
+}
--- a/e2e/leave_test.go
+++ b/e2e/leave_test.go
@@ -1,11 +1,16 @@
 package e2e_test
 
 import (
+	"context"
+	"fmt"
+	"net/http"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"camphorroad/core/crinstance"
+	"camphorroad/lab/crfleet"
 	"camphorroad/lab/crload"
 )
 
@@ -59,3 +64,155 @@
 		}
 	})
 })
+
+// mixedCalls are quick reads and holds, and some that last: a slow run, and an
+// answer that comes in parts.
+var mixedCalls = []crload.Call{
+	{Method: "GET", Path: "/kits/1", Weight: 3},
+	{Method: "POST", Path: "/holds", Bytes: 200, Weight: 3},
+	{Method: "POST", Path: "/holds?work=300"},
+	{Method: "GET", Path: "/kits/1?drip=300&bytes=5000"},
+}
+
+func leavePlan(a crfleet.Account, seconds float64, entries []string) crload.Plan {
+	return crload.Plan{
+		Seconds: seconds, Seed: 71, Entries: entries,
+		Accounts: []crload.Account{{Name: a.Name, Key: a.Key(), Rate: 120, Calls: mixedCalls}},
+	}
+}
+
+// lastNewWork is when a target last began a request.
+func lastNewWork(t *crfleet.Target) time.Time {
+	var last time.Time
+	for _, r := range t.Log() {
+		if r.At.After(last) {
+			last = r.At
+		}
+	}
+	return last
+}
+
+// fewSeconds is within which a leaving upstream receives no new work.
+const fewSeconds = 3 * time.Second
+
+var _ = Describe("A leaving upstream", func() {
+	// The platform lists an instance as leaving. What is sent to it after that
+	// may be lost when the instance goes, and what it still runs must finish.
+	It("gets no new work after a few seconds, and finishes what it has", func() {
+		a := account("survey", 2000, 2000)
+		f := newFleet(5, 10*time.Millisecond, a)
+		list := f.Instances()
+		list[2].State = crinstance.StateLeaving
+		var listed time.Time
+		wait := timeline(1500*time.Millisecond, func() { listed = time.Now() }, func() { f.List(list) })
+		report := run(leavePlan(a, 6, f.URLs()))
+		wait()
+		told := expectTrue(f, report)
+		AddReportEntry("told", told)
+		AddReportEntry("last new work after", lastNewWork(f.Target(2)).Sub(listed).String())
+		Expect(lastNewWork(f.Target(2)).Sub(listed)).To(BeNumerically("<", fewSeconds))
+		Expect(told[crload.Answered]).To(Equal(len(report.Told())))
+	})
+
+	// An upstream drains by itself, long before the list says so, and sheds
+	// whatever still comes. It answers faster than any other: to a choice by
+	// load alone it would look like the idlest, and draw all holds to itself.
+	It("that sheds by itself does not draw work to itself", func() {
+		a := account("survey", 2000, 2000)
+		f := newFleet(5, 10*time.Millisecond, a)
+		const at = 1500 * time.Millisecond
+		wait := timeline(at, f.Target(2).Drain)
+		report := run(leavePlan(a, 7, f.URLs()))
+		wait()
+		late, shed := 0, 0
+		for _, t := range report.Told() {
+			if t.At > at+fewSeconds {
+				late++
+				if t.Status == http.StatusServiceUnavailable {
+					shed++
+				}
+			}
+		}
+		AddReportEntry("shed after a few seconds", fmt.Sprintf("%d of %d", shed, late))
+		Expect(float64(shed)).To(BeNumerically("<=", 0.02*float64(late)))
+	})
+})
+
+var _ = Describe("A planned stop under faults", func() {
+	// A daemon is stopped in the ordinary way while one of its links works in
+	// one direction only, and its upstream drains in the same moment. Nothing
+	// that was in flight may be cut, and nothing may run twice.
+	It("cuts nothing while a link is cut one way and the upstream drains", func() {
+		a := account("survey", 2000, 2000)
+		f := newFleet(5, 10*time.Millisecond, a)
+		stopping := f.Daemon(3)
+		wait := timeline(
+			time.Second,
+			func() { f.Links().Cut(stopping.Name(), "daemon-1") },
+			3*time.Second,
+			f.Target(3).Drain, stopping.Stop,
+		)
+		report := run(leavePlan(a, 6, f.URLs()[:3]))
+		wait()
+		Expect(stopping.Wait(within(15*time.Second))).To(Succeed(), stopping.Log)
+		told := make(map[crload.Result]int)
+		runs := f.Runs()
+		for _, t := range report.Told() {
+			told[t.Result]++
+			if t.Method == http.MethodPost {
+				Expect(runs[t.ID]).To(BeNumerically("<=", 1), t.ID)
+			}
+			if t.Result == crload.NotRun {
+				Expect(runs[t.ID]).To(BeZero(), t.ID)
+			}
+		}
+		AddReportEntry("told", told)
+		Expect(told[crload.Mixed]).To(BeZero())
+		// Only the link's cut makes unknowns, and only until it is noticed.
+		for _, t := range report.Told() {
+			if t.At > 3500*time.Millisecond {
+				Expect(t.Result).NotTo(Or(Equal(crload.Cut), Equal(crload.Unknown)), "%s at %s", t.ID, t.At)
+			}
+		}
+	})
+
+	// A new version is rolled out: every daemon is stopped and started again, one
+	// after the other, while callers go on. None may notice more than an address
+	// that takes no connection, or a refusal that is true.
+	It("of all daemons, one after the other, cuts nothing", func() {
+		a := account("survey", 2000, 2000)
+		f := newFleet(4, 10*time.Millisecond, a)
+		var steps []any
+		steps = append(steps, time.Second)
+		for _, d := range f.Daemons() {
+			steps = append(steps, d.Stop,
+				func() { Expect(d.Wait(within(10*time.Second))).To(Succeed(), d.Log) },
+				d.Start,
+				func() { must(d.WaitReady(within(15 * time.Second))) },
+				500*time.Millisecond,
+			)
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		wait := timeline(append(steps, cancel)...)
+		plan := leavePlan(a, 60, f.URLs())
+		start := time.Now()
+		report, err := crload.Run(ctx, plan)
+		must(err)
+		wait()
+		AddReportEntry("all replaced after", time.Since(start).Round(100*time.Millisecond).String())
+		runs := f.Runs()
+		told := make(map[crload.Result]int)
+		for _, t := range report.Told() {
+			told[t.Result]++
+			if t.Method == http.MethodPost {
+				Expect(runs[t.ID]).To(BeNumerically("<=", 1), t.ID)
+			}
+			if t.Result == crload.NotRun {
+				Expect(runs[t.ID]).To(BeZero(), t.ID)
+			}
+		}
+		AddReportEntry("told", told)
+		Expect(told[crload.Mixed] + told[crload.Unknown]).To(BeZero())
+	})
+})
--- /dev/null
+++ b/e2e/member_test.go
@@ -0,0 +1,71 @@
+package e2e_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"camphorroad/lab/crfleet"
+	"camphorroad/lab/crload"
+)
+
+// reaches asks a daemon whether it has two-way contact with a peer.
+func reaches(d, peer *crfleet.Daemon) func() bool {
+	return func() bool {
+		state, err := d.State(within(2 * time.Second))
+		must(err)
+		return state.Reaches(peer.Name())
+	}
+}
+
+var _ = Describe("Membership", func() {
+	// A switch passes frames from one daemon to another but not back. The daemon
+	// that still hears would count on a peer that can never answer it, and send
+	// its callers' requests there to time out.
+	It("shows a one-way cut on both sides, and its end", func() {
+		a := account("survey", 1000, 1000)
+		f := newFleet(5, time.Millisecond, a)
+		deaf, mute := f.Daemon(0), f.Daemon(1)
+		Eventually(reaches(deaf, mute), "5s", "50ms").Should(BeTrue())
+		f.Links().Cut(mute.Name(), deaf.Name())
+		start := time.Now()
+		Eventually(reaches(deaf, mute), "6s", "50ms").Should(BeFalse())
+		Eventually(reaches(mute, deaf), "6s", "50ms").Should(BeFalse())
+		AddReportEntry("seen on both sides after", time.Since(start).String())
+		for _, d := range f.Daemons() {
+			Expect(d.Ready()).To(Succeed(), "%s: one link is no reason to stop", d.Name())
+		}
+		f.Links().HealAll()
+		Eventually(reaches(deaf, mute), "6s", "50ms").Should(BeTrue())
+		Eventually(reaches(mute, deaf), "6s", "50ms").Should(BeTrue())
+	})
+
+	// A daemon is stopped as planned, and the platform's list names it as live
+	// for minutes more. Were the list the only word, callers would be sent to
+	// it, refused, and sent on for all that time.
+	It("tells of a daemon's leaving at once, not by the list", func() {
+		a := account("survey", 2000, 2000)
+		f := newFleet(5, 2*time.Millisecond, a)
+		leaving := f.Daemon(3)
+		var asked time.Time
+		stopped := timeline(1500*time.Millisecond, func() { asked = time.Now() }, leaving.Stop)
+		report := run(crload.Plan{
+			Seconds: 4, Seed: 41, Entries: f.URLs()[:3],
+			Accounts: []crload.Account{{Name: a.Name, Key: a.Key(), Rate: 300, Calls: holds}},
+		})
+		stopped()
+		Expect(leaving.Wait(within(10 * time.Second))).To(Succeed())
+		var last time.Time
+		for _, r := range f.Target(3).Log() {
+			if r.At.After(last) {
+				last = r.At
+			}
+		}
+		told := expectTrue(f, report)
+		AddReportEntry("told", told)
+		AddReportEntry("last new work after", last.Sub(asked).String())
+		Expect(last.Sub(asked)).To(BeNumerically("<", 2*time.Second))
+		Expect(told[crload.Answered]).To(Equal(len(report.Told())))
+	})
+})
--- /dev/null
+++ b/e2e/step_test.go
@@ -0,0 +1,228 @@
+package e2e_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"camphorroad/lab/crfleet"
+)
+
+// Where a forward is when the fault strikes; it leads the request's name.
+const (
+	stepLate    = "late"    // the exit does not have it yet
+	stepQueue   = "queue"   // it waits at the exit for a slot
+	stepRun     = "run"     // the upstream runs it
+	stepAnswer  = "answer"  // part of the answer has been passed on
+	stepRequest = "request" // the request's body is still being sent
+)
+
+const (
+	stepSlots   = 6
+	stepSettle  = 400 * time.Millisecond // until every request is at its step
+	stepService = 20 * time.Millisecond
+	dripBytes   = 20_000
+)
+
+// stepPolicy has one exit's slots filled by six requests.
+var stepPolicy = strings.Replace(strings.Replace(crfleet.BookingPolicy, "floor = 2", "floor = 1", 1), "slots = 5", "slots = 6", 1)
+
+// slowBody is a request's body that comes over a while.
+type slowBody struct {
+	left  int
+	pause time.Duration
+}
+
+func (b *slowBody) Read(p []byte) (int, error) {
+	if b.left == 0 {
+		return 0, io.EOF
+	}
+	b.left--
+	time.Sleep(b.pause)
+	return copy(p, "body"), nil
+}
+
+// stepRequests are the requests that stand at one step, in every variant that
+// could make some layer send one again by itself: with a body or without, with
+// an Idempotency-Key or without.
+func stepRequests(a crfleet.Account, step string, n int) []crfleet.Request {
+	var out []crfleet.Request
+	for i := range n {
+		r := crfleet.Request{Account: a, Method: http.MethodPost, ID: fmt.Sprintf("%s-%d", step, i), Header: http.Header{}}
+		switch step {
+		case stepRun:
+			r.Path = "/holds?work=900"
+		case stepAnswer:
+			r.Path = fmt.Sprintf("/holds?drip=900&bytes=%d", dripBytes)
+		default:
+			r.Path = "/holds"
+		}
+		switch {
+		case step == stepRequest:
+			r.Body = &slowBody{left: 20, pause: 40 * time.Millisecond}
+		case i%2 == 0:
+			r.Body = strings.NewReader("hold")
+		}
+		if i/2%2 == 0 {
+			r.Header.Set("Idempotency-Key", r.ID)
+		}
+		out = append(out, r)
+	}
+	return out
+}
+
+// stepCalls collects what the callers of a spec were told.
+type stepCalls struct {
+	entry *crfleet.Daemon
+	wg    sync.WaitGroup
+	mu    sync.Mutex
+	told  map[string]crfleet.Reply
+}
+
+func (c *stepCalls) send(requests []crfleet.Request) {
+	client := &http.Client{Transport: &http.Transport{}}
+	for _, r := range requests {
+		r.Client = client
+		c.wg.Go(func() {
+			reply := c.entry.Call(context.Background(), r)
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			c.told[r.ID] = reply
+		})
+	}
+}
+
+// stepFault is a fault of the table: strike, and what ends it.
+type stepFault struct {
+	strike func(f *crfleet.Fleet, entry, exit *crfleet.Daemon) error
+	mend   func(f *crfleet.Fleet, entry, exit *crfleet.Daemon) error
+	lasts  time.Duration
+	entry  bool // the entry dies: its callers get no word
+}
+
+func none(*crfleet.Fleet, *crfleet.Daemon, *crfleet.Daemon) error { return nil }
+
+func freezeExit(_ *crfleet.Fleet, _, exit *crfleet.Daemon) error { return exit.Freeze() }
+
+func resumeExit(_ *crfleet.Fleet, _, exit *crfleet.Daemon) error { return exit.Resume() }
+
+func cutForth(f *crfleet.Fleet, entry, exit *crfleet.Daemon) error {
+	f.Links().Cut(entry.Name(), exit.Name())
+	return nil
+}
+
+func cutBack(f *crfleet.Fleet, entry, exit *crfleet.Daemon) error {
+	f.Links().Cut(exit.Name(), entry.Name())
+	return nil
+}
+
+func healAll(f *crfleet.Fleet, _, _ *crfleet.Daemon) error {
+	f.Links().HealAll()
+	return nil
+}
+
+func killExit(_ *crfleet.Fleet, _, exit *crfleet.Daemon) error { return exit.Kill() }
+
+func startExit(_ *crfleet.Fleet, _, exit *crfleet.Daemon) error { return exit.Start() }
+
+func killEntry(_ *crfleet.Fleet, entry, _ *crfleet.Daemon) error { return entry.Kill() }
+
+// Holds stand at every step of a forward to one exit when something happens: a
+// part has been sent to the upstream, a part waits for a slot, a part is being
+// answered. Whoever is told "not run" places the hold again; had it run, the
+// kit would be held and the deposit charged twice. Whoever gets the first half
+// of an answer must see that it broke off.
+var _ = DescribeTable("A hold at every step of its forward", func(fault stepFault) {
+	a := account("survey", 5000, 5000)
+	f := startFleet(
+		crfleet.WithDaemons(3),
+		crfleet.WithServices(crfleet.Service{Name: "booking", Policy: stepPolicy, Targets: 1, Slots: stepSlots, Time: stepService}),
+		crfleet.WithAccounts(a),
+	)
+	exit, entry := f.Daemon(0), f.Daemon(1)
+	calls := &stepCalls{entry: entry, told: make(map[string]crfleet.Reply)}
+	calls.send(stepRequests(a, stepRun, 2))
+	calls.send(stepRequests(a, stepAnswer, 2))
+	calls.send(stepRequests(a, stepRequest, 2))
+	time.Sleep(stepSettle / 2)
+	calls.send(stepRequests(a, stepQueue, 4))
+	time.Sleep(stepSettle / 2)
+	expectAtStep(f)
+
+	must(fault.strike(f, entry, exit))
+	if !fault.entry {
+		calls.send(stepRequests(a, stepLate, 4))
+	}
+	time.Sleep(fault.lasts)
+	must(fault.mend(f, entry, exit))
+	calls.wg.Wait()
+	// What an exit might still start late has its chance before the count.
+	time.Sleep(2 * time.Second)
+	expectToldTrue(f, calls, fault.entry)
+},
+	Entry("with no fault", stepFault{strike: none, mend: none}),
+	Entry("when the exit is killed", stepFault{strike: killExit, mend: startExit, lasts: 500 * time.Millisecond}),
+	Entry("when the exit is frozen within the deadline", stepFault{strike: freezeExit, mend: resumeExit, lasts: 700 * time.Millisecond}),
+	Entry("when the exit is frozen past the deadline", stepFault{strike: freezeExit, mend: resumeExit, lasts: 3 * time.Second}),
+	Entry("when the entry is killed", stepFault{strike: killEntry, mend: none, entry: true}),
+	Entry("when the way to the exit is cut", stepFault{strike: cutForth, mend: healAll, lasts: 3 * time.Second}),
+	Entry("when the way back is cut", stepFault{strike: cutBack, mend: healAll, lasts: 3 * time.Second}),
+	Entry("when the way back is cut for a moment", stepFault{strike: cutBack, mend: healAll, lasts: 700 * time.Millisecond}),
+)
+
+// expectAtStep makes sure that the requests are where the spec wants them.
+func expectAtStep(f *crfleet.Fleet) {
+	GinkgoHelper()
+	runs := f.Runs()
+	for i := range 2 {
+		Expect(runs[fmt.Sprintf("%s-%d", stepRun, i)]).To(Equal(1))
+		Expect(runs[fmt.Sprintf("%s-%d", stepAnswer, i)]).To(Equal(1))
+		Expect(runs[fmt.Sprintf("%s-%d", stepRequest, i)]).To(BeZero())
+	}
+	for i := range 4 {
+		Expect(runs[fmt.Sprintf("%s-%d", stepQueue, i)]).To(BeZero())
+	}
+}
+
+func expectToldTrue(f *crfleet.Fleet, calls *stepCalls, entryDies bool) {
+	GinkgoHelper()
+	runs := f.Runs()
+	count := make(map[string]int)
+	for id, reply := range calls.told {
+		step, _, _ := strings.Cut(id, "-")
+		word := reply.Outcome
+		switch {
+		case reply.Err != nil && reply.Outcome == "":
+			word = "noword"
+		case reply.Err != nil:
+			word = "cut"
+		}
+		count[step+" "+word]++
+		Expect(runs[id]).To(BeNumerically("<=", 1), "%s ran more than once, told %s", id, word)
+		switch word {
+		case "answered":
+			Expect(reply.Status).To(Equal(http.StatusOK), id)
+			Expect(runs[id]).To(Equal(1), "%s was answered and did not run", id)
+			Expect(string(reply.Body)).To(ContainSubstring(fmt.Sprintf("%q", id)))
+			Expect(step != stepAnswer || len(reply.Body) > dripBytes).To(BeTrue(), "%s: half an answer looks whole", id)
+		case "notrun":
+			Expect(runs[id]).To(BeZero(), "%s was told as not run", id)
+			Expect(reply.Header.Get("Retry-After")).NotTo(BeEmpty(), id)
+		case "unknown", "cut":
+		case "noword":
+			Expect(entryDies).To(BeTrue(), "%s got no word: %v", id, reply.Err)
+		default:
+			Fail(fmt.Sprintf("%s was told %q", id, word))
+		}
+	}
+	AddReportEntry("told", count)
+	// Beyond the deadline nobody waits: the route's timeout is two seconds.
+	Expect(count).NotTo(BeEmpty())
+}
--- /dev/null
+++ b/e2e/withdraw_test.go
@@ -0,0 +1,249 @@
+package e2e_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptrace"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"camphorroad/core/crpolicy"
+	"camphorroad/io/crpolicyfile"
+	"camphorroad/lab/crfleet"
+	labplatform "camphorroad/lab/crplatform"
+)
+
+// withdraws is the number of accounts that the specs below withdraw, one each.
+const withdraws = 5
+
+func withdrawn(i int) crfleet.Account { return account(fmt.Sprintf("gone-%d", i), 1000, 1000) }
+
+// expectRefusedEverywhere waits until no daemon takes the account's key.
+func expectRefusedEverywhere(daemons []*crfleet.Daemon, a crfleet.Account) {
+	GinkgoHelper()
+	start := time.Now()
+	for _, d := range daemons {
+		Eventually(func() int { return d.Get(a, "/kits/1").Status }, inForce, "50ms").Should(Equal(http.StatusUnauthorized), d.Name())
+	}
+	AddReportEntry("everywhere after", time.Since(start).Round(time.Millisecond).String())
+}
+
+// neverServed asks every daemon for the account all the time, until the returned
+// function tells how often one of them served it.
+func neverServed(daemons []*crfleet.Daemon, a crfleet.Account) (served func() int64) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var n atomic.Int64
+	var callers sync.WaitGroup
+	for _, d := range daemons {
+		callers.Go(func() {
+			for ctx.Err() == nil {
+				if d.Get(a, "/kits/1").Status == http.StatusOK {
+					n.Add(1)
+				}
+				time.Sleep(10 * time.Millisecond)
+			}
+		})
+	}
+	return func() int64 {
+		cancel()
+		callers.Wait()
+		return n.Load()
+	}
+}
+
+// openClient keeps one connection to a daemon and tells whether it was reused.
+type openClient struct {
+	client *http.Client
+	reused bool
+}
+
+func newOpenClient(http2 bool) *openClient {
+	var protocols http.Protocols
+	protocols.SetHTTP1(!http2)
+	protocols.SetUnencryptedHTTP2(http2)
+	return &openClient{client: &http.Client{Transport: &http.Transport{Protocols: &protocols, MaxConnsPerHost: 1}}}
+}
+
+func (c *openClient) get(d *crfleet.Daemon, a crfleet.Account) int {
+	ctx := httptrace.WithClientTrace(context.Background(), &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) { c.reused = info.Reused },
+	})
+	return d.Call(ctx, crfleet.Request{Account: a, Method: http.MethodGet, Path: "/kits/1", Client: c.client}).Status
+}
+
+var _ = Describe("A withdrawn key", Ordered, ContinueOnFailure, func() {
+	var f *crfleet.Fleet
+	kept := account("kept", 1000, 1000)
+
+	// withdraw publishes without the accounts up to the i-th.
+	withdraw := func(i int) {
+		GinkgoHelper()
+		accounts := []crfleet.Account{kept}
+		for j := i + 1; j < withdraws; j++ {
+			accounts = append(accounts, withdrawn(j))
+		}
+		_, err := f.SetAccounts(accounts...)
+		must(err)
+	}
+
+	BeforeAll(func() {
+		accounts := []crfleet.Account{kept}
+		for i := range withdraws {
+			accounts = append(accounts, withdrawn(i))
+		}
+		f = newFleet(5, time.Millisecond, accounts...)
+	})
+
+	AfterEach(func() {
+		for _, d := range f.Daemons() {
+			must(d.WaitReady(within(15 * time.Second)))
+			Eventually(func() int { return d.Get(kept, "/kits/1").Status }, "10s", "50ms").Should(Equal(http.StatusOK), d.Name())
+		}
+	})
+
+	// The thief of a key keeps his connection open. Were keys looked at only when
+	// a connection begins, he would go on for as long as he cares to.
+	It("stops on connections that are open already", func() {
+		gone := withdrawn(0)
+		clients := make(map[*crfleet.Daemon][]*openClient)
+		for _, d := range f.Daemons() {
+			clients[d] = []*openClient{newOpenClient(false), newOpenClient(true)}
+			for _, c := range clients[d] {
+				Expect(c.get(d, gone)).To(Equal(http.StatusOK))
+			}
+		}
+		withdraw(0)
+		for d, both := range clients {
+			for _, c := range both {
+				Eventually(func() int { return c.get(d, gone) }, inForce, "50ms").Should(Equal(http.StatusUnauthorized), d.Name())
+				Expect(c.reused).To(BeTrue(), "the connection stayed open")
+			}
+		}
+	})
+
+	// The daemon that watches the platform for its domain loses both directions
+	// to all others at the moment of the withdrawal. The others hear nothing of
+	// it until one of them takes over the watch.
+	It("stops everywhere also when a reader is cut off", func() {
+		var reader *crfleet.Daemon
+		for _, d := range f.Daemons() {
+			state, err := d.State(within(5 * time.Second))
+			must(err)
+			config, err := state.Config()
+			must(err)
+			if config.Reader {
+				reader = d
+			}
+		}
+		Expect(reader).NotTo(BeNil())
+		var others []*crfleet.Daemon
+		for _, d := range f.Daemons() {
+			if d != reader {
+				f.Links().CutBoth(d.Name(), reader.Name())
+				others = append(others, d)
+			}
+		}
+		withdraw(1)
+		expectRefusedEverywhere(others, withdrawn(1))
+		// The reader itself is cut off alone: it may refuse for want of standing
+		// or because it has read of the withdrawal, but it may not serve.
+		Eventually(func() int { return reader.Get(withdrawn(1), "/kits/1").Status }, inForce, "50ms").ShouldNot(Equal(http.StatusOK))
+		f.Links().HealAll()
+		expectRefusedEverywhere(f.Daemons(), withdrawn(1))
+	})
+
+	// Somebody publishes, past the check, a bundle that does not validate. Were
+	// it taken, or were the former dropped for it, every caller would be refused.
+	It("stops with the next good bundle after a bad one, which changes nothing", func() {
+		bad, err := crpolicyfile.Pack(crpolicyfile.Policy{Accounts: []crpolicy.Account{{Name: "bad", Rate: -1, Burst: -1}}})
+		must(err)
+		var values [][]byte
+		for _, v := range bad.Values() {
+			values = append(values, v.Data)
+		}
+		rev, err := f.Platform().Publish(bad.Manifest(), values)
+		must(err)
+		refused := func(d *crfleet.Daemon) func() []string {
+			return func() []string {
+				state, err := d.State(within(5 * time.Second))
+				must(err)
+				config, err := state.Config()
+				must(err)
+				return config.Refused
+			}
+		}
+		for _, d := range f.Daemons() {
+			Eventually(refused(d), inForce, "50ms").Should(ContainElement(fmt.Sprint(rev)), d.Name())
+			Expect(d.Get(kept, "/kits/1").Status).To(Equal(http.StatusOK), d.Name())
+			Expect(d.Get(withdrawn(2), "/kits/1").Status).To(Equal(http.StatusOK), d.Name())
+		}
+		withdraw(2)
+		expectRefusedEverywhere(f.Daemons(), withdrawn(2))
+	})
+
+	// The platform's replicas disagree, and turn by turn it shows the state from
+	// before the withdrawal. A daemon is replaced meanwhile and knows nothing.
+	It("stays withdrawn while the platform flaps between revisions", func() {
+		withdraw(3)
+		expectRefusedEverywhere(f.Daemons(), withdrawn(3))
+		f.Platform().SetFault(labplatform.Fault{Mode: labplatform.ModeFlap, Delay: 300 * time.Millisecond, Back: 1})
+		served := neverServed(f.Daemons(), withdrawn(3))
+		must(f.Daemon(1).Kill())
+		must(f.Daemon(1).Start())
+		must(f.Daemon(1).WaitReady(within(15 * time.Second)))
+		time.Sleep(2 * time.Second)
+		Expect(served()).To(BeZero())
+		f.Platform().SetFault(labplatform.Fault{})
+	})
+
+	// A daemon's machine is suspended while a key is withdrawn, and callers with
+	// that key wait on it. It wakes up and finds their requests before any word
+	// of the withdrawal.
+	It("is not served by a daemon that slept through the withdrawal", func() {
+		asleep := f.Daemon(4)
+		must(asleep.Freeze())
+		withdraw(4)
+		expectRefusedEverywhere(f.Daemons()[:4], withdrawn(4))
+		time.Sleep(2500 * time.Millisecond)
+		var served func() int64
+		for range 4 { // several callers wait at the moment of waking
+			before, more := served, neverServed([]*crfleet.Daemon{asleep}, withdrawn(4))
+			served = func() int64 {
+				n := more()
+				if before != nil {
+					n += before()
+				}
+				return n
+			}
+		}
+		time.Sleep(300 * time.Millisecond)
+		must(asleep.Resume())
+		time.Sleep(2 * time.Second)
+		Expect(served()).To(BeZero())
+		expectRefusedEverywhere(f.Daemons(), withdrawn(4))
+	})
+})
+
+var _ = Describe("The platform's budget of calls", func() {
+	// After a power cut every daemon starts at the same moment. The platform
+	// takes two thousand calls a second from all readers together, and whoever
+	// passes that is turned away, with the whole fleet not ready.
+	It("is kept when all daemons start at once, and in rest", func() {
+		const daemons = 12
+		f := newFleet(daemons, time.Millisecond, account("survey", 1000, 1000))
+		start := f.Counts()
+		AddReportEntry("calls from start to ready", fmt.Sprintf("%+v, %.1f a daemon", start, float64(start.Total())/daemons))
+		time.Sleep(4 * time.Second)
+		rest := f.Counts().Total() - start.Total()
+		AddReportEntry("calls in 4 s of rest", rest)
+		// A daemon that reads for itself needs the head, the list, the manifest
+		// and two values; twice that is room for a retry of each.
+		Expect(start.Total()).To(BeNumerically("<=", 10*daemons))
+		Expect(rest).To(BeNumerically("<=", 2*daemons))
+	})
+})
--- a/lab/crfleet/call.go
+++ b/lab/crfleet/call.go
@@ -9,6 +9,8 @@
 	"net/http"
 	"time"
 
+	"camphorroad/core/crconfig"
+	"camphorroad/core/crhealth"
 	"camphorroad/core/crmember"
 	"camphorroad/lab/crupstream"
 )
@@ -104,6 +106,37 @@
 	return m, err
 }
 
+// Config is the dump's part on configuration.
+func (s State) Config() (crconfig.Dumped, error) {
+	var c crconfig.Dumped
+	err := json.Unmarshal(s.Control.Parts["config"], &c)
+	return c, err
+}
+
+// Health is the dump's part on the targets' health.
+func (s State) Health() (crhealth.Dump, error) {
+	var h crhealth.Dump
+	err := json.Unmarshal(s.Control.Parts["health"], &h)
+	return h, err
+}
+
+// Ejected names the targets to which the daemon sends no work as sick.
+func (s State) Ejected() []string {
+	h, err := s.Health()
+	if err != nil {
+		return nil
+	}
+	var names []string
+	for _, service := range h.Services {
+		for _, t := range service.Steered {
+			if t.Ejected {
+				names = append(names, string(t.Target))
+			}
+		}
+	}
+	return names
+}
+
 // Reaches reports whether the daemon has two-way contact with a peer.
 func (s State) Reaches(peer string) bool {
 	m, err := s.Member()
@@ -161,9 +194,9 @@
 	return nil
 }
 
-// WaitReady waits until all daemons are ready.
+// WaitReady waits until all daemons but the spares are ready.
 func (f *Fleet) WaitReady(ctx context.Context) error {
-	for _, d := range f.daemons {
+	for _, d := range f.daemons[:f.opts.daemons] {
 		if err := d.WaitReady(ctx); err != nil {
 			return err
 		}
@@ -171,13 +204,13 @@
 	return nil
 }
 
-// WaitTokens waits until each account is admitted at each daemon: a fresh fleet
+// WaitTokens waits until each account is admitted at each daemon but the spares: a fresh fleet
 // mints nothing for as long as tokens of a former one might still be spent.
 func (f *Fleet) WaitTokens(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, startTime)
 	defer cancel()
 	for _, a := range f.accountsNow() {
-		for _, d := range f.daemons {
+		for _, d := range f.daemons[:f.opts.daemons] {
 			err := poll(ctx, func() error { return d.admits(a) })
 			if err != nil {
 				return fmt.Errorf("%w: %s for %s: %w\n%s", ErrNotReady, d.name, a.Name, err, d.Log())
--- a/lab/crfleet/crfleet.go
+++ b/lab/crfleet/crfleet.go
@@ -120,7 +120,7 @@
 
 // build makes the daemons' settings and the upstreams.
 func (f *Fleet) build() error {
-	for i := range f.opts.daemons {
+	for i := range f.opts.daemons + f.opts.spares {
 		d, err := newDaemon(f, i)
 		if err != nil {
 			return err
@@ -130,7 +130,7 @@
 	next := 0
 	for _, s := range f.opts.services {
 		f.policies[s.Name] = s.Policy
-		for i := range s.count(f.opts.daemons) {
+		for i := range s.count(len(f.daemons)) {
 			d := f.daemons[next%len(f.daemons)]
 			next++
 			t := newTarget(fmt.Sprintf("%s-%d", s.Name, i+1), s, d.name)
@@ -150,8 +150,8 @@
 	if _, err := f.Publish(); err != nil {
 		return err
 	}
-	f.List(f.Instances())
-	for _, d := range f.daemons {
+	f.List(f.Instances()[:f.opts.daemons])
+	for _, d := range f.daemons[:f.opts.daemons] {
 		if err := d.Start(); err != nil {
 			return err
 		}
@@ -182,7 +182,7 @@
 	})
 }
 
-// Daemons returns all daemons, in the order of their numbers.
+// Daemons returns all daemons, in the order of their numbers, spares last.
 func (f *Fleet) Daemons() []*Daemon { return append([]*Daemon(nil), f.daemons...) }
 
 // Daemon returns one, counted from zero.
@@ -209,7 +209,7 @@
 	return urls
 }
 
-// Instances is the whole list of instances, all live. Daemons reach one another
+// Instances is the whole list of instances, spares included, all live. Daemons reach one another
 // by the addresses of their relays.
 func (f *Fleet) Instances() []crinstance.Instance {
 	list := make([]crinstance.Instance, 0, len(f.daemons))
--- a/lab/crfleet/options.go
+++ b/lab/crfleet/options.go
@@ -75,6 +75,7 @@
 
 type options struct {
 	daemons  int
+	spares   int
 	domains  []string
 	services []Service
 	accounts []Account
@@ -100,6 +101,10 @@
 // WithDaemons sets the number of daemons; default 5.
 func WithDaemons(n int) Option { return func(o *options) { o.daemons = n } }
 
+// WithSpares adds daemons, with their targets, that are neither started nor
+// listed at first; they come after the others.
+func WithSpares(n int) Option { return func(o *options) { o.spares = n } }
+
 // WithDomains names the failure domains, over which daemons are dealt in turn;
 // default three.
 func WithDomains(names ...string) Option {
--- a/lab/crupstream/crupstream.go
+++ b/lab/crupstream/crupstream.go
@@ -10,7 +10,9 @@
 //	http.ListenAndServe("127.0.0.1:9100", u)
 //
 // Faults are switched by POST /lab/fault with a JSON [Fault]; GET /lab/runs
-// tells what ran.
+// tells what ran. A request's query may ask for work=MS of service time in place
+// of the usual, for an answer of bytes=N more, and for that answer to come in
+// parts over drip=MS.
 package crupstream
 
 import (
@@ -54,14 +56,16 @@
 	FaultLie    Kind = "lie"    // slow, while health and load report a well target
 	FaultLate   Kind = "late"   // runs at once, answers after Factor service times
 	FaultRefuse Kind = "refuse" // sheds every request
+	FaultPoison Kind = "poison" // status 500 for the requests of one account
 )
 
 // Fault is a fault in force.
 type Fault struct {
-	Kind   Kind          `json:"kind"`
-	Factor float64       `json:"factor"`
-	Period time.Duration `json:"period"`
-	Health string        `json:"health"` // what /health says while the fault lasts: "ok" or "sick"
+	Kind    Kind          `json:"kind"`
+	Factor  float64       `json:"factor"`
+	Period  time.Duration `json:"period"`
+	Health  string        `json:"health"`  // what /health says while the fault lasts: "ok" or "sick"
+	Account string        `json:"account"` // of poison
 }
 
 // Options configure an upstream.
@@ -117,6 +121,9 @@
 	u.fault.Store(&f)
 }
 
+// Drain makes the upstream finish what it has and shed all new work, for good.
+func (u *Upstream) Drain() { u.draining.Store(true) }
+
 // ServeHTTP implements http.Handler.
 func (u *Upstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	switch r.URL.Path {
@@ -131,7 +138,7 @@
 	case "/lab/runs":
 		u.reportRuns(w)
 	case "/lab/drain":
-		u.draining.Store(true)
+		u.Drain()
 	default:
 		u.work(w, r)
 	}
@@ -233,7 +240,7 @@
 		return
 	}
 	u.record(r, n)
-	if !u.pause(r, u.serviceTime(f)) {
+	if !u.pause(r, u.timeFor(r, f)) {
 		return
 	}
 	u.answer(w, r, f, body)
@@ -285,7 +292,7 @@
 		if f.Period > 0 && (since/f.Period)%2 == 0 {
 			d = time.Duration(float64(d) * f.Factor)
 		}
-	case FaultNone, FaultWrong, FaultReset, FaultError, FaultRefuse:
+	case FaultNone, FaultWrong, FaultReset, FaultError, FaultRefuse, FaultPoison:
 	}
 	if age := time.Since(u.started); age < u.opts.Cold {
 		d += time.Duration(3 * float64(d) * (1 - float64(age)/float64(u.opts.Cold)))
@@ -293,6 +300,20 @@
 	return d
 }
 
+// timeFor is the service time of one request; the fault's part in it stays.
+func (u *Upstream) timeFor(r *http.Request, f *Fault) time.Duration {
+	asked, ok := millis(r, "work")
+	if !ok || u.opts.Service == 0 {
+		return u.serviceTime(f)
+	}
+	return time.Duration(float64(u.serviceTime(f)) / float64(u.opts.Service) * float64(asked))
+}
+
+func millis(r *http.Request, name string) (time.Duration, bool) {
+	n, err := strconv.Atoi(r.URL.Query().Get(name))
+	return time.Duration(n) * time.Millisecond, err == nil && n > 0
+}
+
 // pause reports false when the caller has given up meanwhile.
 func (u *Upstream) pause(r *http.Request, d time.Duration) bool {
 	timer := time.NewTimer(d)
@@ -315,7 +336,7 @@
 }
 
 func (u *Upstream) answer(w http.ResponseWriter, r *http.Request, f *Fault, body []byte) {
-	if f.Kind == FaultError {
+	if f.Kind == FaultError || (f.Kind == FaultPoison && f.Account == r.Header.Get(headerAccount)) {
 		http.Error(w, "internal error", http.StatusInternalServerError)
 		return
 	}
@@ -339,5 +360,25 @@
 		_ = http.NewResponseController(w).Flush()
 		panic(http.ErrAbortHandler)
 	}
+	if over, ok := millis(r, "drip"); ok {
+		u.drip(w, r, b, over)
+		return
+	}
 	_, _ = w.Write(b)
 }
+
+// dripParts is the number of parts of an answer that comes slowly.
+const dripParts = 20
+
+func (u *Upstream) drip(w http.ResponseWriter, r *http.Request, b []byte, over time.Duration) {
+	rc := http.NewResponseController(w)
+	size := max(1, len(b)/dripParts)
+	for part := range slices.Chunk(b, size) {
+		if _, err := w.Write(part); err != nil || rc.Flush() != nil {
+			return
+		}
+		if !u.pause(r, over/dripParts) {
+			return
+		}
+	}
+}
