Report the steps of a rolling replacement, and head room below a rate

Cause: the rolling spec ran for its full minute, since the step that ends the load was of a type that the timeline passed over; Excess never went below zero, so that it hid how near to the bound a run came. Change: an unknown step fails the spec; Excess tells head room as well; each stop and start of the rolling replacement is timed, unknowns are listed. Ruled out: a fixed length of the load, which would depend on the machine. Conclusion: none yet on the unknowns at a stop with a drain.

--- a/e2e/fleet_test.go
+++ b/e2e/fleet_test.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"fmt"
 	"os"
 	"testing"
 	"time"
@@ -75,6 +76,8 @@
 				must(step())
 			case func():
 				step()
+			default:
+				Fail(fmt.Sprintf("%T is no step", step))
 			}
 		}
 	}()
--- a/e2e/leave_test.go
+++ b/e2e/leave_test.go
@@ -74,6 +74,15 @@
 	{Method: "GET", Path: "/kits/1?drip=300&bytes=5000"},
 }
 
+// timed reports how long a step took.
+func timed(name string, step func()) func() {
+	return func() {
+		start := time.Now()
+		step()
+		AddReportEntry(name+" after", time.Since(start).Round(time.Millisecond).String())
+	}
+}
+
 func leavePlan(a crfleet.Account, seconds float64, entries []string) crload.Plan {
 	return crload.Plan{
 		Seconds: seconds, Seed: 71, Entries: entries,
@@ -168,6 +177,11 @@
 		}
 		AddReportEntry("told", told)
 		Expect(told[crload.Mixed]).To(BeZero())
+		for _, t := range report.Told() {
+			if t.Result == crload.Unknown {
+				AddReportEntry("unknown", fmt.Sprintf("%s %s at %s, took %s, ran %d", t.ID, t.Method, t.At, t.Took, runs[t.ID]))
+			}
+		}
 		// Only the link's cut makes unknowns, and only until it is noticed.
 		for _, t := range report.Told() {
 			if t.At > 3500*time.Millisecond {
@@ -186,15 +200,15 @@
 		steps = append(steps, time.Second)
 		for _, d := range f.Daemons() {
 			steps = append(steps, d.Stop,
-				func() { Expect(d.Wait(within(10*time.Second))).To(Succeed(), d.Log) },
+				timed("stopped", func() { Expect(d.Wait(within(10*time.Second))).To(Succeed(), d.Log) }),
 				d.Start,
-				func() { must(d.WaitReady(within(15 * time.Second))) },
+				timed("ready", func() { must(d.WaitReady(within(15 * time.Second))) }),
 				500*time.Millisecond,
 			)
 		}
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
-		wait := timeline(append(steps, cancel)...)
+		wait := timeline(append(steps, func() { cancel() })...)
 		plan := leavePlan(a, 60, f.URLs())
 		start := time.Now()
 		report, err := crload.Run(ctx, plan)
@@ -213,6 +227,7 @@
 			}
 		}
 		AddReportEntry("told", told)
+		AddReportEntry("statuses", report.Lines()[0].Statuses)
 		Expect(told[crload.Mixed] + told[crload.Unknown]).To(BeZero())
 	})
 })
--- a/lab/crfleet/window.go
+++ b/lab/crfleet/window.go
@@ -1,6 +1,7 @@
 package crfleet
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -19,10 +20,10 @@
 }
 
 // Excess is by how many requests the worst window exceeds burst + rate*w; at or
-// below zero the account kept to its rate. A request runs up to spread after
+// below zero the account kept to its rate, and it is -Inf if nothing ran. A request runs up to spread after
 // it was admitted, so that a window may look shorter by that than it was.
 func Excess(at []time.Time, a Account, spread time.Duration) float64 {
-	worst := 0.0
+	worst := math.Inf(-1)
 	for i := range at {
 		for j := i; j < len(at); j++ {
 			w := at[j].Sub(at[i]) + spread
