Put all numbered events into one catalogue

Cause: the events of membership, accounts and configuration stood on three pages kept by hand, and the logger knew none of them: each report of a reducer was logged as "missing from the catalogue".

Ruled out: generating from comments at the constants, which would need a generator, and a level per area, which says nothing to whoever is on call.

The numbers of sick targets (400 to 407) are described ahead of their package. 110 and 111 (platform away and back) are gone: nothing logged them, and 503 and 504 say the same.

--- a/core/craccount/events.go
+++ b/core/craccount/events.go
@@ -6,8 +6,8 @@
 	"camphorroad/core/crid"
 )
 
-// Numbers of the events this package reports; docs/events-account.md lists
-// cause, what is noticed and what to do.
+// Numbers of the events this package reports; docs/events.md
+// describes each.
 const (
 	EventTenure    = 300 // this daemon mints
 	EventLapsed    = 301 // this daemon stopped minting
--- a/core/crconfig/number.go
+++ b/core/crconfig/number.go
@@ -1,6 +1,6 @@
 package crconfig
 
-// Numbers of the reported events; docs/events-config.md explains each.
+// Numbers of the reported events; docs/events.md describes each.
 const (
 	NumberInForce       = 500
 	NumberStale         = 501
--- a/io/crlog/catalogue.go
+++ b/io/crlog/catalogue.go
@@ -1,60 +1,104 @@
 package crlog
 
-// Level is the weight of an event.
+import (
+	"fmt"
+	"io"
+	"slices"
+)
+
+// Level is the weight of an event for whoever is on call.
 type Level uint8
 
 // The levels of events.
 const (
 	LevelDebug Level = iota + 1
-	LevelInfo
-	LevelWarn
-	LevelError
+	LevelInfo        // ordinary: nothing is lost
+	LevelWarn        // something is lost, and comes back by itself
+	LevelError       // somebody has to act
 )
 
 // String returns the level's name.
 func (l Level) String() string { return l.logrus().String() }
 
+// MarshalText implements encoding.TextMarshaler.
+func (l Level) MarshalText() ([]byte, error) { return []byte(l.String()), nil }
+
 // Entry describes one numbered event.
 type Entry struct {
 	Number int    `json:"number"`
-	Level  Level  `json:"-"`
+	Level  Level  `json:"level"`
 	Name   string `json:"name"`   // the log line's message
 	Cause  string `json:"cause"`  // what brings it about
-	Expect string `json:"expect"` // what is noticed, and what to do
+	Notice string `json:"notice"` // what callers or operators notice
+	Action string `json:"action"` // what to do
 }
 
-// Events of the daemon as a process, 100 to 199.
-const (
-	DaemonStarted   = 100
-	DaemonReady     = 101
-	DaemonDraining  = 102
-	DaemonStopped   = 103
-	DaemonPaused    = 104
-	DrainIncomplete = 105
-	PlatformAway    = 110
-	PlatformBack    = 111
-	PeerMessageBad  = 120
-	CertReloaded    = 130
-	CertReloadError = 131
-	TargetUnknown   = 140
-	ViewRefused     = 141
-)
+// none stands where nothing is noticed, or nothing is to be done.
+const none = "nothing"
 
-// Catalogue lists every event the daemon can log, by number.
+// Catalogue lists every event that the daemon can log, by number.
 func Catalogue() []Entry {
-	return []Entry{
-		{DaemonStarted, LevelInfo, "daemon started", "the process began", "it is not ready until it has a configuration and a list of instances (101)"},
-		{DaemonReady, LevelInfo, "daemon ready", "the first configuration came in force", "callers are served from now on"},
-		{DaemonDraining, LevelInfo, "draining", "SIGTERM or SIGINT", "new requests are refused, those in flight finish, then the process exits with 0"},
-		{DaemonStopped, LevelInfo, "stopped", "the drain ended", "none"},
-		{DaemonPaused, LevelWarn, "process was paused", "the process did not run for longer than a second: stopped, starved or suspended", "forwards that waited through the pause are refused as not run; look for an overcommitted machine"},
-		{DrainIncomplete, LevelWarn, "drain gave up", "requests were still in flight when limits.draintime had passed", "those requests were cut; raise limits.draintime if their answers take longer by design"},
-		{PlatformAway, LevelWarn, "platform away", "the platform could not be read", "the fleet goes on with what it has; nothing to do at the fleet"},
-		{PlatformBack, LevelInfo, "platform back", "the platform answered again", "none"},
-		{PeerMessageBad, LevelWarn, "peer message refused", "a daemon sent what this version can not read", "expected for minutes during a roll-out of a new version"},
-		{CertReloaded, LevelInfo, "certificates reloaded", "SIGHUP", "new sessions use the new certificate"},
-		{CertReloadError, LevelError, "certificates not reloaded", "SIGHUP, but the files could not be read or do not fit", "the former certificate stays in use; mend the files and send SIGHUP again"},
-		{TargetUnknown, LevelWarn, "target not in the policy", "the settings name a target of a service that the configuration in force does not have", "publish the service's policy or mend the settings; the target gets no work"},
-		{ViewRefused, LevelError, "routes refused", "a configuration came whose routes can not be served together", "the former routes stay in force; run `camphorroad policy check` on the files and publish again"},
+	return slices.Concat(processEntries(), memberEntries(), accountEntries(), healthEntries(), configEntries())
+}
+
+// area is a range of numbers with its heading in the documentation.
+type area struct {
+	title string
+	first int
+}
+
+func areas() []area {
+	return []area{
+		{"The process, 100 to 199", 100},
+		{"Membership and standing, 200 to 249", 200},
+		{"Account limits, 300 to 349", 300},
+		{"Sick targets, 400 to 449", 400},
+		{"Configuration, 500 to 549", 500},
+	}
+}
+
+const preamble = `# Numbered events of the log
+
+Made from the catalogue by ` + "`camphorroad events list --markdown`" + `; do not edit it by hand.
+An event is logged as one JSON line with its number in the field ` + "`event`" + `. No event carries a key.
+
+| level | for whoever is on call |
+| --- | --- |
+| info | ordinary: nothing is lost |
+| warning | something is lost, and comes back by itself |
+| error | somebody has to act, always by mending or publishing, never on the fleet itself |
+`
+
+// Markdown writes the catalogue as the page docs/events.md.
+func Markdown(w io.Writer) error {
+	if _, err := io.WriteString(w, preamble); err != nil {
+		return err
+	}
+	entries := Catalogue()
+	for i, a := range areas() {
+		last := len(areas()) == i+1
+		n := len(entries)
+		if !last {
+			next := areas()[i+1].first
+			n = slices.IndexFunc(entries, func(e Entry) bool { return e.Number >= next })
+		}
+		if err := section(w, a.title, entries[:n]); err != nil {
+			return err
+		}
+		entries = entries[n:]
+	}
+	return nil
+}
+
+func section(w io.Writer, title string, entries []Entry) error {
+	const head = "\n## %s\n\n| number | level | event | cause | what is noticed | what to do |\n| --- | --- | --- | --- | --- | --- |\n"
+	if _, err := fmt.Fprintf(w, head, title); err != nil {
+		return err
+	}
+	for _, e := range entries {
+		if _, err := fmt.Fprintf(w, "| %d | %s | %s | %s | %s | %s |\n", e.Number, e.Level, e.Name, e.Cause, e.Notice, e.Action); err != nil {
+			return err
+		}
 	}
+	return nil
 }
--- /dev/null
+++ b/io/crlog/catalogue_health.go
@@ -0,0 +1,58 @@
+package crlog
+
+// Numbers that the package of sick targets reports.
+const (
+	healthEjected        = 400
+	healthReturned       = 401
+	healthFloorHolds     = 402
+	healthArbiterStarted = 403
+	healthArbiterStopped = 404
+	healthVerdictExpired = 405
+	healthHoldExtended   = 406
+	healthDigestsLate    = 407
+)
+
+func healthEntries() []Entry {
+	return []Entry{
+		{
+			healthEjected, LevelWarn, "target ejected",
+			"the arbiter found a target wrong, failing or slow beside its peers; `detail` gives cause and hold-off",
+			"no new work goes to the target", "nothing at once; look at the target",
+		},
+		{
+			healthReturned, LevelInfo, "target returned",
+			"the hold-off is over, or the floor needs the target",
+			"work comes back, a tenth at first", none,
+		},
+		{
+			healthFloorHolds, LevelError, "floor holds",
+			"a target is sick, but ejecting it would break the floor",
+			"callers still meet the sick target", "repair it, add targets, or publish a lower floor",
+		},
+		{
+			healthArbiterStarted, LevelInfo, "arbiter started",
+			"this daemon has begun to decide for a service",
+			"verdicts come from it", none,
+		},
+		{
+			healthArbiterStopped, LevelInfo, "arbiter stopped",
+			"this daemon lost standing, or the list names another",
+			"a pause of about two seconds in ejections", "nothing; if it repeats, look at standing",
+		},
+		{
+			healthVerdictExpired, LevelWarn, "verdict expired",
+			"the arbiter was silent for 1.5 s",
+			"ejected targets get work from this entry again", "look for a daemon that is down but still listed",
+		},
+		{
+			healthHoldExtended, LevelWarn, "hold extended",
+			"probes of an ejected target still fail",
+			"it stays out", "repair the target",
+		},
+		{
+			healthDigestsLate, LevelWarn, "digests late",
+			"evidence exceeds the budget of bytes",
+			"sick targets are found later", "see the limits in design note 05",
+		},
+	}
+}
