Measure requests, runs and the control side

Cause: the scrape page was there, but nothing was registered on it.

Ruled out: the library's timer, whose rates need a goroutine that no context can end; a histogram with a decaying sample does without. runtime.ReadMemStats, which stops the process at each scrape; runtime/metrics does not. Timing inside the entry: a handler around it also times answers that are cut by a panic.

Change: io/crdaemon registers requests by outcome, retries, request, run and step times, in-flight work, dropped events, control bytes, goroutines, heap, revision, standing and ready.

--- a/io/cradmin/cradmin.go
+++ b/io/cradmin/cradmin.go
@@ -8,9 +8,7 @@
 
 import (
 	"context"
-	"fmt"
 	"net/http"
-	"strings"
 
 	"github.com/gin-gonic/gin"
 	"github.com/rcrowley/go-metrics"
@@ -50,25 +48,3 @@
 	}
 	c.IndentedJSON(http.StatusOK, v)
 }
-
-// scrape writes the metrics one a line, as scrapers of text expositions read
-// them.
-func scrape(c *gin.Context, registry metrics.Registry) {
-	c.Status(http.StatusOK)
-	c.Header("Content-Type", "text/plain; version=0.0.4")
-	registry.Each(func(name string, m any) {
-		name = "camphorroad_" + strings.NewReplacer(".", "_", "-", "_").Replace(name)
-		switch m := m.(type) {
-		case metrics.Counter:
-			_, _ = fmt.Fprintf(c.Writer, "%s %d\n", name, m.Count())
-		case metrics.Gauge:
-			_, _ = fmt.Fprintf(c.Writer, "%s %d\n", name, m.Value())
-		case metrics.Timer:
-			s := m.Snapshot()
-			_, _ = fmt.Fprintf(c.Writer, "%s_count %d\n", name, s.Count())
-			for _, q := range []float64{0.5, 0.99} {
-				_, _ = fmt.Fprintf(c.Writer, "%s{quantile=\"%g\"} %.0f\n", name, q, s.Percentile(q))
-			}
-		}
-	})
-}
--- a/io/crcontrol/crcontrol.go
+++ b/io/crcontrol/crcontrol.go
@@ -40,8 +40,8 @@
 	Before func(now crid.Instant) []crevent.Event
 	// Wake fires when Before should run without waiting for the next tick.
 	Wake <-chan struct{}
-	// Record is called with each event before it is applied; nil: none.
-	Record func(ev crevent.Event)
+	// Stepped is told how long the reducers took for each event; nil: nobody.
+	Stepped func(took time.Duration)
 }
 
 // Loop owns the control state.
@@ -120,14 +120,20 @@
 }
 
 func (l *Loop) apply(ev crevent.Event) {
-	if l.opts.Record != nil {
-		l.opts.Record(ev)
-	}
-	for _, eff := range l.root.Step(ev) {
+	for _, eff := range l.step(ev) {
 		l.opts.Do(eff)
 	}
 }
 
+func (l *Loop) step(ev crevent.Event) []crevent.Effect {
+	if l.opts.Stepped == nil {
+		return l.root.Step(ev)
+	}
+	started := l.opts.Clock()
+	defer func() { l.opts.Stepped(l.opts.Clock().Sub(started)) }()
+	return l.root.Step(ev)
+}
+
 // Dump asks the loop for the state.
 func (l *Loop) Dump(ctx context.Context) (crdaemon.Dump, error) {
 	ask := make(chan crdaemon.Dump, 1)
--- a/io/crdaemon/crdaemon.go
+++ b/io/crdaemon/crdaemon.go
@@ -14,6 +14,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -60,6 +61,7 @@
 			func() *crlog.Logger { return crlog.New(logTo, cfg.Log.Level, cfg.Name) },
 			func() *crforward.Pulse { return crforward.NewPulse(crforward.DefaultPulseLimit, crclock.Now()) },
 			metrics.NewRegistry,
+			newMeters,
 			newIdentity,
 			newRegistry,
 			newExit,
@@ -98,15 +100,15 @@
 	return crplatform.NewClient(cfg.Platform.URL)
 }
 
-func newExit(cfg crsettings.Settings, pulse *crforward.Pulse) *crexit.Exit {
+func newExit(cfg crsettings.Settings, pulse *crforward.Pulse, m *meters) *crexit.Exit {
 	specs := make([]crexit.Spec, 0, len(cfg.Targets))
 	for _, t := range cfg.Targets {
 		specs = append(specs, crexit.Spec{Name: crid.Target(t.Name), Service: crid.Service(t.Service), Addr: t.Addr})
 	}
-	return crexit.New(crexit.Options{Targets: specs, Pulse: pulse, Clock: crclock.Now})
+	return crexit.New(crexit.Options{Targets: specs, Pulse: pulse, Clock: crclock.Now, Observe: m.ran})
 }
 
-func newShell(cfg crsettings.Settings, log *crlog.Logger, pulse *crforward.Pulse, exit *crexit.Exit) *shell {
+func newShell(cfg crsettings.Settings, log *crlog.Logger, pulse *crforward.Pulse, exit *crexit.Exit, m *meters) *shell {
 	s := &shell{
 		self:  cfg.Daemon(),
 		log:   log,
@@ -126,7 +128,7 @@
 		crdaemon.Part{Name: "account", Reducer: craccount.New(craccount.DefaultParams())},
 	)
 	s.loop = crcontrol.New(root, crcontrol.Options{
-		Clock: crclock.Now, Do: s.do, Before: s.before, Wake: s.wallet.Wanted(),
+		Clock: crclock.Now, Do: s.do, Before: s.before, Wake: s.wallet.Wanted(), Stepped: m.stepped,
 	})
 	return s
 }
@@ -168,10 +170,13 @@
 
 func newDaemon(
 	lc fx.Lifecycle, cfg crsettings.Settings, log *crlog.Logger, s *shell, entry *crentry.Entry,
-	exit *crexit.Exit, registry metrics.Registry, id *crpeer.Identity, platform *crplatform.Client,
-) *daemon {
+	exit *crexit.Exit, registry metrics.Registry, m *meters, id *crpeer.Identity, platform *crplatform.Client,
+) (*daemon, error) {
+	if err := register(registry, slices.Concat(entryGauges(entry), s.gauges(exit), processGauges())); err != nil {
+		return nil, fmt.Errorf("register metrics: %w", err)
+	}
 	d := &daemon{cfg: cfg, log: log, shell: s, entry: entry, exit: exit}
-	d.callers = callerServer(cfg, entry)
+	d.callers = callerServer(cfg, m.timed(entry, crclock.Now))
 	d.admin = &http.Server{
 		Handler:           cradmin.New(cradmin.Options{Ready: s.checkReady, State: d.state, Metrics: registry}),
 		ReadHeaderTimeout: cfg.Limits.HeaderTime.Duration,
@@ -182,7 +187,7 @@
 		func(startCtx context.Context) error { return d.start(startCtx, ctx, id, platform) },
 		d.stop,
 	))
-	return d
+	return d, nil
 }
 
 // callerServer takes HTTP/1.1 and HTTP/2, the latter also in clear text.
