Complete the state dump, and show it by part

Cause: the dump had the reducers' states only; what an operator asks first, why an account is limited or a target gets no work, was not in it.

Ruled out: golden files of values, which change with each run; the golden file holds the fields of the types, so that what is empty in a quiet daemon is told too. Selecting the part at the client, which would fetch a whole fleet's targets for one field.

Change: the dump tells per target status, weight, in flight, strikes and avoidance; per target beside the daemon its queue; ledger counts; the wallet; requests by outcome and control bytes. The queue's field inFlight is now inflight, one word as all others.

Conclusion: complete but for the part of health, which joins by its reducer.

--- /dev/null
+++ b/core/craccount/walletdump.go
@@ -0,0 +1,41 @@
+package craccount
+
+import (
+	"cmp"
+	"slices"
+
+	"camphorroad/core/crid"
+)
+
+// WalletDump is one account's tokens at this daemon, for the state dump.
+type WalletDump struct {
+	Account crid.Account `json:"account"`
+	Tokens  int          `json:"tokens"` // that may be spent now
+	Lots    int          `json:"lots"`   // grants they came with
+	Dry     bool         `json:"dry"`    // the account is known to be exhausted
+}
+
+// Dump returns what the wallet holds at now, sorted by account.
+func (w *Wallet) Dump(now crid.Instant) []WalletDump {
+	var all []WalletDump
+	for i := range w.shards {
+		for _, c := range w.shards[i].load() {
+			all = append(all, c.dump(now))
+		}
+	}
+	slices.SortFunc(all, func(a, b WalletDump) int { return cmp.Compare(a.Account, b.Account) })
+	return all
+}
+
+func (c *cell) dump(now crid.Instant) WalletDump {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	d := WalletDump{Account: c.name, Dry: now.Before(c.dryUntil)}
+	for _, l := range c.lots {
+		if l.left > 0 && now.Before(l.voidAt) {
+			d.Tokens += l.left
+			d.Lots++
+		}
+	}
+	return d
+}
--- /dev/null
+++ b/core/crroute/dump.go
@@ -0,0 +1,46 @@
+package crroute
+
+import (
+	"time"
+
+	"camphorroad/core/crid"
+)
+
+// String returns the status's word in the state dump.
+func (s Status) String() string {
+	switch s {
+	case StatusReady:
+		return "ready"
+	case StatusEjected:
+		return "ejected"
+	case StatusLeaving:
+		return "leaving"
+	}
+	return "unknown"
+}
+
+// Dump is a target as this daemon's traffic sees it, for the state dump.
+type Dump struct {
+	Name     crid.Target   `json:"name"`
+	Daemon   crid.Daemon   `json:"daemon"`
+	Domain   crid.Domain   `json:"domain"`
+	Status   string        `json:"status"`
+	Weight   int           `json:"weight"`   // of FullWeight
+	InFlight int64         `json:"inflight"` // of this daemon
+	Strikes  int64         `json:"strikes"`  // failures since the last answer
+	Avoided  time.Duration `json:"avoided"`  // for which this daemon still avoids it; zero: not avoided
+}
+
+// Dump returns the target's state at now.
+func (t *Target) Dump(now crid.Instant) Dump {
+	return Dump{
+		Name:     t.name,
+		Daemon:   t.daemon,
+		Domain:   t.domain,
+		Status:   t.status.String(),
+		Weight:   t.weight,
+		InFlight: t.load.InFlight(),
+		Strikes:  t.load.strikes.Load(),
+		Avoided:  max(0, t.load.AvoidedUntil().Sub(now)),
+	}
+}
--- a/core/crslot/dump.go
+++ b/core/crslot/dump.go
@@ -11,7 +11,7 @@
 // AccountDump is one account's part of a [Dump].
 type AccountDump struct {
 	Account  crid.Account  `json:"account"`
-	InFlight int           `json:"inFlight"`
+	InFlight int           `json:"inflight"`
 	Waiting  int           `json:"waiting"`
 	Cost     time.Duration `json:"cost"` // smoothed service time
 }
@@ -20,7 +20,7 @@
 type Dump struct {
 	Slots    int           `json:"slots"` // in effect now
 	Most     int           `json:"most"`  // without shed answers
-	InFlight int           `json:"inFlight"`
+	InFlight int           `json:"inflight"`
 	Waiting  int           `json:"waiting"`
 	Room     int           `json:"room"`
 	Draining bool          `json:"draining"`
--- a/e2e/config_test.go
+++ b/e2e/config_test.go
@@ -1,6 +1,7 @@
 package e2e_test
 
 import (
+	"fmt"
 	"net/http"
 	"strings"
 	"time"
@@ -8,6 +9,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"camphorroad/core/crpolicy"
 	labplatform "camphorroad/lab/crplatform"
 )
 
@@ -112,6 +114,7 @@
 		Expect(err).NotTo(HaveOccurred())
 		Expect(b.String()).To(ContainSubstring(d.name))
 		Expect(b.String() + d.log.String()).NotTo(ContainSubstring(a.key()))
+		Expect(b.String() + d.log.String()).NotTo(ContainSubstring(fmt.Sprintf("%x", crpolicy.HashKey(a.key()))))
 		for _, u := range f.upstreams {
 			Expect(u.Runs().Leaks).To(BeZero())
 		}
--- a/io/cradmin/cradmin.go
+++ b/io/cradmin/cradmin.go
@@ -8,16 +8,22 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 
 	"github.com/gin-gonic/gin"
 	"github.com/rcrowley/go-metrics"
 )
 
+// ErrNoPart tells that the state has no part of the name asked for.
+var ErrNoPart = errors.New("no such part of the state")
+
 // Options configure the pages.
 type Options struct {
-	Ready   func() error // nil: ready
-	State   func(ctx context.Context) (any, error)
+	Ready func() error // nil: ready
+	// State returns the dump, or the part of it that is named; ErrNoPart where
+	// there is none of that name.
+	State   func(ctx context.Context, part string) (any, error)
 	Metrics metrics.Registry
 }
 
@@ -40,8 +46,12 @@
 	c.JSON(http.StatusOK, gin.H{"ready": true})
 }
 
-func state(c *gin.Context, dump func(ctx context.Context) (any, error)) {
-	v, err := dump(c.Request.Context())
+func state(c *gin.Context, dump func(ctx context.Context, part string) (any, error)) {
+	v, err := dump(c.Request.Context(), c.Query("part"))
+	if errors.Is(err, ErrNoPart) {
+		c.JSON(http.StatusNotFound, gin.H{"error": err.Error()})
+		return
+	}
 	if err != nil {
 		c.JSON(http.StatusServiceUnavailable, gin.H{"error": err.Error()})
 		return
--- a/io/crdaemon/crdaemon.go
+++ b/io/crdaemon/crdaemon.go
@@ -281,28 +281,3 @@
 	d.log.Event(crlog.DaemonStopped, nil)
 	return err
 }
-
-func (d *daemon) state(ctx context.Context) (any, error) {
-	control, err := d.shell.loop.Dump(ctx)
-	if err != nil {
-		return nil, err
-	}
-	return stateDump{
-		Daemon:   d.cfg.Daemon(),
-		Domain:   crid.Domain(d.cfg.Domain),
-		Standing: d.shell.isTrusted(crclock.Now()),
-		InFlight: d.entry.InFlight(),
-		Running:  d.exit.InFlight(),
-		Control:  control,
-	}, nil
-}
-
-// stateDump is a daemon's whole state on request. It must hold no secret.
-type stateDump struct {
-	Daemon   crid.Daemon   `json:"daemon"`
-	Domain   crid.Domain   `json:"domain"`
-	Standing bool          `json:"standing"`
-	InFlight int64         `json:"inflight"` // callers' requests
-	Running  int64         `json:"running"`  // at this daemon's targets
-	Control  crdaemon.Dump `json:"control"`
-}
--- /dev/null
+++ b/io/crdaemon/state.go
@@ -0,0 +1,141 @@
+package crdaemon
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+
+	"camphorroad/core/craccount"
+	"camphorroad/core/crdaemon"
+	"camphorroad/core/crid"
+	"camphorroad/core/crroute"
+	"camphorroad/io/cradmin"
+	"camphorroad/io/crclock"
+	"camphorroad/io/crexit"
+)
+
+// The parts of the dump that are not a reducer's alone.
+const (
+	partAccount = "account"
+	partTraffic = "traffic"
+)
+
+// stateDump is a daemon's whole state on request. It must hold no secret.
+type stateDump struct {
+	Daemon   crid.Daemon    `json:"daemon"`
+	Domain   crid.Domain    `json:"domain"`
+	Now      crid.Instant   `json:"now"` // the daemon's clock, which all instants of the dump are read from
+	Ready    string         `json:"ready"`
+	Standing bool           `json:"standing"` // it may act on what it knows
+	Revision int64          `json:"revision"` // in force; zero for none
+	Parts    map[string]any `json:"parts"`
+}
+
+// accountDump is the part of client accounts.
+type accountDump struct {
+	Control any                    `json:"control"`
+	Wallet  []craccount.WalletDump `json:"wallet"`
+}
+
+// trafficDump is the part of requests and connections.
+type trafficDump struct {
+	InFlight int64                           `json:"inflight"` // callers' requests
+	Sent     int64                           `json:"sent"`     // bytes of control messages
+	Received int64                           `json:"received"` // bytes of control messages
+	Dropped  int64                           `json:"dropped"`  // control events
+	Requests requestCounts                   `json:"requests"`
+	Services map[crid.Service][]crroute.Dump `json:"services"`
+	Exit     crexit.Dump                     `json:"exit"`
+}
+
+// requestCounts are callers' requests since the start.
+type requestCounts struct {
+	Answered int64 `json:"answered"`
+	NotRun   int64 `json:"notrun"`
+	Unknown  int64 `json:"unknown"`
+	Cut      int64 `json:"cut"`
+	Denied   int64 `json:"denied"`  // without a good key; in notrun too
+	Limited  int64 `json:"limited"` // over the rate; in notrun too
+	Retried  int64 `json:"retried"` // attempts beyond the first
+}
+
+// state returns the whole dump, or one part of it alone.
+func (d *daemon) state(ctx context.Context, part string) (any, error) {
+	control, err := d.shell.loop.Dump(ctx)
+	if err != nil {
+		return nil, err
+	}
+	dump := d.dump(control)
+	if part == "" {
+		return dump, nil
+	}
+	one, ok := dump.Parts[part]
+	if !ok {
+		known := strings.Join(slices.Sorted(maps.Keys(dump.Parts)), ", ")
+		return nil, fmt.Errorf("%w: %q; this daemon has %s", cradmin.ErrNoPart, part, known)
+	}
+	return one, nil
+}
+
+func (d *daemon) dump(control crdaemon.Dump) stateDump {
+	now := crclock.Now()
+	parts := maps.Clone(control.Parts)
+	parts[partAccount] = accountDump{Control: control.Parts[partAccount], Wallet: d.shell.wallet.Dump(now)}
+	parts[partTraffic] = d.traffic(now)
+	return stateDump{
+		Daemon:   d.cfg.Daemon(),
+		Domain:   crid.Domain(d.cfg.Domain),
+		Now:      now,
+		Ready:    readyWord(d.shell.checkReady()),
+		Standing: d.shell.isTrusted(now),
+		Revision: d.shell.revision(),
+		Parts:    parts,
+	}
+}
+
+func readyWord(err error) string {
+	if err != nil {
+		return err.Error()
+	}
+	return "yes"
+}
+
+func (d *daemon) traffic(now crid.Instant) trafficDump {
+	sent, received := d.shell.peers.Traffic()
+	c := d.entry.Counters()
+	return trafficDump{
+		InFlight: d.entry.InFlight(),
+		Sent:     sent,
+		Received: received,
+		Dropped:  d.shell.loop.Dropped(),
+		Requests: requestCounts{
+			Answered: c.Answered.Load(),
+			NotRun:   c.NotRun.Load(),
+			Unknown:  c.Unknown.Load(),
+			Cut:      c.Cut.Load(),
+			Denied:   c.Denied.Load(),
+			Limited:  c.Limited.Load(),
+			Retried:  c.Retried.Load(),
+		},
+		Services: d.shell.services(now),
+		Exit:     d.exit.Dump(),
+	}
+}
+
+// services are the targets that requests are sent to, by service.
+func (s *shell) services(now crid.Instant) map[crid.Service][]crroute.Dump {
+	out := make(map[crid.Service][]crroute.Dump)
+	view := s.view.Load()
+	if view == nil {
+		return out
+	}
+	for _, name := range view.Services() {
+		pool := view.Pool(name)
+		for _, t := range slices.Concat(pool.Local(), pool.Remote()) {
+			out[name] = append(out[name], t.Dump(now))
+		}
+	}
+	return out
+}
