--- a/io/cradmin/cradmin.go
+++ b/io/cradmin/cradmin.go
@@ -8,18 +8,22 @@
 
 import (
 	"context"
-	"fmt"
+	"errors"
 	"net/http"
-	"strings"
 
 	"github.com/gin-gonic/gin"
 	"github.com/rcrowley/go-metrics"
 )
 
+// ErrNoPart tells that the state has no part of the name asked for.
+var ErrNoPart = errors.New("no such part of the state")
+
 // Options configure the pages.
 type Options struct {
-	Ready   func() error // nil: ready
-	State   func(ctx context.Context) (any, error)
+	Ready func() error // nil: ready
+	// State returns the dump, or the part of it that is named; ErrNoPart where
+	// there is none of that name.
+	State   func(ctx context.Context, part string) (any, error)
 	Metrics metrics.Registry
 }
 
@@ -42,33 +46,15 @@
 	c.JSON(http.StatusOK, gin.H{"ready": true})
 }
 
-func state(c *gin.Context, dump func(ctx context.Context) (any, error)) {
-	v, err := dump(c.Request.Context())
+func state(c *gin.Context, dump func(ctx context.Context, part string) (any, error)) {
+	v, err := dump(c.Request.Context(), c.Query("part"))
+	if errors.Is(err, ErrNoPart) {
+		c.JSON(http.StatusNotFound, gin.H{"error": err.Error()})
+		return
+	}
 	if err != nil {
 		c.JSON(http.StatusServiceUnavailable, gin.H{"error": err.Error()})
 		return
 	}
 	c.IndentedJSON(http.StatusOK, v)
 }
-
-// scrape writes the metrics one a line, as scrapers of text expositions read
-// them.
-func scrape(c *gin.Context, registry metrics.Registry) {
-	c.Status(http.StatusOK)
-	c.Header("Content-Type", "text/plain; version=0.0.4")
-	registry.Each(func(name string, m any) {
-		name = "camphorroad_" + strings.NewReplacer(".", "_", "-", "_").Replace(name)
-		switch m := m.(type) {
-		case metrics.Counter:
-			_, _ = fmt.Fprintf(c.Writer, "%s %d\n", name, m.Count())
-		case metrics.Gauge:
-			_, _ = fmt.Fprintf(c.Writer, "%s %d\n", name, m.Value())
-		case metrics.Timer:
-			s := m.Snapshot()
-			_, _ = fmt.Fprintf(c.Writer, "%s_count %d\n", name, s.Count())
-			for _, q := range []float64{0.5, 0.99} {
-				_, _ = fmt.Fprintf(c.Writer, "%s{quantile=\"%g\"} %.0f\n", name, q, s.Percentile(q))
-			}
-		}
-	})
-}
--- a/io/crdaemon/crdaemon.go
+++ b/io/crdaemon/crdaemon.go
@@ -14,6 +14,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -61,6 +62,7 @@
 			func() *crlog.Logger { return crlog.New(logTo, cfg.Log.Level, cfg.Name) },
 			func() *crforward.Pulse { return crforward.NewPulse(crforward.DefaultPulseLimit, crclock.Now()) },
 			metrics.NewRegistry,
+			newMeters,
 			newIdentity,
 			newRegistry,
 			newExit,
@@ -99,15 +101,15 @@
 	return crplatform.NewClient(cfg.Platform.URL)
 }
 
-func newExit(cfg crsettings.Settings, pulse *crforward.Pulse) *crexit.Exit {
+func newExit(cfg crsettings.Settings, pulse *crforward.Pulse, m *meters) *crexit.Exit {
 	specs := make([]crexit.Spec, 0, len(cfg.Targets))
 	for _, t := range cfg.Targets {
 		specs = append(specs, crexit.Spec{Name: crid.Target(t.Name), Service: crid.Service(t.Service), Addr: t.Addr})
 	}
-	return crexit.New(crexit.Options{Targets: specs, Pulse: pulse, Clock: crclock.Now})
+	return crexit.New(crexit.Options{Targets: specs, Pulse: pulse, Clock: crclock.Now, Observe: m.ran})
 }
 
-func newShell(cfg crsettings.Settings, log *crlog.Logger, pulse *crforward.Pulse, exit *crexit.Exit) *shell {
+func newShell(cfg crsettings.Settings, log *crlog.Logger, pulse *crforward.Pulse, exit *crexit.Exit, m *meters) *shell {
 	s := &shell{
 		self:  cfg.Daemon(),
 		log:   log,
@@ -130,7 +132,7 @@
 		crdaemon.Part{Name: "health", Reducer: crhealth.New(crhealth.DefaultParams())},
 	)
 	s.loop = crcontrol.New(root, crcontrol.Options{
-		Clock: crclock.Now, Do: s.do, Before: s.before, Wake: s.wallet.Wanted(),
+		Clock: crclock.Now, Do: s.do, Before: s.before, Wake: s.wallet.Wanted(), Stepped: m.stepped,
 	})
 	return s
 }
@@ -172,10 +174,13 @@
 
 func newDaemon(
 	lc fx.Lifecycle, cfg crsettings.Settings, log *crlog.Logger, s *shell, entry *crentry.Entry,
-	exit *crexit.Exit, registry metrics.Registry, id *crpeer.Identity, platform *crplatform.Client,
-) *daemon {
+	exit *crexit.Exit, registry metrics.Registry, m *meters, id *crpeer.Identity, platform *crplatform.Client,
+) (*daemon, error) {
+	if err := register(registry, slices.Concat(entryGauges(entry), s.gauges(exit), processGauges())); err != nil {
+		return nil, fmt.Errorf("register metrics: %w", err)
+	}
 	d := &daemon{cfg: cfg, log: log, shell: s, entry: entry, exit: exit}
-	d.callers = callerServer(cfg, entry)
+	d.callers = callerServer(cfg, m.timed(entry, crclock.Now))
 	d.admin = &http.Server{
 		Handler:           cradmin.New(cradmin.Options{Ready: s.checkReady, State: d.state, Metrics: registry}),
 		ReadHeaderTimeout: cfg.Limits.HeaderTime.Duration,
@@ -186,7 +191,7 @@
 		func(startCtx context.Context) error { return d.start(startCtx, ctx, id, platform) },
 		d.stop,
 	))
-	return d
+	return d, nil
 }
 
 // callerServer takes HTTP/1.1 and HTTP/2, the latter also in clear text.
@@ -280,28 +285,3 @@
 	d.log.Event(crlog.DaemonStopped, nil)
 	return err
 }
-
-func (d *daemon) state(ctx context.Context) (any, error) {
-	control, err := d.shell.loop.Dump(ctx)
-	if err != nil {
-		return nil, err
-	}
-	return stateDump{
-		Daemon:   d.cfg.Daemon(),
-		Domain:   crid.Domain(d.cfg.Domain),
-		Standing: d.shell.isTrusted(crclock.Now()),
-		InFlight: d.entry.InFlight(),
-		Running:  d.exit.InFlight(),
-		Control:  control,
-	}, nil
-}
-
-// stateDump is a daemon's whole state on request. It must hold no secret.
-type stateDump struct {
-	Daemon   crid.Daemon   `json:"daemon"`
-	Domain   crid.Domain   `json:"domain"`
-	Standing bool          `json:"standing"`
-	InFlight int64         `json:"inflight"` // callers' requests
-	Running  int64         `json:"running"`  // at this daemon's targets
-	Control  crdaemon.Dump `json:"control"`
-}
