Let ejections go on through a handover

Ruled out: keeping verdicts for longer (a deposed arbiter's would add up with its successor's, below the floor). Change: crhealth acts up to Bridge for services whose arbiter is the same under every list of the handover, and keeps its silence served; the fake of its tests hands out bridges.

--- a/core/crhealth/arbiter.go
+++ b/core/crhealth/arbiter.go
@@ -83,22 +83,9 @@
 	s.answer(msg.Service, d, from)
 }
 
-// deciding reports whether this daemon may send verdicts for the service. A new
-// arbiter waits until no verdict of a former one, or of its own former life,
-// can be in force any more.
-func (s *State) deciding() bool {
-	if s.params.Alone {
-		return true
-	}
-	if s.params.has(guardSilence) && s.now.Sub(s.since) < s.params.Silence() {
-		return false
-	}
-	return s.mayAct()
-}
-
 // answer sends the present verdict to an entry, on its newest digest.
 func (s *State) answer(service crid.Service, d *docket, to crid.Daemon) {
-	if !s.deciding() {
+	if !s.deciding(service) {
 		return
 	}
 	known := d.senders[to]
@@ -172,7 +159,7 @@
 			s.tellActing(service, d, false)
 			continue
 		}
-		s.tellActing(service, d, s.deciding())
+		s.tellActing(service, d, s.deciding(service))
 		if s.now.Sub(d.judgedAt) >= s.params.JudgeEvery {
 			d.judgedAt = s.now
 			s.judge(service, d)
@@ -197,7 +184,7 @@
 	s.prune(service, d)
 	sick := s.suspects(d)
 	changed := s.endHolds(service, d)
-	if !s.deciding() {
+	if !s.deciding(service) {
 		return
 	}
 	changed = s.restoreFloor(service, d) || changed
--- a/core/crhealth/crhealth.go
+++ b/core/crhealth/crhealth.go
@@ -27,8 +27,6 @@
 	"slices"
 	"strings"
 
-	"github.com/cespare/xxhash/v2"
-
 	"camphorroad/core/crconfig"
 	"camphorroad/core/crevent"
 	"camphorroad/core/crid"
@@ -59,13 +57,11 @@
 	places   map[crid.Target]*place
 	targets  map[crid.Service][]crid.Target // sorted
 	peers    map[crid.Daemon]crmember.Peer
-	tenure   crmember.Tenure
-	since    crid.Instant // when the tenure under its list was first heard
+	standing standing
 
 	entries map[crid.Service]*entry
 	hot     map[crid.Service]bool // services whose Steer changes with time
 	dockets map[crid.Service]*docket
-	ranked  map[crid.Service]crid.Daemon // arbiters already worked out, under the active list
 	seq     uint64
 	number  uint64
 	credit  float64 // bytes that digests may take now
@@ -78,14 +74,14 @@
 // New returns a reducer that knows nothing yet.
 func New(p Params) *State {
 	return &State{
-		params:  p,
-		places:  make(map[crid.Target]*place),
-		targets: make(map[crid.Service][]crid.Target),
-		peers:   make(map[crid.Daemon]crmember.Peer),
-		entries: make(map[crid.Service]*entry),
-		hot:     make(map[crid.Service]bool),
-		dockets: make(map[crid.Service]*docket),
-		ranked:  make(map[crid.Service]crid.Daemon),
+		params:   p,
+		places:   make(map[crid.Target]*place),
+		targets:  make(map[crid.Service][]crid.Target),
+		peers:    make(map[crid.Daemon]crmember.Peer),
+		entries:  make(map[crid.Service]*entry),
+		hot:      make(map[crid.Service]bool),
+		dockets:  make(map[crid.Service]*docket),
+		standing: newStanding(),
 	}
 }
 
@@ -183,20 +179,6 @@
 	}
 }
 
-// takeTenure notes the standing. Under another list another daemon may have
-// been arbiter in between, so the wait for its silence starts anew.
-func (s *State) takeTenure(t crmember.Tenure) {
-	if t.Active == 0 {
-		s.tenure.Until = 0
-		return
-	}
-	if t.Active != s.tenure.Active {
-		s.since = s.now
-		clear(s.ranked)
-	}
-	s.tenure = t
-}
-
 // coldNow reports whether a target is in its first seconds.
 func (s *State) coldNow(p *place) bool {
 	return p.cold && s.now.Sub(p.coldSince) < s.params.ColdStart
@@ -234,42 +216,6 @@
 	return max(capacity-policy.Floor, 0)
 }
 
-// arbiter is the daemon that decides for a service, empty if none is known.
-// It follows from the list alone: two daemons with standing under one list
-// can not both take themselves for it.
-func (s *State) arbiter(service crid.Service) crid.Daemon {
-	if s.params.Alone {
-		return s.self
-	}
-	if best, ok := s.ranked[service]; ok {
-		return best
-	}
-	var best crid.Daemon
-	var most uint64
-	for _, d := range s.tenure.Members {
-		if rank := rankOf(service, d); best == "" || rank > most {
-			best = d
-			most = rank
-		}
-	}
-	s.ranked[service] = best
-	return best
-}
-
-func rankOf(service crid.Service, d crid.Daemon) uint64 {
-	h := xxhash.New()
-	_, _ = h.WriteString(string(service))
-	_, _ = h.WriteString("\x00")
-	_, _ = h.WriteString(string(d))
-	return h.Sum64()
-}
-
-// mayAct reports whether this daemon has standing at the instant of the event.
-// A process that was paused learns from its clock that it has lost it.
-func (s *State) mayAct() bool {
-	return s.params.Alone || !s.params.has(guardTenure) || s.now.Before(s.tenure.Until)
-}
-
 func (s *State) receive(from crid.Daemon, msg crevent.Message) {
 	switch msg := msg.(type) {
 	case Digest:
--- a/core/crhealth/fault_test.go
+++ b/core/crhealth/fault_test.go
@@ -225,6 +225,31 @@
 	g.Expect(w.breach()).To(gomega.BeFalse())
 }
 
+// Another instance is replaced while a target is ejected. The arbiter is the
+// same under the former list and the new one; did its verdicts end with the
+// handover, callers would meet the sick target at every change of the list.
+func TestEjectionGoesOnThroughAHandover(t *testing.T) {
+	g := gomega.NewWithT(t)
+	w := beacon(DefaultParams())
+	w.run(5 * time.Second)
+	w.acts[sick] = endsWith(ResultFailed, 1)
+	g.Expect(detect(w, sick)).To(gomega.BeNumerically(">", 0))
+	arbiter := w.arbiter()
+	var rest []crid.Daemon
+	for _, name := range w.names {
+		if name == arbiter.name || len(rest) < len(w.names)-2 {
+			rest = append(rest, name)
+		}
+	}
+	w.change(rest)
+	for range 40 {
+		w.run(100 * time.Millisecond)
+		g.Expect(w.inForce()).To(gomega.HaveKey(sick))
+	}
+	g.Expect(w.arbiter().name).To(gomega.Equal(arbiter.name))
+	g.Expect(w.breach()).To(gomega.BeFalse())
+}
+
 // Half of all digests and verdicts are lost. Entries then differ for a while,
 // but the sick target is found and most hold it ejected.
 func TestLostMessagesOnlyDelay(t *testing.T) {
--- a/core/crhealth/world_test.go
+++ b/core/crhealth/world_test.go
@@ -231,7 +231,11 @@
 	}
 	for _, name := range w.names {
 		n := w.nodes[name]
-		if w.next != nil || n.paused || n.isolated || !slices.Contains(w.members, name) {
+		if n.paused || n.isolated || !slices.Contains(w.members, name) {
+			continue
+		}
+		if w.next != nil {
+			w.bridge(n)
 			continue
 		}
 		now := n.clock(w.now)
@@ -247,17 +251,26 @@
 		return
 	}
 	w.next = members
-	w.switchAt = w.now
+	w.switchAt = w.now + horizon*102/100
 	for _, name := range w.names {
-		n := w.nodes[name]
-		if n.paused || n.isolated {
-			w.switchAt = w.now + horizon*102/100
-			continue
+		if n := w.nodes[name]; !n.paused && !n.isolated {
+			w.bridge(n)
 		}
-		w.step(n, crmember.Tenure{Now: n.clock(w.now)})
 	}
 }
 
+// bridge tells a node of the handover, as crmember does: what both lists give
+// it, it may go on with.
+func (w *world) bridge(n *node) {
+	now := n.clock(w.now)
+	ev := crmember.Tenure{Now: now}
+	if slices.Contains(w.members, n.name) && slices.Contains(w.next, n.name) {
+		ev.Bridge = now.Add(horizon)
+		ev.Over = []crmember.Membership{{Rev: w.rev, Members: w.members}, {Rev: w.rev + 1, Members: w.next}}
+	}
+	w.step(n, ev)
+}
+
 func (w *world) traffic(n *node) {
 	states := make(map[crid.Target]TargetState)
 	if st := n.steer[booking]; n.clock(w.now).Before(st.Until) || st.Until == 0 {
