Record a daemon's control events and replay them

Cause: the users want proof by replay of recorded traces against stated outcomes, and `limits.trace` was a setting without effect.

Ruled out: recording what is on the wire, which loses timers and the order of events; recording published values, in which the hashes of keys stand; hashing them again, as reducers check the digests (docs/design/10-trace.md).

Change: `[trace] file` and `size` record every event, what parser and loader gave, and a digest of the effects. `trace replay` runs the real reducers over them, checks three invariants and names the first difference by its event; `trace show` prints. The daemon and the replay are wired by one function. Four runs of three processes (calm, frozen, list changed, platform away) are kept with their outcomes; e2e records and replays such runs anew, and `make traces` renews the kept ones.

A first spec waited for event 504 and failed in one of three runs: 504 comes with the next change or at the end of a watch, up to 30 s later. It now waits for the revision that was published meanwhile.

The floor of ejections is not yet among the invariants, as the reducer of health is not here yet.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 GOLANGCI_VERSION = v2.15.0
 GOLANGCI = $(shell $(GO) env GOPATH)/bin/golangci-lint
 
-.PHONY: build test lint format spec tools demo
+.PHONY: traces build test lint format spec tools demo
 
 build:
 	$(GO) build -o bin/ ./cmd/...
@@ -25,5 +25,10 @@
 spec: tools
 	if test -x spec/check; then spec/check; fi
 
+# Records the traces that io/crtrace replays anew, after a meant change of a reducer.
+traces:
+	CAMPHORROAD_TRACES=$(CURDIR)/io/crtrace/testdata $(GO) test -count=1 ./e2e -ginkgo.focus "recorded trace"
+	$(GO) test -count=1 ./io/crtrace -update
+
 demo: build
 	script/demo
--- a/command/command.go
+++ b/command/command.go
@@ -22,6 +22,7 @@
 	"camphorroad/command/policy"
 	"camphorroad/command/serve"
 	"camphorroad/command/state"
+	"camphorroad/command/trace"
 )
 
 type tree struct {
@@ -30,6 +31,7 @@
 	Key     key.Options     `cmd:"" help:"Make and hash client keys."`
 	Cert    cert.Commands   `cmd:"" help:"Make certificates for development."`
 	State   state.Commands  `cmd:"" help:"Look into a running daemon."`
+	Trace   trace.Commands  `cmd:"" help:"Replay what a daemon recorded."`
 	Events  events.Commands `cmd:"" help:"Look up the log's events."`
 	Version versionOptions  `cmd:"" help:"Print the version."`
 }
--- a/core/crconfig/fetch.go
+++ b/core/crconfig/fetch.go
@@ -239,7 +239,7 @@
 		return
 	}
 	delete(f.reads, ev.Digest)
-	if ev.Fault != FaultNone || DigestOf(ev.Data) != ev.Digest {
+	if ev.Fault != FaultNone || s.digestOf(ev.Data) != ev.Digest {
 		s.readFailed(now)
 		return
 	}
--- a/core/crconfig/pull.go
+++ b/core/crconfig/pull.go
@@ -80,7 +80,7 @@
 		return true
 	}
 	delete(f.parts, p.Digest)
-	if DigestOf(data) != p.Digest {
+	if s.digestOf(data) != p.Digest {
 		s.report(NumberBadPush, "from", string(from), "digest", p.Digest.String())
 		s.giveUp(f)
 		return false
--- a/core/crconfig/state.go
+++ b/core/crconfig/state.go
@@ -29,6 +29,8 @@
 	parse  Parser
 	load   Loader
 
+	digestOf func([]byte) Digest
+
 	self      crid.Daemon
 	domain    crid.Domain
 	startedAt crid.Instant
@@ -66,9 +68,20 @@
 
 // New returns a reducer that waits for crevent.Started.
 func New(p Params, parse Parser, load Loader) *State {
-	return &State{params: p, parse: parse, load: load, haves: make(map[crid.Daemon]Have), pieces: make(map[Digest][]byte)}
+	return &State{
+		params:   p,
+		parse:    parse,
+		load:     load,
+		digestOf: DigestOf,
+		haves:    make(map[crid.Daemon]Have),
+		pieces:   make(map[Digest][]byte),
+	}
 }
 
+// UseDigests replaces the digest function. A replay needs it, since a trace
+// holds the digests of the published values but not what is in them.
+func (s *State) UseDigests(digestOf func([]byte) Digest) { s.digestOf = digestOf }
+
 // Ready reports whether the daemon may begin to serve: it has asked the
 // platform, or enough peers of several domains, and has the newest of what they
 // told in force, and a list of instances. It never turns back; see Trusted.
--- a/e2e/fleet_test.go
+++ b/e2e/fleet_test.go
@@ -170,13 +170,15 @@
 cert = %q
 key = %q
 ca = %q
+[trace]
+file = %q
 [[target]]
 name = %q
 service = "booking"
 addr = %q
 `, name, f.domain(i), d.http, d.peer, d.admin, f.server.URL,
 		filepath.Join(f.dir, name+".pem"), filepath.Join(f.dir, name+".key"), filepath.Join(f.dir, "ca.pem"),
-		name, strings.TrimPrefix(srv.URL, "http://"))
+		d.trace(), name, strings.TrimPrefix(srv.URL, "http://"))
 	Expect(os.WriteFile(d.config, []byte(text), 0o600)).To(Succeed())
 	f.relays.add(name, d.peer)
 }
@@ -251,6 +253,9 @@
 	return all
 }
 
+// trace is the file that the daemon records its control events in.
+func (d *daemon) trace() string { return filepath.Join(d.fleet.dir, d.name+".trace") }
+
 func (d *daemon) start() {
 	d.cmd = exec.CommandContext(context.Background(), os.Args[0], "serve", "--config", d.config)
 	d.cmd.Env = append(os.Environ(), roleEnv+"=1")
--- a/io/crcontrol/crcontrol.go
+++ b/io/crcontrol/crcontrol.go
@@ -30,6 +30,15 @@
 // ErrBusy tells that the queue is full.
 var ErrBusy = errors.New("control queue is full")
 
+// Recorder keeps what the reducers were told and what they gave. The control
+// goroutine calls it.
+type Recorder interface {
+	// Event is called before an event is applied.
+	Event(ev crevent.Event)
+	// Effects is called with what came of it.
+	Effects(effects []crevent.Effect)
+}
+
 // Options configure a Loop.
 type Options struct {
 	Clock func() crid.Instant
@@ -40,6 +49,8 @@
 	Before func(now crid.Instant) []crevent.Event
 	// Wake fires when Before should run without waiting for the next tick.
 	Wake <-chan struct{}
+	// Recorder is told of each event and of its effects; nil: nobody.
+	Recorder Recorder
 	// Stepped is told how long the reducers took for each event; nil: nobody.
 	Stepped func(took time.Duration)
 }
@@ -120,7 +131,14 @@
 }
 
 func (l *Loop) apply(ev crevent.Event) {
-	for _, eff := range l.step(ev) {
+	if l.opts.Recorder != nil {
+		l.opts.Recorder.Event(ev)
+	}
+	effects := l.step(ev)
+	if l.opts.Recorder != nil {
+		l.opts.Recorder.Effects(effects)
+	}
+	for _, eff := range effects {
 		l.opts.Do(eff)
 	}
 }
--- a/io/crdaemon/crdaemon.go
+++ b/io/crdaemon/crdaemon.go
@@ -40,6 +40,7 @@
 	"camphorroad/io/crplatform"
 	"camphorroad/io/crpolicyfile"
 	"camphorroad/io/crsettings"
+	"camphorroad/io/crtrace"
 	"camphorroad/io/crwire"
 )
 
@@ -108,7 +109,9 @@
 	return crexit.New(crexit.Options{Targets: specs, Pulse: pulse, Clock: crclock.Now, Observe: m.ran})
 }
 
-func newShell(cfg crsettings.Settings, log *crlog.Logger, pulse *crforward.Pulse, exit *crexit.Exit, m *meters) *shell {
+func newShell(
+	lc fx.Lifecycle, cfg crsettings.Settings, log *crlog.Logger, pulse *crforward.Pulse, exit *crexit.Exit, m *meters,
+) (*shell, error) {
 	s := &shell{
 		self:  cfg.Daemon(),
 		log:   log,
@@ -119,18 +122,37 @@
 	}
 	s.in = crview.Input{Self: s.self, Domain: crid.Domain(cfg.Domain), Loads: s.loads}
 	s.wallet = craccount.NewWallet()
-	params := crconfig.DefaultParams()
-	params.Fleet = cfg.Platform.Fleet
-	s.config = crconfig.New(params, crpolicyfile.ParseManifest, crpolicyfile.Load)
-	root := crdaemon.New(
-		crdaemon.Part{Name: "member", Reducer: crmember.New(crmember.DefaultParams())},
-		crdaemon.Part{Name: "config", Reducer: s.config},
-		crdaemon.Part{Name: "account", Reducer: craccount.New(craccount.DefaultParams())},
-	)
-	s.loop = crcontrol.New(root, crcontrol.Options{
+	params := crdaemon.DefaultParams()
+	params.Config.Fleet = cfg.Platform.Fleet
+	opts := crcontrol.Options{
 		Clock: crclock.Now, Do: s.do, Before: s.before, Wake: s.wallet.Wanted(), Stepped: m.stepped,
+	}
+	parse, load := crconfig.Parser(crpolicyfile.ParseManifest), crconfig.Loader(crpolicyfile.Load)
+	if cfg.Trace.File != "" {
+		rec, err := newRecorder(lc, cfg.Trace, params, log)
+		if err != nil {
+			return nil, err
+		}
+		opts.Recorder = rec
+		parse, load = rec.Parse(parse), rec.Load(load)
+	}
+	var root *crdaemon.State
+	root, s.config = crdaemon.NewControl(params, parse, load)
+	s.loop = crcontrol.New(root, opts)
+	return s, nil
+}
+
+func newRecorder(lc fx.Lifecycle, cfg crsettings.Trace, params crdaemon.Params, log *crlog.Logger) (*crtrace.Recorder, error) {
+	rec, err := crtrace.Create(cfg.File, crtrace.Options{
+		Params:  params,
+		Size:    cfg.Size,
+		Stopped: func(err error) { log.Event(crlog.TraceStopped, crlog.Fields{"error": err.Error()}) },
 	})
-	return s
+	if err != nil {
+		return nil, err
+	}
+	lc.Append(fx.StopHook(rec.Close))
+	return rec, nil
 }
 
 func newPeers(lc fx.Lifecycle, cfg crsettings.Settings, id *crpeer.Identity, reg *crwire.Registry, s *shell) (*crpeer.Transport, error) {
--- a/io/crdaemon/state_test.go
+++ b/io/crdaemon/state_test.go
@@ -30,7 +30,10 @@
 	m := newMeters(metrics.NewRegistry())
 	pulse := crforward.NewPulse(crforward.DefaultPulseLimit, crclock.Now())
 	exit := newExit(cfg, pulse, m)
-	s := newShell(cfg, crlog.New(io.Discard, "info", cfg.Name), pulse, exit, m)
+	s, err := newShell(nil, cfg, crlog.New(io.Discard, "info", cfg.Name), pulse, exit, m)
+	if err != nil {
+		t.Fatal(err)
+	}
 	s.peers = &crpeer.Transport{}
 	ctx, cancel := context.WithCancel(t.Context())
 	t.Cleanup(cancel)
--- a/io/crsettings/crsettings.go
+++ b/io/crsettings/crsettings.go
@@ -30,6 +30,7 @@
 	Targets  []Target `toml:"target"`
 	Log      Log      `toml:"log"`
 	Limits   Limits   `toml:"limits"`
+	Trace    Trace    `toml:"trace"`
 }
 
 // Listen holds the addresses the daemon listens on, each host:port.
@@ -73,10 +74,16 @@
 	BodyIdle     Duration `toml:"bodyidle"`     // longest silence within a body, either way
 	DrainTime    Duration `toml:"draintime"`    // a planned stop gives up after this
 	ReplayBytes  int      `toml:"replaybytes"`  // of a request's body kept for another attempt
-	TracePath    string   `toml:"trace"`        // file to record control events into; empty: none
 	HoldInFlight int      `toml:"holdinflight"` // requests in flight at the entry
 }
 
+// Trace records the control events for a replay. It is meant for finding faults:
+// instances have no disk to spare.
+type Trace struct {
+	File string `toml:"file"` // written anew at each start; empty: nothing is recorded
+	Size int64  `toml:"size"` // bytes; recording stops there
+}
+
 // Duration is a time.Duration that reads "250ms" and the like.
 type Duration struct {
 	time.Duration
@@ -95,11 +102,15 @@
 // defaultFleet suits the fleets of today, of some thirty daemons.
 const defaultFleet = 100
 
+// defaultTrace holds some hours of a small fleet's control events, in bytes.
+const defaultTrace = 64 << 20
+
 // Defaults are the settings before the file is read.
 func Defaults() Settings {
 	return Settings{
 		Log:      Log{Level: "info"},
 		Platform: Platform{Fleet: defaultFleet},
+		Trace:    Trace{Size: defaultTrace},
 		Limits: Limits{
 			HeaderBytes:  32 << 10,
 			HeaderTime:   Duration{5 * time.Second},
@@ -200,6 +211,9 @@
 	positive("bodyidle", s.Limits.BodyIdle.Duration > 0)
 	positive("draintime", s.Limits.DrainTime.Duration > 0)
 	positive("holdinflight", s.Limits.HoldInFlight > 0)
+	if s.Trace.Size <= 0 {
+		errs = append(errs, at.fault("trace.size", "must be above zero"))
+	}
 	switch s.Log.Level {
 	case "debug", "info", "warn", "error":
 	default:
--- /dev/null
+++ b/io/crtrace/event.go
@@ -0,0 +1,194 @@
+package crtrace
+
+import (
+	"fmt"
+	"reflect"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/fxamacker/cbor/v2"
+
+	"camphorroad/core/craccount"
+	"camphorroad/core/crconfig"
+	"camphorroad/core/crevent"
+	"camphorroad/core/crid"
+	"camphorroad/core/crinstance"
+	"camphorroad/core/crmember"
+	"camphorroad/io/crwire"
+)
+
+// The kinds of events that are not recorded field by field.
+const (
+	kindReceived = "received"
+	kindRead     = "read"
+	kindListRead = "listread"
+)
+
+// plainEvents returns the events that are recorded field by field, by kind.
+func plainEvents() map[string]reflect.Type {
+	return map[string]reflect.Type{
+		"started":   reflect.TypeFor[crevent.Started](),
+		"tick":      reflect.TypeFor[crevent.Tick](),
+		"stopping":  reflect.TypeFor[crevent.Stopping](),
+		"advertise": reflect.TypeFor[crmember.Advertise](),
+		"watched":   reflect.TypeFor[crconfig.WatchResult](),
+		"used":      reflect.TypeFor[craccount.Used](),
+	}
+}
+
+type received struct {
+	Now  crid.Instant `cbor:"t"`
+	From crid.Daemon  `cbor:"f"`
+	Msg  []byte       `cbor:"m"` // with its kind
+}
+
+type read struct {
+	Now   crid.Instant   `cbor:"t"`
+	Value piece          `cbor:"v"`
+	Fault crconfig.Fault `cbor:"f"`
+}
+
+type listRead struct {
+	Now       crid.Instant          `cbor:"t"`
+	Rev       crid.Revision         `cbor:"r"`
+	Instances []crinstance.Instance `cbor:"i"`
+	Fault     crconfig.Fault        `cbor:"f"`
+}
+
+// codec turns events into records and back.
+type codec struct {
+	redacted *crwire.Registry // all messages as they are recorded
+	kinds    map[reflect.Type]string
+	types    map[string]reflect.Type
+	sums     cbor.EncMode // the same bytes for the same value, maps included
+}
+
+func newCodec() (*codec, error) {
+	config := crconfig.Messages()
+	for i, msg := range config {
+		config[i] = redactMessage(msg)
+	}
+	redacted, err := crwire.NewRegistry(crmember.Messages(), config, craccount.Messages())
+	if err != nil {
+		return nil, err
+	}
+	sums, err := cbor.CanonicalEncOptions().EncMode()
+	if err != nil {
+		return nil, err
+	}
+	c := &codec{redacted: redacted, kinds: make(map[reflect.Type]string), types: plainEvents(), sums: sums}
+	for kind, t := range c.types {
+		c.kinds[t] = kind
+	}
+	return c, nil
+}
+
+// encode returns the record of an event; its error is ErrRecord.
+func (c *codec) encode(ev crevent.Event) ([]byte, error) {
+	switch ev := ev.(type) {
+	case crevent.Received:
+		msg, err := c.redacted.Encode(redactMessage(ev.Msg))
+		if err != nil {
+			return nil, fmt.Errorf("%w: %w", ErrRecord, err)
+		}
+		return encode(kindReceived, received{Now: ev.Now, From: ev.From, Msg: msg})
+	case crconfig.Read:
+		return encode(kindRead, redactRead(ev))
+	case crconfig.ListRead:
+		return encode(kindListRead, listRead{Now: ev.Now, Rev: ev.List.Revision(), Instances: ev.List.Instances(), Fault: ev.Fault})
+	}
+	kind, ok := c.kinds[reflect.TypeOf(ev)]
+	if !ok {
+		return nil, fmt.Errorf("%w: no kind for the event %T", ErrRecord, ev)
+	}
+	return encode(kind, ev)
+}
+
+// redactRead keeps a digest that does not fit the data from fitting the filler.
+func redactRead(ev crconfig.Read) read {
+	fits := crconfig.DigestOf(ev.Data) == ev.Digest
+	r := read{Now: ev.Now, Value: redact(ev.Digest, 0, len(ev.Data), ev.Data), Fault: ev.Fault}
+	if !fits && ev.Fault == crconfig.FaultNone {
+		r.Fault = crconfig.FaultMissing
+	}
+	return r
+}
+
+// decode returns the event of a record, or nil for a record of another kind.
+func (c *codec) decode(rec record) (crevent.Event, error) {
+	switch rec.Kind {
+	case kindReceived:
+		return c.decodeReceived(rec)
+	case kindRead:
+		return decodeRead(rec)
+	case kindListRead:
+		var l listRead
+		err := rec.decode(&l)
+		return crconfig.ListRead{Now: l.Now, List: crinstance.NewList(l.Rev, l.Instances), Fault: l.Fault}, err
+	}
+	t, ok := c.types[rec.Kind]
+	if !ok {
+		return nil, nil
+	}
+	v := reflect.New(t)
+	if err := rec.decode(v.Interface()); err != nil {
+		return nil, err
+	}
+	return v.Elem().Interface().(crevent.Event), nil
+}
+
+func (c *codec) decodeReceived(rec record) (crevent.Event, error) {
+	var r received
+	if err := rec.decode(&r); err != nil {
+		return nil, err
+	}
+	msg, err := c.redacted.Decode(r.Msg)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrRecord, err)
+	}
+	if p, ok := msg.(push); ok {
+		if msg, err = p.restore(); err != nil {
+			return nil, fmt.Errorf("%w: %w", ErrRecord, err)
+		}
+	}
+	return crevent.Received{Now: r.Now, From: r.From, Msg: msg}, nil
+}
+
+func decodeRead(rec record) (crevent.Event, error) {
+	var r read
+	if err := rec.decode(&r); err != nil {
+		return nil, err
+	}
+	data, err := r.Value.data()
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrRecord, err)
+	}
+	return crconfig.Read{Now: r.Now, Digest: r.Value.Digest, Data: data, Fault: r.Fault}, nil
+}
+
+// sum digests the effects of one event.
+func (c *codec) sum(effects []crevent.Effect) (done, error) {
+	h := xxhash.New()
+	for _, eff := range effects {
+		b, err := c.sums.Marshal(plainEffect(eff))
+		if err != nil {
+			return done{}, fmt.Errorf("%w: effect %s: %w", ErrRecord, eff.EffectName(), err)
+		}
+		_, _ = h.WriteString(eff.EffectName())
+		_, _ = h.Write(b)
+	}
+	return done{Effects: len(effects), Sum: h.Sum64()}, nil
+}
+
+// plainEffect returns what of an effect is digested: all but what a trace leaves
+// out.
+func plainEffect(eff crevent.Effect) any {
+	switch eff := eff.(type) {
+	case crevent.Send:
+		return []any{eff.To, eff.Msg.MessageKind(), redactMessage(eff.Msg)}
+	case crinstance.Listed:
+		return []any{eff.Now, eff.List.Revision(), eff.List.Instances()}
+	case crconfig.InForce:
+		return []any{eff.Now, eff.Snapshot.Revision()}
+	}
+	return eff
+}
--- /dev/null
+++ b/io/crtrace/invariant.go
@@ -0,0 +1,76 @@
+package crtrace
+
+import (
+	"fmt"
+
+	"camphorroad/core/craccount"
+	"camphorroad/core/crconfig"
+	"camphorroad/core/crevent"
+	"camphorroad/core/crid"
+	"camphorroad/core/crmember"
+)
+
+// invariants are the outcomes that must hold in every trace. They look at
+// effects alone and share no code with the reducers that they check.
+type invariants struct {
+	inForce crid.Revision // newest configuration
+	tenure  crmember.Tenure
+	highest crid.Revision // newest list that this daemon had tenure under
+}
+
+// check takes the effects of one event, and returns the first that must not be.
+func (inv *invariants) check(now crid.Instant, effects []crevent.Effect) error {
+	for _, eff := range effects {
+		if err := inv.one(now, eff); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (inv *invariants) one(now crid.Instant, eff crevent.Effect) error {
+	switch eff := eff.(type) {
+	case crconfig.InForce:
+		return inv.force(eff.Snapshot.Revision())
+	case crmember.Tenure:
+		return inv.hold(eff)
+	case crevent.Send:
+		if grant, ok := eff.Msg.(craccount.Grant); ok {
+			return inv.grant(now, eff.To, grant)
+		}
+	}
+	return nil
+}
+
+// force: an accepted configuration never reverts.
+func (inv *invariants) force(rev crid.Revision) error {
+	if rev <= inv.inForce {
+		return fmt.Errorf("revision %d came into force after %d", rev, inv.inForce)
+	}
+	inv.inForce = rev
+	return nil
+}
+
+// hold: who had tenure under a list has none under an older one, where others
+// have handed over.
+func (inv *invariants) hold(t crmember.Tenure) error {
+	inv.tenure = t
+	if t.Until == 0 {
+		return nil
+	}
+	if t.Active < inv.highest {
+		return fmt.Errorf("tenure under list %d after list %d", t.Active, inv.highest)
+	}
+	inv.highest = t.Active
+	return nil
+}
+
+// grant: no tokens without tenure.
+func (inv *invariants) grant(now crid.Instant, to crid.Daemon, g craccount.Grant) error {
+	for _, item := range g.Items {
+		if item.Tokens > 0 && !now.Before(inv.tenure.Until) {
+			return fmt.Errorf("%d tokens of account %s granted to %s without tenure", item.Tokens, item.Account, to)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/io/crtrace/trace_test.go
@@ -0,0 +1,313 @@
+package crtrace
+
+import (
+	"bytes"
+	"errors"
+	"flag"
+	"io"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"camphorroad/core/craccount"
+	"camphorroad/core/crconfig"
+	"camphorroad/core/crdaemon"
+	"camphorroad/core/crevent"
+	"camphorroad/core/crid"
+	"camphorroad/core/crmember"
+	"camphorroad/core/crpolicy"
+	"camphorroad/io/crlog"
+)
+
+var update = flag.Bool("update", false, "write the golden files anew")
+
+// names are the recorded runs: each is what the first of three daemons, run as
+// processes, recorded in e2e/trace_test.go.
+func recordings() []string { return []string{"calm", "frozen", "list", "away"} }
+
+func load(t *testing.T, name string) []byte {
+	t.Helper()
+	b, err := os.ReadFile(filepath.Join("testdata", name+".trace"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return b
+}
+
+// A change of a reducer that changes what a daemon did in one of these runs
+// shows here. If the change is meant, `make traces` records them anew.
+func TestRecordedRunsReplayToTheirStatedOutcomes(t *testing.T) {
+	for _, name := range recordings() {
+		t.Run(name, func(t *testing.T) {
+			report, err := Replay(bytes.NewReader(load(t, name)))
+			if err != nil {
+				t.Fatal(err)
+			}
+			var got bytes.Buffer
+			if err := report.Write(&got); err != nil {
+				t.Fatal(err)
+			}
+			golden := filepath.Join("testdata", name+".golden")
+			if *update {
+				if err := os.WriteFile(golden, got.Bytes(), 0o600); err != nil {
+					t.Fatal(err)
+				}
+			}
+			want, err := os.ReadFile(golden)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if got.String() != string(want) {
+				t.Errorf("outcome differs from %s:\n%s", golden, &got)
+			}
+			checkCatalogued(t, report)
+		})
+	}
+}
+
+func checkCatalogued(t *testing.T, report Report) {
+	t.Helper()
+	known := make(map[int]bool)
+	for _, e := range crlog.Catalogue() {
+		known[e.Number] = true
+	}
+	for n := range report.Reported {
+		if !known[n] {
+			t.Errorf("event %d was reported and is not catalogued", n)
+		}
+	}
+}
+
+// A daemon that was killed leaves half a record. What was recorded before must
+// still replay, or the traces of the worst moments would be worth nothing.
+func TestTruncatedTraceReplaysUpToItsEnd(t *testing.T) {
+	whole := load(t, "calm")
+	full, err := Replay(bytes.NewReader(whole))
+	if err != nil {
+		t.Fatal(err)
+	}
+	report, err := Replay(bytes.NewReader(whole[:len(whole)/2]))
+	var at *Error
+	if !errors.Is(err, ErrTruncated) || !errors.As(err, &at) {
+		t.Fatalf("half a trace gives %v", err)
+	}
+	if at.Offset() <= int64(len(magic)) || at.Offset() >= int64(len(whole)/2) {
+		t.Errorf("offset %d of %d bytes", at.Offset(), len(whole)/2)
+	}
+	if report.Events == 0 || report.Events >= full.Events {
+		t.Errorf("%d of %d events replayed", report.Events, full.Events)
+	}
+}
+
+// rewrite returns a trace with some of its records changed.
+func rewrite(t *testing.T, trace []byte, change func(n int, rec *record)) []byte {
+	t.Helper()
+	r, err := newReader(bytes.NewReader(trace))
+	if err != nil {
+		t.Fatal(err)
+	}
+	out := []byte(magic)
+	for n := 0; ; n++ {
+		rec, err := r.read()
+		if errors.Is(err, io.EOF) {
+			return out
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+		change(n, &rec)
+		b, err := encode(rec.Kind, rec.Body)
+		if err != nil {
+			t.Fatal(err)
+		}
+		out = append(out, b...)
+	}
+}
+
+// A reducer that does other than the daemon did must be found at the first
+// event where it does.
+func TestFirstDifferenceIsNamed(t *testing.T) {
+	const changed = 40 // the fortieth event's digest
+	seen := 0
+	trace := rewrite(t, load(t, "calm"), func(_ int, rec *record) {
+		if rec.Kind == kindDone {
+			seen++
+		}
+		if rec.Kind == kindDone && seen >= changed {
+			rec.Body[len(rec.Body)-1] ^= 1
+		}
+	})
+	report, err := Replay(bytes.NewReader(trace))
+	var at *EventError
+	if !errors.Is(err, ErrDiffers) || !errors.As(err, &at) || at.Number() != changed || report.Events != changed {
+		t.Errorf("replay gives %v after %d events", err, report.Events)
+	}
+}
+
+func TestBadFilesAreRefusedWithTheirOffset(t *testing.T) {
+	good := load(t, "calm")
+	unknown := rewrite(t, good, func(n int, rec *record) {
+		if n == 1 {
+			rec.Kind = "mystery"
+		}
+	})
+	long := append([]byte(magic), 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0x7f)
+	for name, tt := range map[string]struct {
+		file []byte
+		want error
+	}{
+		"empty":          {nil, ErrFormat},
+		"another format": {[]byte(strings.Repeat("not a trace ", 9)), ErrFormat},
+		"wild length":    {long, ErrRecord},
+		"unknown kind":   {unknown, ErrRecord},
+		"no CBOR":        {append([]byte(magic), 2, 0xff, 0xff), ErrRecord},
+	} {
+		_, err := Replay(bytes.NewReader(tt.file))
+		var at *Error
+		if !errors.Is(err, tt.want) || !errors.As(err, &at) {
+			t.Errorf("%s gives %v", name, err)
+		}
+	}
+}
+
+// Each invariant is broken once, since a check that can not fail proves nothing.
+func TestInvariantsCanFail(t *testing.T) {
+	force := func(rev crid.Revision) crevent.Effect {
+		return crconfig.InForce{Snapshot: crpolicy.NewSnapshot(rev, nil, nil)}
+	}
+	tenure := func(list crid.Revision, until crid.Instant) crevent.Effect {
+		return crmember.Tenure{Active: list, Until: until}
+	}
+	grant := crevent.Send{To: "b", Msg: craccount.Grant{Items: []craccount.GrantItem{{Account: "a", Tokens: 1}}}}
+	for _, tt := range []struct {
+		name    string
+		effects []crevent.Effect
+		broken  bool
+	}{
+		{"revision grows", []crevent.Effect{force(1), force(3)}, false},
+		{"revision goes back", []crevent.Effect{force(3), force(2)}, true},
+		{"revision again", []crevent.Effect{force(3), force(3)}, true},
+		{"tenure comes back", []crevent.Effect{tenure(2, 9), tenure(2, 0), tenure(2, 20)}, false},
+		{"tenure under an older list", []crevent.Effect{tenure(2, 9), tenure(0, 0), tenure(1, 20)}, true},
+		{"grant with tenure", []crevent.Effect{tenure(2, 11), grant}, false},
+		{"grant after tenure", []crevent.Effect{tenure(2, 10), grant}, true},
+		{"grant without tenure", []crevent.Effect{grant}, true},
+	} {
+		var inv invariants
+		if err := inv.check(10, tt.effects); (err != nil) != tt.broken {
+			t.Errorf("%s: %v", tt.name, err)
+		}
+	}
+}
+
+type memory struct{ bytes.Buffer }
+
+func (*memory) Close() error { return nil }
+
+// A trace is copied to wherever a fault is looked into. The hash of a key in it
+// would let whoever reads it test guesses, so no published value is recorded.
+func TestTraceHoldsNoHashOfAKey(t *testing.T) {
+	hash := crpolicy.HashKey("crk_secret")
+	value := append(bytes.Repeat([]byte("filling "), 8), hash[:]...)
+	digest := crconfig.DigestOf(value)
+	var file memory
+	rec, err := newRecorder(&file, Options{Params: crdaemon.DefaultParams(), Size: 1 << 20})
+	if err != nil {
+		t.Fatal(err)
+	}
+	account := crpolicy.Account{Name: "survey", Rate: 5, Keys: []crpolicy.KeyHash{hash}}
+	parse := rec.Parse(func([]byte) (crconfig.Manifest, error) { return crconfig.Manifest{}, nil })
+	get := rec.Load(func(rev crid.Revision, _ crconfig.Manifest, _ map[string][]byte) (*crpolicy.Snapshot, error) {
+		return crpolicy.NewSnapshot(rev, nil, []crpolicy.Account{account}), nil
+	})
+	half := len(value) - 16 // the hash is cut in two
+	events := []crevent.Event{
+		crconfig.Read{Now: 1, Digest: digest, Data: value},
+		crconfig.Read{Now: 1, Digest: crconfig.Digest{1}, Data: value},
+		crevent.Received{Now: 2, From: "b", Msg: crconfig.Push{Parts: []crconfig.Part{
+			{Digest: digest, Size: len(value), Data: value[:half]},
+			{Digest: digest, Off: half, Size: len(value), Data: value[half:]},
+		}}},
+	}
+	for _, ev := range events {
+		rec.Event(ev)
+		_, _ = parse(value)
+		_, _ = get(1, crconfig.Manifest{}, nil)
+		rec.Effects(nil)
+	}
+	if err := rec.Close(); err != nil {
+		t.Fatal(err)
+	}
+	if !bytes.Contains(file.Bytes(), []byte("survey")) {
+		t.Error("the account's limits are not recorded")
+	}
+	if bytes.Contains(file.Bytes(), hash[:8]) || bytes.Contains(file.Bytes(), hash[16:]) {
+		t.Error("the trace holds a hash, or half of it")
+	}
+}
+
+// The parts of a filler fit together, and tell the digest of the value.
+func TestFillerTellsItsDigest(t *testing.T) {
+	value := bytes.Repeat([]byte("value "), 20)
+	digest := crconfig.DigestOf(value)
+	var whole []byte
+	for _, cut := range [][2]int{{0, 7}, {7, 50}, {50, len(value)}} {
+		part, err := redact(digest, cut[0], len(value), value[cut[0]:cut[1]]).data()
+		if err != nil {
+			t.Fatal(err)
+		}
+		whole = append(whole, part...)
+	}
+	if len(whole) != len(value) || digestOf(whole) != digest {
+		t.Error("the filler does not stand for the value")
+	}
+}
+
+// A full trace must cost the daemon nothing, and still replay.
+func TestFullTraceStops(t *testing.T) {
+	var file memory
+	var why []error
+	rec, err := newRecorder(&file, Options{Params: crdaemon.DefaultParams(), Size: 2000, Stopped: func(err error) { why = append(why, err) }})
+	if err != nil {
+		t.Fatal(err)
+	}
+	root, _ := crdaemon.NewControl(crdaemon.DefaultParams(), nil, nil)
+	for now := crid.Instant(1); now < 1000; now++ {
+		ev := crevent.Tick{Now: now}
+		rec.Event(ev)
+		rec.Effects(root.Step(ev))
+	}
+	if len(why) != 1 || !errors.Is(why[0], ErrFull) || file.Len() > 2000 {
+		t.Errorf("stopped by %v with %d bytes", why, file.Len())
+	}
+	if report, err := Replay(&file.Buffer); err != nil || report.Events == 0 {
+		t.Errorf("%d events replayed: %v", report.Events, err)
+	}
+	if err := rec.Close(); err != nil {
+		t.Error(err)
+	}
+}
+
+func TestShow(t *testing.T) {
+	var out bytes.Buffer
+	if err := Show(bytes.NewReader(load(t, "calm")), &out); err != nil {
+		t.Fatal(err)
+	}
+	lines := strings.Split(out.String(), "\n")
+	if !strings.HasPrefix(lines[0], "0\tparams\t") || !strings.HasPrefix(lines[1], "1\tstarted\t") || !strings.HasPrefix(lines[2], "1\tdone\t") {
+		t.Errorf("shows\n%s", strings.Join(lines[:3], "\n"))
+	}
+}
+
+func BenchmarkRecord(b *testing.B) {
+	rec, err := newRecorder(&memory{}, Options{Size: 1 << 40})
+	if err != nil {
+		b.Fatal(err)
+	}
+	beat := crmember.Beat{Seq: 9, Inc: 1 << 60, Cur: 2, Floor: 2, Conf: 1, Echo: crmember.Echo{Inc: 1 << 59, Seq: 8}}
+	for b.Loop() {
+		rec.Event(crevent.Received{Now: 1, From: "booking-2", Msg: beat})
+		rec.Effects([]crevent.Effect{crevent.Send{To: "booking-2", Msg: beat}})
+	}
+}
