--- a/io/crlog/catalogue_member.go
+++ b/io/crlog/catalogue_member.go
@@ -21,13 +21,13 @@
 		},
 		{
 			crmember.EventListIgnored, LevelWarn, "older list ignored",
-			"the platform went back, or a reader lags behind its peers",
+			"the platform went back, or this reader lags behind what peers told",
 			none, "look at the platform if it repeats",
 		},
 		{
 			crmember.EventListsFull, LevelError, "too many lists",
-			"32 lists without one becoming active",
-			"refusals", "mend the network: a majority is away, or lists are published too fast",
+			"32 lists without one becoming active; peers hold many different ones",
+			"refusals", "mend the network: a majority is away",
 		},
 		{
 			crmember.EventRecovered, LevelInfo, "recovered",
--- a/io/crtrace/event.go
+++ b/io/crtrace/event.go
@@ -10,6 +10,7 @@
 	"camphorroad/core/craccount"
 	"camphorroad/core/crconfig"
 	"camphorroad/core/crevent"
+	"camphorroad/core/crhealth"
 	"camphorroad/core/crid"
 	"camphorroad/core/crinstance"
 	"camphorroad/core/crmember"
@@ -32,6 +33,7 @@
 		"advertise": reflect.TypeFor[crmember.Advertise](),
 		"watched":   reflect.TypeFor[crconfig.WatchResult](),
 		"used":      reflect.TypeFor[craccount.Used](),
+		"observed":  reflect.TypeFor[crhealth.Observed](),
 	}
 }
 
@@ -67,7 +69,7 @@
 	for i, msg := range config {
 		config[i] = redactMessage(msg)
 	}
-	redacted, err := crwire.NewRegistry(crmember.Messages(), config, craccount.Messages())
+	redacted, err := crwire.NewRegistry(crmember.Messages(), config, craccount.Messages(), crhealth.Messages())
 	if err != nil {
 		return nil, err
 	}
