Check the floor of ejections in a replay

Ruled out: checking each steer by itself. Within one event the loss of a peer and the answer to it are two effects, so the last steer of an event counts. Recomputing which targets are cold, which would copy the reducer.

Change: replay keeps the list, the peers and the floors that the daemon told, and holds each service's last steer of an event to them.

Measured: go test -race ./io/crtrace; six cases, two of which must fail and do.

Conclusion: ready for traces with that reducer. No daemon runs it yet, so no recorded trace has exercised this invariant.

--- a/io/crtrace/invariant.go
+++ b/io/crtrace/invariant.go
@@ -6,7 +6,9 @@
 	"camphorroad/core/craccount"
 	"camphorroad/core/crconfig"
 	"camphorroad/core/crevent"
+	"camphorroad/core/crhealth"
 	"camphorroad/core/crid"
+	"camphorroad/core/crinstance"
 	"camphorroad/core/crmember"
 )
 
@@ -16,6 +18,17 @@
 	inForce crid.Revision // newest configuration
 	tenure  crmember.Tenure
 	highest crid.Revision // newest list that this daemon had tenure under
+	floor   floor
+}
+
+// begin takes the event itself.
+func (inv *invariants) begin(ev crevent.Event) {
+	switch ev := ev.(type) {
+	case crevent.Started:
+		inv.floor.self = ev.Self
+	case crevent.Stopping:
+		inv.floor.stopping = true
+	}
 }
 
 // check takes the effects of one event, and returns the first that must not be.
@@ -25,13 +38,22 @@
 			return err
 		}
 	}
-	return nil
+	return inv.floor.check()
 }
 
 func (inv *invariants) one(now crid.Instant, eff crevent.Effect) error {
 	switch eff := eff.(type) {
 	case crconfig.InForce:
+		inv.floor.snapshot = eff.Snapshot
 		return inv.force(eff.Snapshot.Revision())
+	case crinstance.Listed:
+		if eff.List.Revision() > inv.floor.list.Revision() {
+			inv.floor.list = eff.List
+		}
+	case crmember.Peers:
+		inv.floor.takePeers(eff.Peers)
+	case crhealth.Steer:
+		inv.floor.takeSteer(eff)
 	case crmember.Tenure:
 		return inv.hold(eff)
 	case crevent.Send:
--- a/io/crtrace/replay.go
+++ b/io/crtrace/replay.go
@@ -114,6 +114,7 @@
 		return err
 	}
 	p.report.Events++
+	p.inv.begin(ev)
 	effects := p.root.Step(ev)
 	p.note(ev, effects)
 	if len(p.records) > 0 {
--- a/io/crtrace/trace_test.go
+++ b/io/crtrace/trace_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 
@@ -14,7 +15,9 @@
 	"camphorroad/core/crconfig"
 	"camphorroad/core/crdaemon"
 	"camphorroad/core/crevent"
+	"camphorroad/core/crhealth"
 	"camphorroad/core/crid"
+	"camphorroad/core/crinstance"
 	"camphorroad/core/crmember"
 	"camphorroad/core/crpolicy"
 	"camphorroad/io/crlog"
@@ -201,6 +204,49 @@
 	}
 }
 
+// A floor that is broken by ejecting leaves a service short of healthy targets.
+func TestFloorInvariantCanFail(t *testing.T) {
+	var instances []crinstance.Instance
+	for _, name := range []crid.Daemon{"a", "b", "c"} {
+		instances = append(instances, crinstance.Instance{
+			Daemon: name, State: crinstance.StateLive,
+			Targets: []crinstance.Target{{Name: crid.Target(name), Service: "booking"}},
+		})
+	}
+	policy := crpolicy.NewSnapshot(1, []crpolicy.Service{{Name: "booking", Floor: 2}}, nil)
+	start := []crevent.Effect{
+		crinstance.Listed{List: crinstance.NewList(1, instances)},
+		crconfig.InForce{Snapshot: policy},
+		crmember.Peers{Peers: []crmember.Peer{{Daemon: "b", Reachable: true}, {Daemon: "c", Reachable: true}}},
+	}
+	lost := crmember.Peers{Peers: []crmember.Peer{{Daemon: "b", Reachable: true}, {Daemon: "c"}}}
+	steer := func(weight int, ejected ...crid.Target) crevent.Effect {
+		s := crhealth.Steer{Service: "booking"}
+		for _, target := range ejected {
+			s.Targets = append(s.Targets, crhealth.TargetState{Target: target, Ejected: true, Weight: weight})
+		}
+		return s
+	}
+	for _, tt := range []struct {
+		name    string
+		effects []crevent.Effect
+		broken  bool
+	}{
+		{"down to the floor", []crevent.Effect{steer(crhealth.FullWeight, "b")}, false},
+		{"below the floor", []crevent.Effect{steer(crhealth.FullWeight, "b", "c")}, true},
+		{"one is lost as well", []crevent.Effect{lost, steer(crhealth.FullWeight, "b")}, true},
+		{"the lost one is ejected", []crevent.Effect{lost, steer(crhealth.FullWeight, "c")}, false},
+		{"mended within the event", []crevent.Effect{steer(crhealth.FullWeight, "b", "c"), steer(crhealth.FullWeight, "b")}, false},
+		{"a cold one is no capacity", []crevent.Effect{steer(1, "b")}, false},
+	} {
+		var inv invariants
+		inv.begin(crevent.Started{Self: "a"})
+		if err := inv.check(1, append(slices.Clone(start), tt.effects...)); (err != nil) != tt.broken {
+			t.Errorf("%s: %v", tt.name, err)
+		}
+	}
+}
+
 type memory struct{ bytes.Buffer }
 
 func (*memory) Close() error { return nil }
