Tell all faults of the settings at once, and describe each key

Cause: an unknown key, or a value of a wrong type, hid every other fault; a duration that could not be read had no line; faults named Go's types.

Ruled out: stopping at the first fault, after which each mended fault brings the next; decoding into a generic map and checking types by hand, which would write the struct down a second time.

Change: after a value of a wrong type its line is left out and the rest read again; unknown keys and faults of meaning are told with it, by line, as file:line: key and what to do.

--- a/io/crsettings/crsettings.go
+++ b/io/crsettings/crsettings.go
@@ -10,13 +10,9 @@
 import (
 	"errors"
 	"fmt"
-	"net"
-	"net/url"
 	"os"
 	"time"
 
-	"github.com/pelletier/go-toml/v2"
-
 	"camphorroad/core/crid"
 )
 
@@ -87,15 +83,18 @@
 // Duration is a time.Duration that reads "250ms" and the like.
 type Duration struct {
 	time.Duration
+	wrong string // what was written, where it is no duration
 }
 
-// UnmarshalText implements encoding.TextUnmarshaler.
+// UnmarshalText implements encoding.TextUnmarshaler. It does not fail: the
+// decoder would stop without telling the line, and the check tells it.
 func (d *Duration) UnmarshalText(b []byte) error {
 	v, err := time.ParseDuration(string(b))
 	if err != nil {
-		return fmt.Errorf("%q is no duration; write for example \"250ms\"", b)
+		*d = Duration{wrong: string(b)}
+		return nil
 	}
-	d.Duration = v
+	*d = Duration{Duration: v}
 	return nil
 }
 
@@ -113,38 +112,40 @@
 		Trace:    Trace{Size: defaultTrace},
 		Limits: Limits{
 			HeaderBytes:  32 << 10,
-			HeaderTime:   Duration{5 * time.Second},
-			BodyIdle:     Duration{30 * time.Second},
-			DrainTime:    Duration{30 * time.Second},
+			HeaderTime:   Duration{Duration: 5 * time.Second},
+			BodyIdle:     Duration{Duration: 30 * time.Second},
+			DrainTime:    Duration{Duration: 30 * time.Second},
 			ReplayBytes:  64 << 10,
 			HoldInFlight: 10_000,
 		},
 	}
 }
 
-// Load reads and checks a file. The error names the file, and for each fault
-// the line or key and what to write instead.
+// Load reads and checks a file. Its error is [Faults] where the text is at fault:
+// all faults at once, each with file, line, key and what to do.
 func Load(path string) (Settings, error) {
 	b, err := os.ReadFile(path)
 	if err != nil {
 		return Settings{}, fmt.Errorf("settings: %w", err)
 	}
 	cfg, err := Parse(b)
-	if err != nil {
-		return Settings{}, fmt.Errorf("settings %s:\n%w", path, err)
+	var faults Faults
+	if errors.As(err, &faults) {
+		for i := range faults {
+			faults[i].File = path
+		}
 	}
-	return cfg, nil
+	return cfg, err
 }
 
 // Parse reads and checks the text of a settings file.
 func Parse(b []byte) (Settings, error) {
-	cfg := Defaults()
-	dec := toml.NewDecoder(bytesReader(b))
-	dec.DisallowUnknownFields()
-	if err := dec.Decode(&cfg); err != nil {
-		return Settings{}, decodeError(err)
+	c := newCollector(b)
+	var cfg Settings
+	if c.decode(b, &cfg) {
+		cfg.check(c)
 	}
-	if err := cfg.check(newKeyIndex(b)); err != nil {
+	if err := c.err(); err != nil {
 		return Settings{}, err
 	}
 	return cfg, nil
@@ -152,87 +153,3 @@
 
 // Daemon is the daemon's name.
 func (s Settings) Daemon() crid.Daemon { return crid.Daemon(s.Name) }
-
-func (s Settings) check(at keyIndex) error {
-	var errs []error
-	need := func(key, value, hint string) {
-		if value == "" {
-			errs = append(errs, at.fault(key, "is missing; "+hint))
-		}
-	}
-	need("name", s.Name, "give the instance's name as the platform lists it")
-	need("domain", s.Domain, "give the failure domain as the platform lists it")
-	need("tls.cert", s.TLS.Cert, "give the PEM file of this daemon's certificate")
-	need("tls.key", s.TLS.Key, "give the PEM file of its key")
-	need("tls.ca", s.TLS.CA, "give the PEM file of the fleet's authority")
-	errs = append(errs,
-		at.addr("listen.http", s.Listen.HTTP),
-		at.addr("listen.peer", s.Listen.Peer),
-		at.addr("listen.admin", s.Listen.Admin),
-		at.http("platform.url", s.Platform.URL),
-		s.checkTargets(at),
-		s.checkLimits(at),
-	)
-	if (s.TLS.CallerCert == "") != (s.TLS.CallerKey == "") {
-		errs = append(errs, at.fault("tls.callercert", "and tls.callerkey go together; give both or neither"))
-	}
-	return errors.Join(errs...)
-}
-
-func (s Settings) checkTargets(at keyIndex) error {
-	var errs []error
-	seen := make(map[string]bool)
-	for i, t := range s.Targets {
-		key := fmt.Sprintf("target[%d]", i)
-		if t.Name == "" || t.Service == "" {
-			errs = append(errs, at.fault(key, "needs name and service"))
-		}
-		if seen[t.Name] {
-			errs = append(errs, at.fault(key+".name", fmt.Sprintf("%q is given twice", t.Name)))
-		}
-		seen[t.Name] = true
-		errs = append(errs, at.addr(key+".addr", t.Addr))
-	}
-	return errors.Join(errs...)
-}
-
-func (s Settings) checkLimits(at keyIndex) error {
-	var errs []error
-	positive := func(key string, ok bool) {
-		if !ok {
-			errs = append(errs, at.fault("limits."+key, "must be above zero"))
-		}
-	}
-	if s.Platform.Fleet <= 0 {
-		errs = append(errs, at.fault("platform.fleet", "must be above zero"))
-	}
-	positive("headerbytes", s.Limits.HeaderBytes > 0)
-	positive("headertime", s.Limits.HeaderTime.Duration > 0)
-	positive("bodyidle", s.Limits.BodyIdle.Duration > 0)
-	positive("draintime", s.Limits.DrainTime.Duration > 0)
-	positive("holdinflight", s.Limits.HoldInFlight > 0)
-	if s.Trace.Size <= 0 {
-		errs = append(errs, at.fault("trace.size", "must be above zero"))
-	}
-	switch s.Log.Level {
-	case "debug", "info", "warn", "error":
-	default:
-		errs = append(errs, at.fault("log.level", "must be one of debug, info, warn, error"))
-	}
-	return errors.Join(errs...)
-}
-
-func (at keyIndex) addr(key, value string) error {
-	if _, _, err := net.SplitHostPort(value); err != nil {
-		return at.fault(key, fmt.Sprintf("%q is no host:port; write for example \"127.0.0.1:8000\"", value))
-	}
-	return nil
-}
-
-func (at keyIndex) http(key, value string) error {
-	u, err := url.Parse(value)
-	if err != nil || u.Host == "" || (u.Scheme != "http" && u.Scheme != "https") {
-		return at.fault(key, fmt.Sprintf("%q is no http URL; write for example \"http://127.0.0.1:7100\"", value))
-	}
-	return nil
-}
