--- a/lab/crfleet/daemon.go
+++ b/lab/crfleet/daemon.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -115,7 +116,7 @@
 	for _, t := range d.targets {
 		text = fmt.Appendf(text, targetFormat, t.name, t.service, t.addr())
 	}
-	text = append(text, d.fleet.opts.settings...)
+	text = append(text, strings.ReplaceAll(d.fleet.opts.settings, "{daemon}", d.name)...)
 	d.config = filepath.Join(dir, d.name+".toml")
 	if err := os.WriteFile(d.config, text, modeSettings); err != nil {
 		return fmt.Errorf("settings of %s: %w", d.name, err)
