Bound and check what callers send, and tell their faults from the target's

Cause: with the whole path in one process, a caller's bad chunks made the entry avoid the target as unreachable (evidence unreached); eight silent uploads took every slot of a target and the next caller got a 504; a silent streamed body and a refused upload waited for ever (10 s test bound); a body shorter than its length was passed on and answered 200. limits.bodyidle was read and not enforced.

Ruled out: a read deadline for each read (net/http's HTTP/2 side allocates a closure for each); resetting the stream on a broken body (QUIC then drops what the exit has not read, so that it could not tell a broken body from a broken link).

Change: one reusable timer for each direction of a body; bodies of known length within replaybytes are read before a slot is asked for, so their failure is a true notrun; the body's lock is no longer held while waiting for the caller; a body that breaks off ends with a mark on the stream, either way, and is no evidence against the target; 408 and 400 for callers. At the exit: connections counted and bounded by the policy, a request of which nothing was written is proved so by the connection's own count and goes out again, answers without length or chunks and 1xx as a last answer are refused, a connection that gave a wrong answer is closed, a shed answer lowers the slots, silence within an answer ends it, an empty Idempotency-Key header counts as net/http counts it, and the queue's room follows the policy.

Measured: TestMalformedRequestsAreRefused, TestSlowCallersHoldNothing, TestSilenceWithinAStreamedBodyEnds, TestABodyShorterThanItsLengthIsRefused and TestARefusalDoesNotWaitForTheUpload failed before and pass now. TestHugeBodiesAreStreamed passed before and after.

Conclusion: bad callers of HTTP/1.1 cost others nothing in these shapes.

--- a/core/crslot/queue.go
+++ b/core/crslot/queue.go
@@ -265,6 +265,14 @@
 	q.dispatch(q.now())
 }
 
+// SetRoom sets the number of requests that may wait. Those that wait beyond it
+// keep their places.
+func (q *Queue) SetRoom(room int) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.room = max(room, 0)
+}
+
 // Shed notes that the target answered with 429 or 503. The limit is lowered at
 // once and grows again with each answer after a pause.
 func (q *Queue) Shed() {
--- a/io/crdaemon/crdaemon.go
+++ b/io/crdaemon/crdaemon.go
@@ -103,7 +103,7 @@
 	for _, t := range cfg.Targets {
 		specs = append(specs, crexit.Spec{Name: crid.Target(t.Name), Service: crid.Service(t.Service), Addr: t.Addr})
 	}
-	return crexit.New(crexit.Options{Targets: specs, Pulse: pulse, Clock: crclock.Now})
+	return crexit.New(crexit.Options{Targets: specs, Pulse: pulse, Clock: crclock.Now, Idle: cfg.Limits.BodyIdle.Duration})
 }
 
 func newShell(cfg crsettings.Settings, log *crlog.Logger, pulse *crforward.Pulse, exit *crexit.Exit) *shell {
@@ -151,6 +151,7 @@
 		Observe: s.observe,
 		Replay:  cfg.Limits.ReplayBytes,
 		Held:    int64(cfg.Limits.HoldInFlight),
+		Idle:    cfg.Limits.BodyIdle.Duration,
 	})
 }
 
@@ -171,7 +172,10 @@
 	exit *crexit.Exit, registry metrics.Registry, id *crpeer.Identity, platform *crplatform.Client,
 ) *daemon {
 	d := &daemon{cfg: cfg, log: log, shell: s, entry: entry, exit: exit}
-	d.callers = callerServer(cfg, entry)
+	d.callers = crentry.NewServer(entry, crentry.ServerOptions{
+		HeaderBytes: cfg.Limits.HeaderBytes,
+		HeaderTime:  cfg.Limits.HeaderTime.Duration,
+	})
 	d.admin = &http.Server{
 		Handler:           cradmin.New(cradmin.Options{Ready: s.checkReady, State: d.state, Metrics: registry}),
 		ReadHeaderTimeout: cfg.Limits.HeaderTime.Duration,
@@ -185,21 +189,6 @@
 	return d
 }
 
-// callerServer takes HTTP/1.1 and HTTP/2, the latter also in clear text.
-func callerServer(cfg crsettings.Settings, h http.Handler) *http.Server {
-	var protocols http.Protocols
-	protocols.SetHTTP1(true)
-	protocols.SetHTTP2(true)
-	protocols.SetUnencryptedHTTP2(true)
-	return &http.Server{
-		Handler:           h,
-		Protocols:         &protocols,
-		ReadHeaderTimeout: cfg.Limits.HeaderTime.Duration,
-		IdleTimeout:       2 * time.Minute,
-		MaxHeaderBytes:    cfg.Limits.HeaderBytes,
-	}
-}
-
 func (d *daemon) start(startCtx, ctx context.Context, _ *crpeer.Identity, platform *crplatform.Client) error {
 	var lc net.ListenConfig
 	callers, err := lc.Listen(startCtx, "tcp", d.cfg.Listen.HTTP)
--- a/io/crentry/body.go
+++ b/io/crentry/body.go
@@ -3,7 +3,10 @@
 import (
 	"errors"
 	"io"
+	"net/http"
+	"os"
 	"sync"
+	"time"
 )
 
 // BodySource gives the request's body to one attempt after the other.
@@ -16,85 +19,174 @@
 	Replayable() bool
 }
 
-// errSuperseded ends the reader of an attempt that was given up.
-var errSuperseded = errors.New("another attempt reads the body")
+// Errors of a request's body.
+var (
+	// errSuperseded ends the reader of an attempt that was given up.
+	errSuperseded = errors.New("another attempt reads the body")
+	// errSlow tells of a body that was not whole by the request's deadline.
+	errSlow = errors.New("body not whole by the deadline")
+)
+
+// linger is how long a caller's connection may still bring the rest of a body
+// that nobody reads, before the connection is given up.
+const linger = 250 * time.Millisecond
+
+// body is a request's body. It keeps the first bytes, so that a request can be
+// sent again after a proof that it was not run. A body beyond its limit is
+// streamed on and can not be sent twice.
+//
+// The lock is never held while the caller is waited for: a refusal has to go
+// out at once, however slowly the caller sends.
+type body struct {
+	src   io.Reader // nil: no body
+	limit int
+	guard *guard
 
-// replay keeps the first bytes of a body, so that a request can be sent again
-// after a proof that it was not run. A body beyond its limit is streamed on and
-// can not be sent twice.
-type replay struct {
 	mu      sync.Mutex
-	src     io.Reader
+	moved   *sync.Cond
 	buf     []byte
-	limit   int
 	err     error
+	reading bool
 	spilled bool
 	turn    int
 }
 
 // newBody wraps a request's body; a length of zero means none.
-func newBody(src io.Reader, length int64, limit int) BodySource {
-	if length == 0 || src == nil {
-		return emptyBody{}
+func newBody(w http.ResponseWriter, r *http.Request, limit int, idle time.Duration) *body {
+	b := &body{limit: limit}
+	b.moved = sync.NewCond(&b.mu)
+	if r.ContentLength != 0 && r.Body != nil {
+		b.src = r.Body
+		b.guard = newGuard(idle, http.NewResponseController(w).SetReadDeadline)
 	}
-	return &replay{src: src, limit: limit}
+	return b
 }
 
-type emptyBody struct{}
-
-// Open implements BodySource.
-func (emptyBody) Open() io.Reader { return nil }
-
-// Replayable implements BodySource.
-func (emptyBody) Replayable() bool { return true }
-
 // Open implements BodySource.
-func (b *replay) Open() io.Reader {
+func (b *body) Open() io.Reader {
+	if b.src == nil {
+		return nil
+	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.turn++
-	return &replayReader{body: b, turn: b.turn}
+	b.moved.Broadcast()
+	return &bodyReader{body: b, turn: b.turn}
 }
 
 // Replayable implements BodySource.
-func (b *replay) Replayable() bool {
+func (b *body) Replayable() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return !b.spilled
 }
 
-type replayReader struct {
-	body *replay
+// fault is why the caller did not bring the whole body, or nil.
+func (b *body) fault() error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.err == nil || errors.Is(b.err, io.EOF) {
+		return nil
+	}
+	return b.err
+}
+
+// fill reads a whole body that fits the limit, so that a caller who sends it
+// slowly holds no slot of a target meanwhile.
+func (b *body) fill(expired func() bool) error {
+	r := b.Open()
+	part := make([]byte, min(b.limit, copyBuffer))
+	for {
+		_, err := r.Read(part)
+		switch {
+		case errors.Is(err, io.EOF):
+			return nil
+		case err != nil:
+			return err
+		case expired():
+			b.fail(errSlow)
+			return errSlow
+		}
+	}
+}
+
+func (b *body) fail(err error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.err = err
+}
+
+// close ends a read that is still waiting for the caller. Otherwise net/http
+// would wait for the rest of the body before it serves the connection on, and a
+// caller that falls silent would hold the connection for ever.
+func (b *body) close(w http.ResponseWriter) {
+	if b.src == nil {
+		return
+	}
+	b.guard.close()
+	b.mu.Lock()
+	b.turn++
+	whole := b.err != nil
+	b.moved.Broadcast()
+	b.mu.Unlock()
+	if !whole {
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(linger))
+	}
+}
+
+type bodyReader struct {
+	body *body
 	turn int
 	off  int
 }
 
-// Read implements io.Reader. It holds the body's lock while it waits for the
-// caller, so that the next attempt can not read out of turn.
-func (r *replayReader) Read(p []byte) (int, error) {
+// Read implements io.Reader.
+func (r *bodyReader) Read(p []byte) (int, error) {
 	b := r.body
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if r.turn != b.turn {
-		return 0, errSuperseded
-	}
-	if r.off < len(b.buf) {
-		n := copy(p, b.buf[r.off:])
-		r.off += n
-		return n, nil
-	}
-	if b.err != nil {
-		return 0, b.err
+	for {
+		switch {
+		case r.turn != b.turn:
+			return 0, errSuperseded
+		case r.off < len(b.buf):
+			n := copy(p, b.buf[r.off:])
+			r.off += n
+			return n, nil
+		case b.err != nil:
+			return 0, b.err
+		case !b.reading:
+			return r.pull(p)
+		}
+		b.moved.Wait()
 	}
+}
+
+// pull reads from the caller with the lock released. What comes for an attempt
+// that was given up meanwhile is kept for the next.
+func (r *bodyReader) pull(p []byte) (int, error) {
+	b := r.body
+	b.reading = true
+	b.mu.Unlock()
+	b.guard.begin()
 	n, err := b.src.Read(p)
-	b.err = err
+	b.guard.end()
+	b.mu.Lock()
+	b.reading = false
+	if b.err == nil {
+		b.err = err
+	}
 	b.keep(p[:n])
+	b.moved.Broadcast()
+	if r.turn != b.turn {
+		return 0, errSuperseded
+	}
 	r.off += n
 	return n, err
 }
 
-func (b *replay) keep(p []byte) {
-	if b.spilled {
+func (b *body) keep(p []byte) {
+	if b.spilled || len(p) == 0 {
 		return
 	}
 	if len(b.buf)+len(p) > b.limit {
@@ -104,3 +196,11 @@
 	}
 	b.buf = append(b.buf, p...)
 }
+
+// bodyRefusal is the answer to a caller that did not bring its whole body.
+func bodyRefusal(err error) *refusal {
+	if errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, errSlow) {
+		return &refusal{status: http.StatusRequestTimeout, reason: "the body came too slowly", final: true, close: true}
+	}
+	return &refusal{status: http.StatusBadRequest, reason: "the body broke off or is malformed", final: true, close: true}
+}
--- a/io/crentry/crentry.go
+++ b/io/crentry/crentry.go
@@ -63,8 +63,9 @@
 	Hop     Hop
 	Clock   func() crid.Instant
 	Observe func(service crid.Service, target crid.Target, account crid.Account, o Outcome, took time.Duration)
-	Replay  int   // bytes of a body kept for another attempt
-	Held    int64 // requests in flight at most
+	Replay  int           // bytes of a body kept for another attempt
+	Held    int64         // requests in flight at most
+	Idle    time.Duration // longest silence of a caller within a body, either way
 }
 
 // Counters count requests by outcome.
@@ -109,6 +110,11 @@
 func (e *Entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	n := e.inflight.Add(1)
 	defer e.inflight.Add(-1)
+	// Without full duplex net/http reads the rest of a body before it writes
+	// the answer, and a refusal would wait for a slow caller's upload.
+	_ = http.NewResponseController(w).EnableFullDuplex()
+	body := newBody(w, r, e.opts.Replay, e.opts.Idle)
+	defer body.close(w)
 	if refused := e.gate(r, n); refused != nil {
 		e.refuse(w, refused)
 		return
@@ -118,7 +124,7 @@
 		e.refuse(w, refused)
 		return
 	}
-	e.serve(w, r, req)
+	e.serve(w, r, req, body)
 }
 
 // gate refuses what needs no look at the configuration.
--- a/io/crentry/serve.go
+++ b/io/crentry/serve.go
@@ -13,48 +13,67 @@
 	"camphorroad/core/crpolicy"
 	"camphorroad/core/crroute"
 	"camphorroad/io/crhop"
+	"camphorroad/io/crwire"
 )
 
 // serve makes attempts until one gives an answer to pass on, none is allowed
 // any more, or the time is up; then the caller gets its final answer at once.
-func (e *Entry) serve(w http.ResponseWriter, r *http.Request, req *accepted) {
-	// Without full duplex net/http reads the rest of a body before it writes
-	// the answer, and a refusal would wait for a slow caller's upload.
-	_ = http.NewResponseController(w).EnableFullDuplex()
+func (e *Entry) serve(w http.ResponseWriter, r *http.Request, req *accepted, b *body) {
 	w.Header().Set(HeaderRequest, req.id.String())
 	e.budget.Request()
 	s := &serving{
 		entry:    e,
 		req:      req,
 		tracker:  crforward.NewTracker(req.route.Class, crforward.DefaultTrackerParams()),
-		body:     newBody(r.Body, r.ContentLength, e.opts.Replay),
+		body:     b,
 		length:   r.ContentLength,
 		method:   r.Method,
 		host:     r.Host,
 		deadline: req.started.Add(req.route.Timeout),
 	}
+	if s.length > 0 && s.length <= int64(e.opts.Replay) {
+		if err := b.fill(s.expired); err != nil {
+			e.refuse(w, bodyRefusal(err))
+			return
+		}
+	}
 	ex := s.attempts(r.Context())
 	if ex == nil {
-		if r.Context().Err() == nil {
-			e.refuse(w, s.giveUp())
-		}
+		s.refuse(w, r)
 		return
 	}
 	e.pass(w, r, s, ex)
 }
 
+// refuse gives the final answer of a request without an answer to pass on. A
+// body that broke off also ends the request's context, though its caller may
+// still be reading.
+func (s *serving) refuse(w http.ResponseWriter, r *http.Request) {
+	if err := s.body.fault(); err != nil {
+		refused := bodyRefusal(err)
+		refused.outcome = s.tracker.Outcome()
+		s.entry.refuse(w, refused)
+		return
+	}
+	if r.Context().Err() == nil {
+		s.entry.refuse(w, s.giveUp())
+	}
+}
+
+func (s *serving) expired() bool { return !s.entry.opts.Clock().Before(s.deadline) }
+
 // serving is one request on its way through its attempts.
 type serving struct {
 	entry    *Entry
 	req      *accepted
 	tracker  *crforward.Tracker
-	body     BodySource
+	body     *body
 	length   int64
 	method   string
 	host     string
 	deadline crid.Instant
 	tried    []crid.Target
-	last     int // the attempt that gave the answer
+	target   *crroute.Target // that gave the answer
 	reason   string
 	wrong    bool
 	end      func() // of the attempt that gave the answer
@@ -130,7 +149,7 @@
 	}
 	if err == nil {
 		if good := s.judge(n, target, ex, now); good {
-			s.last = n
+			s.target = target
 			s.end = end
 			return ex
 		}
@@ -186,6 +205,9 @@
 		s.tracker.Head(n)
 		s.tracker.Lost(n)
 		s.reason = ex.Answer.Reason
+		if ex.Answer.Fault == crhop.FaultBody {
+			return false
+		}
 		s.wrong = ex.Answer.Fault == crhop.FaultWrong
 		target.Load().Failed()
 		s.observe(target, outcomeOf(ex.Answer.Fault), took)
@@ -199,7 +221,7 @@
 		return OutcomeWrong
 	case crhop.FaultTimeout:
 		return OutcomeStalled
-	case crhop.FaultBroken, crhop.FaultConnect:
+	case crhop.FaultBroken, crhop.FaultConnect, crhop.FaultBody:
 		return OutcomeFailed
 	}
 	return OutcomeFailed
@@ -249,7 +271,7 @@
 		s.observe(target, OutcomeUnreached, took)
 		return
 	}
-	if ctx.Err() == nil {
+	if ctx.Err() == nil && s.body.fault() == nil {
 		target.Load().Unreachable(now)
 		s.observe(target, lostOutcome(inTime), took)
 	}
@@ -296,6 +318,7 @@
 	s.tracker.Passed()
 	writeHead(w, &ex.Answer)
 	if err := e.copyBody(w, r, ex); err != nil {
+		s.broke(err)
 		e.count(crforward.Cut)
 		panic(http.ErrAbortHandler)
 	}
@@ -303,6 +326,15 @@
 	e.count(crforward.Answered)
 }
 
+// broke takes an answer that broke off at its source as evidence; a caller
+// that went away is none.
+func (s *serving) broke(err error) {
+	if errors.Is(err, crwire.ErrAborted) || errors.Is(err, errShort) {
+		s.target.Load().Failed()
+		s.observe(s.target, OutcomeFailed, s.entry.opts.Clock().Sub(s.req.started))
+	}
+}
+
 func writeHead(w http.ResponseWriter, a *crhop.Answer) {
 	h := w.Header()
 	for name, values := range a.Header {
@@ -323,12 +355,18 @@
 	}
 	buf := make([]byte, copyBuffer)
 	rc := http.NewResponseController(w)
+	// A caller that stops reading would hold the target's slot.
+	wait := newGuard(e.opts.Idle, rc.SetWriteDeadline)
+	defer wait.close()
 	var total int64
 	for {
 		n, err := ex.Body.Read(buf)
 		total += int64(n)
 		if n > 0 {
-			if _, werr := w.Write(buf[:n]); werr != nil {
+			wait.begin()
+			_, werr := w.Write(buf[:n])
+			wait.end()
+			if werr != nil {
 				return werr
 			}
 		}
@@ -341,7 +379,10 @@
 		// A length that is known lets net/http decide when to send; an answer
 		// of unknown length may be a live stream, and each part goes out.
 		if ex.Answer.Length < 0 {
-			if err := rc.Flush(); err != nil {
+			wait.begin()
+			err := rc.Flush()
+			wait.end()
+			if err != nil {
 				return err
 			}
 		}
--- /dev/null
+++ b/io/crentry/server.go
@@ -0,0 +1,30 @@
+package crentry
+
+import (
+	"net/http"
+	"time"
+)
+
+// ServerOptions bound what a caller's connection may take.
+type ServerOptions struct {
+	HeaderBytes int           // of a request's head
+	HeaderTime  time.Duration // in which a request's head must be whole
+}
+
+const callerIdle = 2 * time.Minute // a kept connection without a request
+
+// NewServer returns the server towards callers. It takes HTTP/1.1 and HTTP/2,
+// the latter also in clear text with prior knowledge.
+func NewServer(h http.Handler, opts ServerOptions) *http.Server {
+	var protocols http.Protocols
+	protocols.SetHTTP1(true)
+	protocols.SetHTTP2(true)
+	protocols.SetUnencryptedHTTP2(true)
+	return &http.Server{
+		Handler:           h,
+		Protocols:         &protocols,
+		ReadHeaderTimeout: opts.HeaderTime,
+		IdleTimeout:       callerIdle,
+		MaxHeaderBytes:    opts.HeaderBytes,
+	}
+}
--- a/io/crexit/crexit.go
+++ b/io/crexit/crexit.go
@@ -39,6 +39,7 @@
 	Targets []Spec
 	Pulse   *crforward.Pulse
 	Clock   func() crid.Instant
+	Idle    time.Duration // longest silence of an upstream within its answer; zero: no bound
 	// Observe is told of each finished run; it must not block.
 	Observe func(target crid.Target, account crid.Account, fault crhop.Fault, status int, took time.Duration)
 }
@@ -219,13 +220,15 @@
 	_ = stream.Close()
 }
 
+// writeAnswer sends the answer; a body that breaks off ends with its mark, so
+// that the entry has the head and knows whose fault it was.
 func writeAnswer(stream *quic.Stream, ex *crhop.Exchange) error {
 	w := crwire.NewWriter(stream)
 	if err := w.Value(ex.Answer); err != nil {
 		return err
 	}
 	if err := crhop.CopyChunks(w, ex.Body); err != nil {
-		return err
+		return w.Abort()
 	}
 	return w.End()
 }
--- a/io/crexit/run.go
+++ b/io/crexit/run.go
@@ -13,7 +13,6 @@
 
 	"camphorroad/core/crforward"
 	"camphorroad/core/crid"
-	"camphorroad/core/crpolicy"
 	"camphorroad/core/crslot"
 	"camphorroad/io/crhop"
 )
@@ -56,6 +55,9 @@
 	lease    *crslot.Lease
 	started  crid.Instant
 	cancel   context.CancelFunc
+	body     *requestBody
+	conn     *countedConn // that the request was last given
+	written  int64        // writes on conn before the request
 	ended    atomic.Bool
 }
 
@@ -115,24 +117,32 @@
 	return refusal(err.Error(), true, retry)
 }
 
-// call runs the request. Only a failure before a connection was had proves that
-// nothing ran; after that the upstream may have read any part of it.
+// call runs the request. Only a request of which nothing was written provably
+// did not run; after that the upstream may have read any part of it.
 func (r *run) call(ctx context.Context, body io.Reader) *crhop.Exchange {
+	caller := ctx
 	left := r.deadline.Sub(r.started)
 	ctx, r.cancel = context.WithCancel(ctx)
 	timer := time.AfterFunc(left, r.cancel)
-	var connected atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
-	req := r.request(httptrace.WithClientTrace(ctx, trace), body, left)
-	resp, err := r.target.transport.RoundTrip(req)
-	headInTime := timer.Stop()
+	req := r.request(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: r.gotConn}), body, left)
+	transport := r.target.transport.Load()
+	resp, err := transport.RoundTrip(req)
+	// The upstream closes kept connections when it likes. A request that met a
+	// closed one has not left, and goes out again on another.
+	for tries := 0; err != nil && ctx.Err() == nil && tries < staleTries && r.unsent() && r.body.unread(); tries++ {
+		resp, err = transport.RoundTrip(req)
+	}
+	late := !timer.Stop()
 	if err != nil {
-		return r.failed(connected.Load(), !headInTime)
+		return r.failed(caller, late)
 	}
-	if !r.echoed(resp) {
+	if ex := r.reject(resp); ex != nil {
 		_ = resp.Body.Close()
-		r.observe(crhop.FaultWrong, resp.StatusCode)
-		return failure(crhop.FaultWrong, "the answer is not this request's")
+		r.dropConn()
+		return ex
+	}
+	if shed(resp) {
+		r.target.queue.Load().Shed()
 	}
 	r.observe(0, resp.StatusCode)
 	return &crhop.Exchange{
@@ -142,17 +152,86 @@
 			Header: resp.Header,
 			Length: resp.ContentLength,
 		},
-		Body: resp.Body,
+		Body: r.answerBody(caller, resp.Body),
+	}
+}
+
+// staleTries bounds the tries on kept connections that turn out closed.
+const staleTries = 3
+
+// gotConn is called on the goroutine of RoundTrip.
+func (r *run) gotConn(info httptrace.GotConnInfo) {
+	r.conn, _ = info.Conn.(*countedConn)
+	if r.conn != nil {
+		r.written = r.conn.writes.Load()
+	}
+}
+
+// unsent reports whether nothing of the request was written. It closes the
+// connection first: from then on no write can succeed, so that a count that has
+// not moved is a proof.
+func (r *run) unsent() bool {
+	if r.conn == nil {
+		return true
+	}
+	_ = r.conn.Close()
+	return r.conn.writes.Load() == r.written
+}
+
+// dropConn closes the connection of an answer that can not be trusted. An
+// upstream that once answered twice on a kept connection would go on giving each
+// request the answer of the one before.
+func (r *run) dropConn() {
+	if r.conn != nil {
+		_ = r.conn.Close()
+	}
+}
+
+// shed reports whether the upstream asks for less load.
+func shed(resp *http.Response) bool {
+	return isShed(resp.StatusCode) && resp.Header.Get("Retry-After") != ""
+}
+
+func isShed(status int) bool {
+	return status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable
+}
+
+// reject returns the failure to tell of an answer that must not be passed on, or
+// nil.
+func (r *run) reject(resp *http.Response) *crhop.Exchange {
+	switch {
+	case r.body.broken():
+		return failure(crhop.FaultBody, "the request's body broke off")
+	case resp.StatusCode < http.StatusOK:
+		r.observe(crhop.FaultBroken, resp.StatusCode)
+		return failure(crhop.FaultBroken, "the upstream gave no final status")
+	case !r.echoed(resp):
+		r.observe(crhop.FaultWrong, resp.StatusCode)
+		return failure(crhop.FaultWrong, "the answer is not this request's")
+	case endless(resp):
+		r.observe(crhop.FaultBroken, resp.StatusCode)
+		return failure(crhop.FaultBroken, "the answer has neither length nor chunks")
 	}
+	return nil
 }
 
-func (r *run) failed(connected, late bool) *crhop.Exchange {
+// endless reports whether the body ends with the connection. Such a body that
+// was cut can not be told from a whole one.
+func endless(resp *http.Response) bool {
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Request.Method != http.MethodHead
+}
+
+func (r *run) failed(caller context.Context, late bool) *crhop.Exchange {
 	switch {
-	case !connected:
-		r.observe(crhop.FaultConnect, 0)
+	case r.unsent():
 		ex := refusal("upstream takes no connection", true, refusedRetry)
-		ex.Answer.Fault = crhop.FaultConnect
+		if caller.Err() == nil && !r.body.broken() {
+			r.observe(crhop.FaultConnect, 0)
+			ex.Answer.Fault = crhop.FaultConnect
+		}
 		return ex
+	case r.body.broken(), caller.Err() != nil:
+		return failure(crhop.FaultBody, "the request broke off")
 	case late:
 		r.observe(crhop.FaultTimeout, 0)
 		return failure(crhop.FaultTimeout, "no answer before the deadline")
@@ -173,9 +252,16 @@
 // echoed reports whether the answer names this request, where the policy says
 // that answers do. An upstream that mixes up answers would otherwise hand one
 // account's data to another.
+//
+// A target that sheds may do so before it has read the request; an answer that
+// only says "come back" may lack the echo, though not carry a wrong one.
 func (r *run) echoed(resp *http.Response) bool {
 	name := r.target.echo()
-	return name == "" || resp.Header.Get(name) == r.forward.ID.String()
+	if name == "" {
+		return true
+	}
+	echo := resp.Header.Get(name)
+	return echo == r.forward.ID.String() || (echo == "" && isShed(resp.StatusCode))
 }
 
 func (r *run) request(ctx context.Context, body io.Reader, left time.Duration) *http.Request {
@@ -200,49 +286,9 @@
 		ProtoMajor:    1,
 		ProtoMinor:    1,
 	}
-	req.Body = upstreamBody(f, body)
-	return req.WithContext(ctx)
-}
-
-// upstreamBody returns the body to send. net/http replays a request that has
-// no body on a fresh connection when the reused one breaks, for safe methods and
-// for anything with an Idempotency-Key header; a charge without a body would
-// then run twice behind our back. It never replays a body that it can not
-// rewind, so a once request that it might replay gets such a body, though empty.
-func upstreamBody(f *crhop.Forward, body io.Reader) io.ReadCloser {
-	if f.Length != 0 && body != nil {
-		return &unrewindable{Reader: body}
-	}
-	if f.Class == crpolicy.ClassOnce && replayable(f) {
-		return &unrewindable{Reader: eofReader{}}
+	r.body = newRequestBody(f, body)
+	if r.body != nil {
+		req.Body = r.body
 	}
-	return http.NoBody
-}
-
-func replayable(f *crhop.Forward) bool {
-	switch f.Method {
-	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace:
-		return true
-	}
-	h := http.Header(f.Header)
-	return h.Get("Idempotency-Key") != "" || h.Get("X-Idempotency-Key") != ""
-}
-
-type unrewindable struct {
-	io.Reader
-}
-
-// Close implements io.Closer; the stream that is read is the session's to close.
-func (*unrewindable) Close() error { return nil }
-
-type runBody struct {
-	io.ReadCloser
-	end func()
-}
-
-// Close ends the run.
-func (b *runBody) Close() error {
-	err := b.ReadCloser.Close()
-	b.end()
-	return err
+	return req.WithContext(ctx)
 }
--- a/io/crexit/target.go
+++ b/io/crexit/target.go
@@ -1,56 +1,50 @@
 package crexit
 
 import (
-	"net"
 	"net/http"
 	"sync/atomic"
-	"time"
 
 	"camphorroad/core/crid"
 	"camphorroad/core/crpolicy"
 	"camphorroad/core/crslot"
 )
 
-const (
-	upstreamIdle    = 90 * time.Second
-	upstreamConnect = time.Second
-	maxAnswerHeader = 64 << 10
-)
-
 type target struct {
 	spec      Spec
-	transport *http.Transport
+	transport atomic.Pointer[http.Transport]
 	queue     atomic.Pointer[crslot.Queue]
 	policy    atomic.Pointer[crpolicy.Service]
 	inflight  atomic.Int64
 }
 
-func newTarget(spec Spec) *target {
-	dialer := &net.Dialer{Timeout: upstreamConnect}
-	return &target{spec: spec, transport: &http.Transport{
-		DialContext:            dialer.DialContext,
-		DisableCompression:     true,
-		IdleConnTimeout:        upstreamIdle,
-		MaxResponseHeaderBytes: maxAnswerHeader,
-		MaxIdleConnsPerHost:    idleConnections,
-	}}
-}
-
-// idleConnections bounds the kept connections; those in use are bounded by the
-// target's slots, which the policy keeps below its connections.
-const idleConnections = 64
+func newTarget(spec Spec) *target { return &target{spec: spec} }
 
 // apply takes the limits of the service's policy. The queue stays the same one
 // through changes, so that slots in use keep counting.
 func (t *target) apply(svc crpolicy.Service, clock func() crid.Instant) {
 	t.policy.Store(&svc)
+	t.bound(svc.Connections)
 	if q := t.queue.Load(); q != nil {
 		q.SetLimit(svc.Slots)
+		q.SetRoom(svc.Queue)
 		return
 	}
 	t.queue.Store(crslot.New(crslot.Params{Slots: svc.Slots, Queue: svc.Queue}, clock))
 }
 
+// bound sets the number of connections. A transport's bound can not be changed
+// while it is in use; requests that run finish on the former one.
+func (t *target) bound(connections int) {
+	old := t.transport.Load()
+	if old != nil && old.MaxConnsPerHost == connections {
+		return
+	}
+	t.transport.Store(newTransport(connections))
+	if old != nil {
+		old.CloseIdleConnections()
+	}
+}
+
 func (t *target) drain() {
 	if q := t.queue.Load(); q != nil {
 		q.Drain()
--- a/io/crhop/client.go
+++ b/io/crhop/client.go
@@ -137,7 +137,8 @@
 // the caller's connection ends the read.
 func sendBody(stream *quic.Stream, w *crwire.Writer, body io.Reader) {
 	if err := CopyChunks(w, body); err != nil {
-		stream.CancelWrite(CodeCut)
+		_ = w.Abort()
+		_ = stream.Close()
 		return
 	}
 	_ = finish(stream, w)
--- a/io/crhop/crhop.go
+++ b/io/crhop/crhop.go
@@ -81,6 +81,7 @@
 	FaultTimeout                  // the deadline passed
 	FaultWrong                    // the answer was another request's
 	FaultConnect                  // the upstream took no connection; nothing ran
+	FaultBody                     // the request's own body broke off; no evidence against the target
 )
 
 // Answer is the head of what the exit answers.
--- a/io/crwire/crwire.go
+++ b/io/crwire/crwire.go
@@ -30,6 +30,9 @@
 // a broken peer can not make a daemon allocate without bound.
 const MaxFrame = 1 << 20
 
+// abortMark stands where a frame's length would.
+const abortMark = MaxFrame + 1
+
 // Errors of the codec.
 var (
 	// ErrTooLong tells of a frame over MaxFrame.
@@ -38,6 +41,8 @@
 	ErrUnknownKind = errors.New("unknown message kind")
 	// ErrTruncated tells of a stream that ended before its end mark.
 	ErrTruncated = errors.New("stream ended before its end mark")
+	// ErrAborted tells that the sender's own source broke off.
+	ErrAborted = errors.New("the sender's source broke off")
 )
 
 // Registry maps message kinds to their types.
@@ -136,6 +141,16 @@
 	return w.w.Flush()
 }
 
+// Abort writes the mark of a body that broke off at its source, and flushes.
+// Resetting the stream instead would also throw away what the receiver has not
+// read yet, and it could not tell a broken source from a broken link.
+func (w *Writer) Abort() error {
+	if err := w.length(abortMark); err != nil {
+		return err
+	}
+	return w.w.Flush()
+}
+
 // Flush sends what is buffered.
 func (w *Writer) Flush() error { return w.w.Flush() }
 
@@ -216,6 +231,9 @@
 	if err != nil {
 		return 0, truncated(err)
 	}
+	if n == abortMark {
+		return 0, ErrAborted
+	}
 	if n > MaxFrame {
 		return 0, fmt.Errorf("%w: %d bytes", ErrTooLong, n)
 	}
