Look for keys behind any encoding, and drop forged headers both ways

Cause: tests with a recording upstream showed a key that came through as the host, as a header's name (its case changes on the way), and beside a bad escape, where the library's decoder gives up; two different keys in the query ran for the first; Camphorroad_Account passed, which upstreams that read headers as environment variables take for ours; an upstream could set Camphorroad-Request towards the caller and headers named by Connection.

Ruled out: url.QueryUnescape (gives up at the first bad escape); refusing every request with a percent sign in a header.

Change: one search for keys, without regard to case, behind up to four percent-encodings, on path, host, method, query, header names and values; 400 where the part can not be left out. Expect is met by the entry and not passed on.

--- a/io/crentry/credential.go
+++ b/io/crentry/credential.go
@@ -2,8 +2,8 @@
 
 import (
 	"net/http"
-	"net/textproto"
 	"net/url"
+	"slices"
 	"strings"
 )
 
@@ -13,18 +13,11 @@
 const (
 	headerAPIKey  = "X-Api-Key"
 	bearer        = "Bearer "
-	ownPrefix     = "Camphorroad-"
 	maxKeyLength  = 512
 	queryKeyName  = "key"
 	cookieKeyName = "key"
 )
 
-// hopByHop are the headers that hold for one connection only.
-var hopByHop = []string{
-	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
-	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
-}
-
 // credential is what a request's head gives once the key is taken off it.
 type credential struct {
 	key    string
@@ -48,8 +41,9 @@
 	if len(key) > maxKeyLength {
 		return nil, &refusal{status: http.StatusUnauthorized, reason: "unknown or withdrawn key", final: true}
 	}
-	if secret(r.URL.Path, key) {
-		return nil, &refusal{status: http.StatusBadRequest, reason: "a key must not stand in the path", final: true}
+	// These decide about the route and can not go without a part of them.
+	if secret(r.URL.EscapedPath(), key) || secret(r.Host, key) || secret(r.Method, key) {
+		return nil, &refusal{status: http.StatusBadRequest, reason: "a key must not stand in path, host or method", final: true}
 	}
 	return &credential{key: key, header: cleanHeader(r.Header, key), uri: cleanURI(r.URL, key)}, nil
 }
@@ -58,7 +52,7 @@
 	var keys []string
 	add := func(key string) {
 		key = strings.TrimSpace(key)
-		if key != "" && !contains(keys, key) {
+		if key != "" && !slices.Contains(keys, key) {
 			keys = append(keys, key)
 		}
 	}
@@ -71,7 +65,9 @@
 		add(v)
 	}
 	if r.URL.RawQuery != "" {
-		add(r.URL.Query().Get(queryKeyName))
+		for _, v := range r.URL.Query()[queryKeyName] {
+			add(v)
+		}
 	}
 	if len(r.Header["Cookie"]) > 0 {
 		for _, c := range r.CookiesNamed(cookieKeyName) {
@@ -81,60 +77,55 @@
 	return keys
 }
 
-func contains(keys []string, key string) bool {
-	for _, k := range keys {
-		if k == key {
-			return true
-		}
-	}
-	return false
-}
-
-// secret reports whether a text carries the caller's key, or any key that was
-// issued here: a caller may hold several and send one in the wrong place.
-func secret(text, key string) bool {
-	return strings.Contains(text, key) || strings.Contains(text, KeyMark)
-}
-
 // cleanHeader returns what may go to the upstream: no hop-by-hop header, none of
 // our own that a caller could forge, and no header with a key in it. A key that
 // got past here would let every upstream act as its account.
 func cleanHeader(in http.Header, key string) http.Header {
-	drop := make(map[string]bool, len(hopByHop))
-	for _, name := range hopByHop {
-		drop[name] = true
-	}
-	for _, v := range in["Connection"] {
-		for name := range strings.SplitSeq(v, ",") {
-			drop[textproto.CanonicalMIMEHeaderKey(strings.TrimSpace(name))] = true
-		}
-	}
-	drop["Authorization"] = true
-	drop[headerAPIKey] = true
+	named := connectionHeaders(in)
 	out := make(http.Header, len(in))
 	for name, values := range in {
-		if drop[name] || strings.HasPrefix(name, ownPrefix) || secret(name, key) {
+		if hopByHop(name) || own(name) || slices.Contains(named, name) || withheld(name) || secret(name, key) {
 			continue
 		}
 		if name == "Cookie" {
 			values = cleanCookies(values, key)
 		}
-		for _, v := range values {
-			if !secretEncoded(v, key) {
-				out[name] = append(out[name], v)
-			}
+		if kept := cleanValues(values, key); len(kept) > 0 {
+			out[name] = kept
 		}
 	}
 	return out
 }
 
+// withheld reports whether a header is for the entry alone. The entry has met
+// the caller's expectation itself by the time it forwards.
+func withheld(name string) bool {
+	return name == "Authorization" || name == headerAPIKey || name == "Expect"
+}
+
+// cleanValues returns the values themselves where none carries a key, which is
+// nearly always.
+func cleanValues(values []string, key string) []string {
+	clean := func(v string) bool { return !secret(v, key) }
+	if !slices.ContainsFunc(values, func(v string) bool { return !clean(v) }) {
+		return values
+	}
+	var kept []string
+	for _, v := range values {
+		if clean(v) {
+			kept = append(kept, v)
+		}
+	}
+	return kept
+}
+
 func cleanCookies(values []string, key string) []string {
 	var kept []string
 	for _, v := range values {
 		var parts []string
 		for part := range strings.SplitSeq(v, ";") {
 			name, _, _ := strings.Cut(strings.TrimSpace(part), "=")
-			if name != cookieKeyName && !secretEncoded(part, key) {
+			if name != cookieKeyName && !secret(part, key) {
 				parts = append(parts, strings.TrimSpace(part))
 			}
 		}
@@ -145,18 +136,6 @@
 	return kept
 }
 
-// secretEncoded also looks behind percent-encoding.
-func secretEncoded(v, key string) bool {
-	if secret(v, key) {
-		return true
-	}
-	if !strings.Contains(v, "%") {
-		return false
-	}
-	plain, err := url.QueryUnescape(v)
-	return err == nil && secret(plain, key)
-}
-
 // cleanURI drops the query parameters that carry a key; the others keep their
 // order and spelling.
 func cleanURI(u *url.URL, key string) string {
@@ -167,7 +146,7 @@
 	var kept []string
 	for part := range strings.SplitSeq(u.RawQuery, "&") {
 		name, _, _ := strings.Cut(part, "=")
-		if name != queryKeyName && !secretEncoded(part, key) {
+		if name != queryKeyName && !secret(part, key) {
 			kept = append(kept, part)
 		}
 	}
--- a/io/crentry/serve.go
+++ b/io/crentry/serve.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"time"
 
 	"camphorroad/core/crforward"
@@ -337,11 +338,11 @@
 
 func writeHead(w http.ResponseWriter, a *crhop.Answer) {
 	h := w.Header()
+	named := connectionHeaders(a.Header)
 	for name, values := range a.Header {
-		h[name] = append([]string(nil), values...)
-	}
-	for _, name := range hopByHop {
-		h.Del(name)
+		if !hopByHop(name) && !own(name) && !slices.Contains(named, name) {
+			h[name] = values
+		}
 	}
 	h.Set(HeaderOutcome, crforward.Answered.String())
 	w.WriteHeader(a.Status)
