--- a/io/crdaemon/crdaemon.go
+++ b/io/crdaemon/crdaemon.go
@@ -11,6 +11,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"log"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -53,6 +54,9 @@
 
 // Run starts a daemon, serves until ctx ends, drains, and returns.
 func Run(ctx context.Context, cfg crsettings.Settings, logTo io.Writer) error {
+	// net/http prints the first bytes of answers that nobody asked for to the
+	// standard logger: some account's data, outside of the numbered events.
+	log.SetOutput(io.Discard)
 	var d *daemon
 	app := fx.New(
 		fx.Supply(cfg),
--- a/io/crentry/serve.go
+++ b/io/crentry/serve.go
@@ -117,12 +117,13 @@
 
 // share is the time one attempt may take. A repeat request keeps half of what is
 // left for another target, so that one stalled target does not use up the whole
-// deadline; a once request can not be sent again and gets all but the moment
-// that the revoke needs.
+// deadline, unless its body is too long to be sent again; a once request can not
+// be sent again and gets all but the moment that the revoke needs.
 func (s *serving) share(now crid.Instant) time.Duration {
 	left := s.deadline.Sub(now)
 	if s.req.route.Class == crpolicy.ClassRepeat {
-		if s.tracker.Attempts() < crforward.DefaultTrackerParams().MaxAttempts {
+		long := s.length > int64(s.entry.opts.Replay)
+		if !long && s.tracker.Attempts() < crforward.DefaultTrackerParams().MaxAttempts {
 			return left / 2
 		}
 		return left
@@ -344,6 +345,9 @@
 			h[name] = values
 		}
 	}
+	if a.Status == http.StatusNoContent {
+		delete(h, "Content-Length") // an HTTP/2 caller would wait for the body
+	}
 	h.Set(HeaderOutcome, crforward.Answered.String())
 	w.WriteHeader(a.Status)
 }
--- a/io/crentry/server.go
+++ b/io/crentry/server.go
@@ -1,6 +1,8 @@
 package crentry
 
 import (
+	"io"
+	"log"
 	"net/http"
 	"time"
 )
@@ -26,5 +28,7 @@
 		ReadHeaderTimeout: opts.HeaderTime,
 		IdleTimeout:       callerIdle,
 		MaxHeaderBytes:    opts.HeaderBytes,
+		// net/http reports callers' bad bytes here, which may hold a key.
+		ErrorLog: log.New(io.Discard, "", 0),
 	}
 }
