Follow a worn or stale session by a new one

Cause: a session whose ledger had ended (bound of records, or the exit was paused) refused everything for as long as it lived; the daemon's own ledger, which never closes, refused all after 65,536 forwards within 75 s. A stream beyond the peer's bound waited for the whole deadline.

Ruled out: closing the session at the exit (it would cut what runs, and a refusal on its way).

Change: an answer tells when the ledger is three quarters full or ended; the entry dials a new session for what follows and closes the old one after its last stream. The own ledger is followed by another; a revoke goes to the one the forward ran under. Opening a stream at the bound fails at once.

Measured: TestAPausedExitGetsANewSession, TestManyForwardsWearOutNoSession (131,072 forwards, none refused for the bound, a running one finishes) and TestAnotherSessionsNumberStartsNothing pass. Not run against the former code, which lacks the calls they use.

Conclusion: an entry that ignores the mark keeps being refused as not run; the exit does not close the session by itself.

--- a/core/crforward/ledger.go
+++ b/core/crforward/ledger.go
@@ -235,6 +235,15 @@
 	return l.closed || l.stale
 }
 
+// Worn reports whether nothing can start any more, or the bound of records is
+// near, so that the entry should send its next forwards over a new session. A
+// session that reached the bound in full run would refuse all that was on its way.
+func (l *Ledger) Worn() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.closed || l.stale || len(l.records) >= l.params.MaxRecords/4*3
+}
+
 // Dump is a Ledger's part of the state dump.
 type Dump struct {
 	Pending  int  `json:"pending"`
--- a/io/crdaemon/hop.go
+++ b/io/crdaemon/hop.go
@@ -27,8 +27,9 @@
 	ctx context.Context, to *crroute.Target, f *crhop.Forward, body crentry.BodySource, sent func(crentry.Revoker),
 ) (*crhop.Exchange, error) {
 	if to.Daemon() == h.self {
-		sent(localRevoker{hop: h, id: f.ID})
-		return h.exit.Run(ctx, h.exit.Own(), f, body.Open()), nil
+		ledger := h.exit.Own()
+		sent(localRevoker{ledger: ledger, clock: h.clock, id: f.ID})
+		return h.exit.Run(ctx, ledger, f, body.Open()), nil
 	}
 	return h.client.Forward(ctx, to.Daemon(), f, body.Open(), func(handle *crhop.Handle) {
 		sent(remoteRevoker{client: h.client, handle: handle})
@@ -36,13 +37,14 @@
 }
 
 type localRevoker struct {
-	hop *hop
-	id  crid.Request
+	ledger *crforward.Ledger
+	clock  func() crid.Instant
+	id     crid.Request
 }
 
 // Revoke implements crentry.Revoker.
 func (r localRevoker) Revoke(context.Context) crforward.Verdict {
-	return r.hop.exit.Own().Revoke(r.id, 0, r.hop.clock())
+	return r.ledger.Revoke(r.id, 0, r.clock())
 }
 
 type remoteRevoker struct {
--- a/io/crexit/crexit.go
+++ b/io/crexit/crexit.go
@@ -48,10 +48,11 @@
 type Exit struct {
 	opts     Options
 	targets  map[crid.Target]*target
-	own      *crforward.Ledger
 	draining atomic.Bool
 
 	mu      sync.Mutex
+	own     *crforward.Ledger
+	former  *crforward.Ledger // the own one before, until its forwards have ended
 	ledgers map[*crforward.Ledger]struct{}
 }
 
@@ -68,15 +69,36 @@
 	for _, spec := range opts.Targets {
 		x.targets[spec.Name] = newTarget(spec)
 	}
-	// The own entry shares this process's life and pauses, so its ledger has
-	// no pulse: a request that waited through a pause is caught by its deadline.
-	x.own = crforward.NewLedger(crforward.DefaultParams(), 0, opts.Clock(), nil)
+	x.own = x.newOwn()
 	x.ledgers[x.own] = struct{}{}
 	return x
 }
 
-// Own is the ledger of the daemon's own entry.
-func (x *Exit) Own() *crforward.Ledger { return x.own }
+// newOwn returns a ledger for the own entry. It shares this process's life and
+// pauses, so the ledger has no pulse: a request that waited through a pause is
+// caught by its deadline.
+func (x *Exit) newOwn() *crforward.Ledger {
+	return crforward.NewLedger(crforward.DefaultParams(), 0, x.opts.Clock(), nil)
+}
+
+// Own is the ledger for a forward of the daemon's own entry, which must also
+// revoke it there. At its bound of records the ledger is followed by a new one;
+// without that the own entry's work would be refused from then on.
+func (x *Exit) Own() *crforward.Ledger {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if !x.own.Worn() {
+		return x.own
+	}
+	delete(x.ledgers, x.former)
+	x.former = x.own
+	x.own = x.newOwn()
+	x.ledgers[x.own] = struct{}{}
+	if x.draining.Load() {
+		x.own.Drain()
+	}
+	return x.own
+}
 
 // Has reports whether the target stands beside this daemon.
 func (x *Exit) Has(name crid.Target) bool { return x.targets[name] != nil }
@@ -209,8 +231,10 @@
 	var ex *crhop.Exchange
 	if ledger := s.ledgerFor(f.Session); ledger == nil {
 		ex = refusal(crforward.ReasonClosed.String(), true, refusedRetry)
+		ex.Answer.Renew = true
 	} else {
 		ex = s.exit.Run(ctx, ledger, &f, r)
+		ex.Answer.Renew = ledger.Worn()
 	}
 	defer ex.Body.Close()
 	if err := writeAnswer(stream, ex); err != nil {
--- a/io/crexit/hop_test.go
+++ b/io/crexit/hop_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -33,6 +34,20 @@
 	client *crhop.Client
 	exit   *crexit.Exit
 	peers  *crpeer.Transport
+	pulse  *crforward.Pulse
+}
+
+// rawForward sends a forward as it is, with the session number it names.
+func rawForward(s *crpeer.Session, f *crhop.Forward) (crhop.Answer, error) {
+	stream, err := s.Open()
+	if err != nil {
+		return crhop.Answer{}, err
+	}
+	defer s.Done()
+	w := crwire.NewWriter(stream)
+	var answer crhop.Answer
+	err = errors.Join(w.Kind(crhop.StreamForward), w.Value(f), w.End(), stream.Close())
+	return answer, errors.Join(err, crwire.NewReader(stream).Value(&answer))
 }
 
 type handler struct{ exit *crexit.Exit }
@@ -70,7 +85,7 @@
 	}
 	entry, far := listen("entry"), listen("exit")
 	entry.SetAddrs(map[crid.Daemon]string{"exit": far.Addr()})
-	return &hop{client: crhop.NewClient(entry), exit: exit, peers: entry}
+	return &hop{client: crhop.NewClient(entry), exit: exit, peers: entry, pulse: pulse}
 }
 
 var service = crpolicy.Service{Name: "s", Slots: 256, Queue: 256}
--- /dev/null
+++ b/io/crexit/session_test.go
@@ -0,0 +1,127 @@
+package crexit_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"camphorroad/core/crforward"
+	"camphorroad/core/crpolicy"
+	"camphorroad/io/crclock"
+	"camphorroad/io/crhop"
+)
+
+func fine() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "answer") })
+}
+
+// An exit's process is frozen and wakes up. Nothing starts any more over the
+// sessions opened before, and an entry that kept to its session would be refused
+// for as long as that lives.
+func TestAPausedExitGetsANewSession(t *testing.T) {
+	g := gomega.NewWithT(t)
+	h := newHop(t, fine(), service)
+	_, err := h.get(1)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	old, err := h.peers.Session(t.Context(), "exit")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	h.pulse.Beat(crclock.Now().Add(2 * time.Hour)) // a pause of two hours, by the pulse's clock
+	ex, err := h.client.Forward(t.Context(), "exit", forward(2, crpolicy.ClassOnce), nil, func(*crhop.Handle) {})
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(ex.Answer.Kind).To(gomega.Equal(crhop.KindRefusal))
+	g.Expect(ex.Answer.NotRun).To(gomega.BeTrue())
+	g.Expect(ex.Answer.Reason).To(gomega.Equal(crforward.ReasonStale.String()))
+	g.Expect(ex.Body.Close()).To(gomega.Succeed())
+	g.Eventually(old.Context().Done()).Should(gomega.BeClosed())
+	renewed, err := h.peers.Session(t.Context(), "exit")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(renewed).NotTo(gomega.BeIdenticalTo(old))
+}
+
+// A session that serves more forwards than its ledger remembers has to be
+// followed by another, without a request refused or cut, also one that runs on
+// the old session meanwhile. The daemon's own entry needs the same.
+func TestManyForwardsWearOutNoSession(t *testing.T) {
+	g := gomega.NewWithT(t)
+	release := make(chan struct{})
+	h := newHop(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/long" {
+			<-release
+		}
+		_, _ = io.WriteString(w, "answer")
+	}), service)
+	long := forward(1<<60, crpolicy.ClassOnce)
+	long.URI, long.Left = "/long", time.Minute
+	result := make(chan error, 1)
+	go func() {
+		ex, err := h.client.Forward(context.Background(), "exit", long, nil, func(*crhop.Handle) {})
+		if err == nil {
+			_, err = io.Copy(io.Discard, ex.Body)
+			_ = ex.Body.Close()
+		}
+		result <- err
+	}()
+	first, err := h.peers.Session(t.Context(), "exit")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Eventually(h.exit.InFlight).Should(gomega.BeEquivalentTo(1))
+
+	// Forwards to a target that is not here are remembered, and cheap.
+	records := uint64(crforward.DefaultParams().MaxRecords)
+	var wg sync.WaitGroup
+	var closed atomic.Int64
+	for worker := range uint64(16) {
+		wg.Go(func() {
+			for n := range 2 * records / 16 {
+				f := forward(worker<<32|n, crpolicy.ClassRepeat)
+				f.Left = 0
+				ex, err := h.client.Forward(context.Background(), "exit", f, nil, func(*crhop.Handle) {})
+				if err != nil || ex.Answer.Reason == crforward.ReasonClosed.String() {
+					closed.Add(1)
+				}
+				if err == nil {
+					_ = ex.Body.Close()
+				}
+			}
+		})
+	}
+	wg.Wait()
+	g.Expect(closed.Load()).To(gomega.BeZero())
+	close(release)
+	g.Expect(<-result).To(gomega.Succeed(), "what runs on the old session finishes")
+	g.Eventually(first.Context().Done()).Should(gomega.BeClosed())
+
+	for n := range 2 * records {
+		f := forward(n, crpolicy.ClassRepeat)
+		f.Left = 0
+		ex := h.exit.Run(t.Context(), h.exit.Own(), f, nil)
+		g.Expect(ex.Answer.Reason).To(gomega.Equal(crforward.ReasonExpired.String()))
+		_ = ex.Body.Close()
+	}
+}
+
+// A forward that names another session's number, as one delayed from before a
+// restart would, must not start; the sessions' own forwards are not disturbed.
+func TestAnotherSessionsNumberStartsNothing(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var runs atomic.Int64
+	h := newHop(t, http.HandlerFunc(func(http.ResponseWriter, *http.Request) { runs.Add(1) }), service)
+	_, err := h.get(1)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	s, err := h.peers.Session(t.Context(), "exit")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	f := forward(2, crpolicy.ClassOnce)
+	f.Session = 12345
+	answer, err := rawForward(s, f)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(answer.Kind).To(gomega.Equal(crhop.KindRefusal))
+	g.Expect(answer.NotRun).To(gomega.BeTrue())
+	g.Expect(runs.Load()).To(gomega.BeEquivalentTo(1))
+	_, err = h.get(3)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+}
--- a/io/crhop/client.go
+++ b/io/crhop/client.go
@@ -54,7 +54,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
-	stream, err := session.Open(ctx)
+	stream, err := session.Open()
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
@@ -65,12 +65,16 @@
 	if err != nil {
 		stop()
 		cancel(stream)
+		session.Done()
 		return nil, fmt.Errorf("%w: %w", ErrLost, err)
 	}
+	if ex.Answer.Renew {
+		c.peers.Retire(session)
+	}
 	ex.Body = &answerBody{Reader: ex.Body, close: func() {
 		stop()
-		stream.CancelRead(CodeCancelled)
-		stream.CancelWrite(CodeCancelled)
+		cancel(stream)
+		session.Done()
 	}}
 	return ex, nil
 }
@@ -185,10 +189,11 @@
 // Revoke asks the exit about a forward, over the session it was sent in. Where
 // that session has ended, or no answer comes in time, nothing is known.
 func (c *Client) Revoke(ctx context.Context, h *Handle) crforward.Verdict {
-	stream, err := h.session.Open(ctx)
+	stream, err := h.session.Open()
 	if err != nil {
 		return crforward.VerdictUnknown
 	}
+	defer h.session.Done()
 	stop := context.AfterFunc(ctx, func() { cancel(stream) })
 	defer stop()
 	if deadline, ok := ctx.Deadline(); ok {
--- a/io/crhop/crhop.go
+++ b/io/crhop/crhop.go
@@ -95,6 +95,7 @@
 	Reason     string              `cbor:"w"`
 	RetryAfter time.Duration       `cbor:"a"`
 	InFlight   int64               `cbor:"l"` // requests at the target, the exit's count
+	Renew      bool                `cbor:"e"` // the next forwards need a new session
 }
 
 // Revoke asks whether a forward was started, and that it never be if not.
--- a/io/crpeer/session.go
+++ b/io/crpeer/session.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net"
+	"sync"
 	"time"
 
 	"github.com/quic-go/quic-go"
@@ -19,6 +20,10 @@
 	peer crid.Daemon
 	addr string
 	conn *quic.Conn
+
+	mu      sync.Mutex
+	open    int // streams that their users have not done with
+	retired bool
 }
 
 // Peer is the daemon at the other end.
@@ -27,15 +32,42 @@
 // Context ends with the session.
 func (s *Session) Context() context.Context { return s.conn.Context() }
 
-// Open opens a stream. After an error nothing was sent.
-func (s *Session) Open(ctx context.Context) (*quic.Stream, error) {
-	stream, err := s.conn.OpenStreamSync(ctx)
+// Open opens a stream; Done must be called once it is no longer used. After an
+// error nothing was sent. At the bound of streams it is refused rather than kept
+// waiting: the caller has a deadline, and another target may have room.
+func (s *Session) Open() (*quic.Stream, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	stream, err := s.conn.OpenStream()
 	if err != nil {
 		return nil, fmt.Errorf("%w: open stream to %s: %w", ErrUnreachable, s.peer, err)
 	}
+	s.open++
 	return stream, nil
 }
 
+// Done tells that a stream is no longer used. The last one closes a retired
+// session.
+func (s *Session) Done() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.open--
+	s.closeRetired()
+}
+
+func (s *Session) retire() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.retired = true
+	s.closeRetired()
+}
+
+func (s *Session) closeRetired() {
+	if s.retired && s.open <= 0 {
+		_ = s.conn.CloseWithError(0, "retired")
+	}
+}
+
 func (s *Session) alive() bool { return s.conn.Context().Err() == nil }
 
 // Session returns the live session with a peer, dialling it where there is
@@ -61,6 +93,17 @@
 	}
 }
 
+// Retire lets a session end with its last stream; the next use of the peer dials
+// a new one.
+func (t *Transport) Retire(s *Session) {
+	t.mu.Lock()
+	if t.sessions[s.peer] == s {
+		delete(t.sessions, s.peer)
+	}
+	t.mu.Unlock()
+	s.retire()
+}
+
 func (t *Transport) current(peer crid.Daemon, addr string) (*Session, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
