Probe the own targets and hear them say that they drain

Cause: nothing asked a target's health, load or known answer.

Ruled out: believing health and load (they lag and mislead; they are hints); probing beside the slots (a probe costs the target 25 ms like a request, and behind requests that hang it would measure the queue).

Change: for each target one poll a second and one probe as often as the policy says, over the target's own bounded connections, the probe in a slot of the fair queue; callbacks Probe, Hint and Leaving. A health page of 503 with X-Draining, or draining in the health or load page's JSON, makes the exit refuse new work of that target as not run. The lab upstream says so when it drains.

Conclusion: the callbacks are not wired to the health reducer here; that is the lead's.

--- a/io/crdaemon/crdaemon.go
+++ b/io/crdaemon/crdaemon.go
@@ -219,6 +219,7 @@
 	if err := d.shell.loop.Post(started); err != nil {
 		return err
 	}
+	go d.exit.Watch(ctx)
 	go d.serveCallers(callers)
 	go func() { _ = d.admin.Serve(admin) }()
 	return nil
--- a/io/crexit/crexit.go
+++ b/io/crexit/crexit.go
@@ -42,6 +42,12 @@
 	Idle    time.Duration // longest silence of an upstream within its answer; zero: no bound
 	// Observe is told of each finished run; it must not block.
 	Observe func(target crid.Target, account crid.Account, fault crhop.Fault, status int, took time.Duration)
+	// Probe is told of each known-answer probe, Hint each second what a target's
+	// own pages say, and Leaving when a target begins or ceases to say that it
+	// is draining. They must not block; nil ones are not called.
+	Probe   func(target crid.Target, ok bool, took time.Duration)
+	Hint    func(target crid.Target, bad bool)
+	Leaving func(target crid.Target, leaving bool)
 }
 
 // Exit runs forwards on this daemon's targets. It is safe for concurrent use.
--- a/io/crexit/run.go
+++ b/io/crexit/run.go
@@ -33,6 +33,9 @@
 	if t == nil || t.spec.Service != f.Service {
 		return refusal("no such target here", true, refusedRetry)
 	}
+	if t.leaving.Load() {
+		return refusal("target draining", true, refusedRetry)
+	}
 	now := x.opts.Clock()
 	deadline := now.Add(f.Left)
 	if err := ledger.Offer(f.ID, f.Class, now, deadline); err != nil {
--- a/io/crexit/target.go
+++ b/io/crexit/target.go
@@ -15,6 +15,7 @@
 	queue     atomic.Pointer[crslot.Queue]
 	policy    atomic.Pointer[crpolicy.Service]
 	inflight  atomic.Int64
+	leaving   atomic.Bool // the upstream says that it is draining
 }
 
 func newTarget(spec Spec) *target { return &target{spec: spec} }
--- /dev/null
+++ b/io/crexit/watch_test.go
@@ -0,0 +1,136 @@
+package crexit_test
+
+import (
+	"context"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+	"go.uber.org/goleak"
+
+	"camphorroad/core/crforward"
+	"camphorroad/core/crid"
+	"camphorroad/core/crpolicy"
+	"camphorroad/io/crclock"
+	"camphorroad/io/crexit"
+	"camphorroad/io/crhop"
+	"camphorroad/lab/crupstream"
+)
+
+// watched is an exit whose word on its one target is kept.
+type watched struct {
+	*gomega.WithT
+	exit *crexit.Exit
+	lab  *crupstream.Upstream
+
+	mu      sync.Mutex
+	probes  []bool
+	took    time.Duration
+	hints   []bool
+	leaving []bool
+}
+
+func newWatched(t *testing.T, change func(*crpolicy.Service)) *watched {
+	w := &watched{WithT: gomega.NewWithT(t)}
+	w.lab = crupstream.New(crupstream.Options{Name: "t", Slots: 2, Queue: 2, Service: 25 * time.Millisecond})
+	srv := httptest.NewServer(w.lab)
+	t.Cleanup(srv.Close)
+	w.exit = crexit.New(crexit.Options{
+		Targets: []crexit.Spec{{Name: "t", Service: "s", Addr: strings.TrimPrefix(srv.URL, "http://")}},
+		Pulse:   crforward.NewPulse(time.Hour, crclock.Now()),
+		Clock:   crclock.Now,
+		Probe: func(_ crid.Target, ok bool, took time.Duration) {
+			w.keep(func() { w.probes = append(w.probes, ok); w.took = took })
+		},
+		Hint:    func(_ crid.Target, bad bool) { w.keep(func() { w.hints = append(w.hints, bad) }) },
+		Leaving: func(_ crid.Target, l bool) { w.keep(func() { w.leaving = append(w.leaving, l) }) },
+	})
+	svc := crpolicy.Service{
+		Name: "s", Slots: 2, Queue: 2, Connections: 8, HealthPath: "/health", LoadPath: "/load",
+		Probe: crpolicy.Probe{Path: "/probe", Status: 200, Body: crupstream.ProbeAnswer, Every: 100 * time.Millisecond},
+	}
+	change(&svc)
+	w.Expect(w.exit.Apply(crpolicy.NewSnapshot(1, []crpolicy.Service{svc}, nil))).To(gomega.BeEmpty())
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { w.exit.Watch(ctx); close(done) }()
+	t.Cleanup(func() { cancel(); <-done })
+	return w
+}
+
+func (w *watched) keep(f func()) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	f()
+}
+
+func (w *watched) last(list *[]bool) func() int {
+	return func() int {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		switch l := *list; {
+		case len(l) == 0:
+			return -1
+		case l[len(l)-1]:
+			return 1
+		}
+		return 0
+	}
+}
+
+// A target answers wrongly or says it is sick. The probe and its own pages show
+// it within their times.
+func TestProbesAndHintsTellOfASickTarget(t *testing.T) {
+	w := newWatched(t, func(*crpolicy.Service) {})
+	w.Eventually(w.last(&w.probes)).Should(gomega.Equal(1))
+	w.Eventually(w.last(&w.hints), 2*time.Second).Should(gomega.Equal(0))
+	w.Expect(w.took).To(gomega.BeNumerically(">=", 25*time.Millisecond))
+	w.lab.SetFault(crupstream.Fault{Kind: crupstream.FaultWrong, Health: "sick"})
+	w.Eventually(w.last(&w.probes)).Should(gomega.Equal(0))
+	w.Eventually(w.last(&w.hints), 2*time.Second).Should(gomega.Equal(1))
+	w.lab.SetFault(crupstream.Fault{Kind: crupstream.FaultStall})
+	w.keep(func() { w.probes = nil })
+	w.Eventually(w.last(&w.probes), 4*time.Second).Should(gomega.Equal(0), "a probe without an answer is a failed one")
+}
+
+// Every slot is held by requests that hang. A probe that waited behind them would
+// measure the queue and blame the target for it.
+func TestAProbeTakesASlot(t *testing.T) {
+	w := newWatched(t, func(s *crpolicy.Service) { s.Probe.Every = time.Hour })
+	w.lab.SetFault(crupstream.Fault{Kind: crupstream.FaultStall})
+	ctx, cancel := context.WithCancel(t.Context())
+	for n := range uint64(2) {
+		go w.exit.Run(ctx, w.exit.Own(), forward(n+1, crpolicy.ClassRepeat), nil)
+	}
+	w.Eventually(w.exit.InFlight).Should(gomega.BeEquivalentTo(2))
+	svc := crpolicy.Service{Name: "s", Slots: 2, Queue: 2, Probe: crpolicy.Probe{Path: "/probe", Status: 200, Every: 100 * time.Millisecond}}
+	w.exit.Apply(crpolicy.NewSnapshot(2, []crpolicy.Service{svc}, nil))
+	w.Consistently(w.last(&w.probes), 500*time.Millisecond).Should(gomega.Equal(-1))
+	cancel()
+}
+
+// An upstream begins to drain and says so. It must get no new work, and the fleet
+// has to hear of it before the platform's list tells.
+func TestADrainingTargetIsLeaving(t *testing.T) {
+	w := newWatched(t, func(*crpolicy.Service) {})
+	w.lab.ServeHTTP(httptest.NewRecorder(), httptest.NewRequest("POST", "/lab/drain", nil)) //nolint:noctx // a recorder's request
+	w.Eventually(w.last(&w.leaving), 3*time.Second).Should(gomega.Equal(1))
+	ex := w.exit.Run(t.Context(), w.exit.Own(), forward(1, crpolicy.ClassOnce), nil)
+	w.Expect(ex.Answer.Kind).To(gomega.Equal(crhop.KindRefusal))
+	w.Expect(ex.Answer.NotRun).To(gomega.BeTrue())
+	w.Expect(w.lab.Runs().Total).To(gomega.BeZero())
+}
+
+// All that watches ends with its context, also within a probe that hangs.
+func TestWatchingLeavesNothingBehind(t *testing.T) {
+	ignore := goleak.IgnoreCurrent()
+	t.Run("watch", func(t *testing.T) {
+		w := newWatched(t, func(*crpolicy.Service) {})
+		w.lab.SetFault(crupstream.Fault{Kind: crupstream.FaultStall})
+		time.Sleep(300 * time.Millisecond)
+	})
+	goleak.VerifyNone(t, ignore)
+}
--- a/lab/crupstream/crupstream.go
+++ b/lab/crupstream/crupstream.go
@@ -32,11 +32,12 @@
 
 // Header names of the stand-in's own protocol.
 const (
-	HeaderLabID   = "X-Lab-Id"       // the load tool's name of a request
-	HeaderEcho    = "X-Request-Echo" // echoes the fleet's request identity
-	headerRequest = "Camphorroad-Request"
-	headerAccount = "Camphorroad-Account"
-	keyMark       = "crk_"
+	HeaderLabID    = "X-Lab-Id"       // the load tool's name of a request
+	HeaderEcho     = "X-Request-Echo" // echoes the fleet's request identity
+	headerRequest  = "Camphorroad-Request"
+	headerAccount  = "Camphorroad-Account"
+	headerDraining = "X-Draining"
+	keyMark        = "crk_"
 )
 
 // Kind names a fault.
@@ -140,6 +141,9 @@
 func (u *Upstream) health(w http.ResponseWriter) {
 	f := u.fault.Load()
 	sick := f.Health == "sick" || (f.Kind == FaultError && f.Health == "")
+	if u.draining.Load() {
+		w.Header().Set(headerDraining, "1")
+	}
 	if sick || u.draining.Load() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
@@ -150,6 +154,7 @@
 type Load struct {
 	InFlight int64 `json:"inflight"`
 	Slots    int   `json:"slots"`
+	Draining bool  `json:"draining"`
 }
 
 func (u *Upstream) load(w http.ResponseWriter) {
@@ -157,7 +162,7 @@
 	if u.fault.Load().Kind == FaultLie {
 		n = 0
 	}
-	writeJSON(w, Load{InFlight: n, Slots: u.opts.Slots})
+	writeJSON(w, Load{InFlight: n, Slots: u.opts.Slots, Draining: u.draining.Load()})
 }
 
 func (u *Upstream) probe(w http.ResponseWriter, r *http.Request) {
