Return a target's page in place of its response

Cause: the linter could not see that the response's body is closed. Change: the status, header and bytes that are used are returned instead.

--- a/io/crexit/watch.go
+++ b/io/crexit/watch.go
@@ -114,14 +114,14 @@
 	if path == "" {
 		return false, false
 	}
-	resp, body, err := w.get(ctx, path, maxReport)
+	got, err := w.get(ctx, path, maxReport)
 	if err != nil {
 		return true, false
 	}
 	var r report
-	_ = json.Unmarshal(body, &r) // a health page need not be JSON
-	drains := resp.StatusCode == http.StatusServiceUnavailable && (resp.Header.Get(HeaderDraining) != "" || r.Draining)
-	return resp.StatusCode != http.StatusOK, drains
+	_ = json.Unmarshal(got.body, &r) // a health page need not be JSON
+	drains := got.status == http.StatusServiceUnavailable && (got.header.Get(HeaderDraining) != "" || r.Draining)
+	return got.status != http.StatusOK, drains
 }
 
 // report is what is read of a target's pages.
@@ -134,9 +134,9 @@
 	if svc.LoadPath == "" {
 		return false, false
 	}
-	resp, body, err := w.get(ctx, svc.LoadPath, maxReport)
+	got, err := w.get(ctx, svc.LoadPath, maxReport)
 	var r report
-	if err != nil || resp.StatusCode != http.StatusOK || json.Unmarshal(body, &r) != nil {
+	if err != nil || got.status != http.StatusOK || json.Unmarshal(got.body, &r) != nil {
 		return false, false
 	}
 	return r.InFlight > overload*svc.Slots, r.Draining
@@ -163,23 +163,30 @@
 	}
 	defer lease.Release()
 	started := w.exit.opts.Clock()
-	resp, body, err := w.get(ctx, svc.Probe.Path, int64(len(svc.Probe.Body))+1)
+	got, err := w.get(ctx, svc.Probe.Path, int64(len(svc.Probe.Body))+1)
 	if errors.Is(ctx.Err(), context.Canceled) || w.exit.opts.Probe == nil {
 		return
 	}
-	ok := err == nil && resp.StatusCode == svc.Probe.Status && string(body) == svc.Probe.Body
+	ok := err == nil && got.status == svc.Probe.Status && string(got.body) == svc.Probe.Body
 	w.exit.opts.Probe(w.target.spec.Name, ok, w.exit.opts.Clock().Sub(started))
 }
 
+// page is what a target answered.
+type page struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
 // get reads at most so many bytes of an answer.
-func (w *watcher) get(ctx context.Context, path string, most int64) (*http.Response, []byte, error) {
+func (w *watcher) get(ctx context.Context, path string, most int64) (page, error) {
 	u := &url.URL{Scheme: "http", Host: w.target.spec.Addr, Opaque: path}
 	req := (&http.Request{Method: http.MethodGet, URL: u, Host: w.target.spec.Addr, Header: http.Header{}}).WithContext(ctx)
 	resp, err := w.target.transport.Load().RoundTrip(req)
 	if err != nil {
-		return nil, nil, err
+		return page{}, err
 	}
 	defer func() { _ = resp.Body.Close() }()
 	body, err := io.ReadAll(io.LimitReader(resp.Body, most))
-	return resp, body, err
+	return page{status: resp.StatusCode, header: resp.Header, body: body}, err
 }
