Reload certificates on SIGHUP, towards callers too

Cause: the command's help promised that SIGHUP reads the certificates again, and the process died of it; the certificate towards callers was read once.

Change: serve passes SIGHUP to the daemon, which reloads both and logs 130 or 131; the server towards callers takes the newest certificate at each handshake, with HTTP/2 and HTTP/1.1 by ALPN.

Measured: TestCallersOverTLSAndRotation passes (both protocols, files that do not fit, a kept connection).

--- a/command/serve/serve.go
+++ b/command/serve/serve.go
@@ -4,6 +4,9 @@
 import (
 	"context"
 	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
 
 	"camphorroad/command/factory"
 	"camphorroad/io/crdaemon"
@@ -39,5 +42,8 @@
 		_, err = fmt.Fprintf(f.Out, "%s: ok\n", o.Config)
 		return err
 	}
-	return crdaemon.Run(ctx, cfg, f.ErrOut)
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	defer signal.Stop(reload)
+	return crdaemon.Run(ctx, cfg, f.ErrOut, reload)
 }
--- a/io/crdaemon/crdaemon.go
+++ b/io/crdaemon/crdaemon.go
@@ -3,7 +3,7 @@
 //
 // # Usage
 //
-//	err := crdaemon.Run(ctx, cfg, os.Stderr) // until ctx ends, then drains
+//	err := crdaemon.Run(ctx, cfg, os.Stderr, reload) // until ctx ends, then drains
 package crdaemon
 
 import (
@@ -15,6 +15,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -52,8 +53,9 @@
 	settle = 300 * time.Millisecond
 )
 
-// Run starts a daemon, serves until ctx ends, drains, and returns.
-func Run(ctx context.Context, cfg crsettings.Settings, logTo io.Writer) error {
+// Run starts a daemon, serves until ctx ends, drains, and returns. A value on
+// reload makes it read its certificates again; the channel may be nil.
+func Run(ctx context.Context, cfg crsettings.Settings, logTo io.Writer, reload <-chan os.Signal) error {
 	// net/http prints the first bytes of answers that nobody asked for to the
 	// standard logger: some account's data, outside of the numbered events.
 	log.SetOutput(io.Discard)
@@ -65,6 +67,7 @@
 			func() *crforward.Pulse { return crforward.NewPulse(crforward.DefaultPulseLimit, crclock.Now()) },
 			metrics.NewRegistry,
 			newIdentity,
+			newCertificate,
 			newRegistry,
 			newExit,
 			newPlatform,
@@ -84,7 +87,7 @@
 	if err := app.Start(ctx); err != nil {
 		return fmt.Errorf("start: %w", err)
 	}
-	serveErr := d.serve(ctx)
+	serveErr := d.serve(ctx, reload)
 	stopCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopTimeout)
 	defer cancel()
 	return errors.Join(serveErr, app.Stop(stopCtx))
@@ -94,6 +97,14 @@
 	return crpeer.LoadIdentity(cfg.TLS.Cert, cfg.TLS.Key, cfg.TLS.CA)
 }
 
+// newCertificate returns nil where callers come in clear text.
+func newCertificate(cfg crsettings.Settings) (*crentry.Certificate, error) {
+	if cfg.TLS.CallerCert == "" {
+		return nil, nil
+	}
+	return crentry.LoadCertificate(cfg.TLS.CallerCert, cfg.TLS.CallerKey)
+}
+
 func newRegistry() (*crwire.Registry, error) {
 	return crwire.NewRegistry(crmember.Messages(), crconfig.Messages(), craccount.Messages())
 }
@@ -166,6 +177,8 @@
 	shell   *shell
 	entry   *crentry.Entry
 	exit    *crexit.Exit
+	peerID  *crpeer.Identity
+	cert    *crentry.Certificate // nil: callers come in clear text
 	callers *http.Server
 	admin   *http.Server
 	cancel  context.CancelFunc
@@ -173,9 +186,9 @@
 
 func newDaemon(
 	lc fx.Lifecycle, cfg crsettings.Settings, log *crlog.Logger, s *shell, entry *crentry.Entry,
-	exit *crexit.Exit, registry metrics.Registry, id *crpeer.Identity, platform *crplatform.Client,
+	exit *crexit.Exit, registry metrics.Registry, id *crpeer.Identity, cert *crentry.Certificate, platform *crplatform.Client,
 ) *daemon {
-	d := &daemon{cfg: cfg, log: log, shell: s, entry: entry, exit: exit}
+	d := &daemon{cfg: cfg, log: log, shell: s, entry: entry, exit: exit, peerID: id, cert: cert}
 	d.callers = crentry.NewServer(entry, crentry.ServerOptions{
 		HeaderBytes: cfg.Limits.HeaderBytes,
 		HeaderTime:  cfg.Limits.HeaderTime.Duration,
@@ -187,13 +200,13 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	d.cancel = cancel
 	lc.Append(fx.StartStopHook(
-		func(startCtx context.Context) error { return d.start(startCtx, ctx, id, platform) },
+		func(startCtx context.Context) error { return d.start(startCtx, ctx, platform) },
 		d.stop,
 	))
 	return d
 }
 
-func (d *daemon) start(startCtx, ctx context.Context, _ *crpeer.Identity, platform *crplatform.Client) error {
+func (d *daemon) start(startCtx, ctx context.Context, platform *crplatform.Client) error {
 	var lc net.ListenConfig
 	callers, err := lc.Listen(startCtx, "tcp", d.cfg.Listen.HTTP)
 	if err != nil {
@@ -226,17 +239,38 @@
 }
 
 func (d *daemon) serveCallers(ln net.Listener) {
-	if d.cfg.TLS.CallerCert != "" {
-		_ = d.callers.ServeTLS(ln, d.cfg.TLS.CallerCert, d.cfg.TLS.CallerKey)
+	if d.cert == nil {
+		_ = d.callers.Serve(ln)
 		return
 	}
-	_ = d.callers.Serve(ln)
+	d.callers.TLSConfig = d.cert.Config()
+	_ = d.callers.ServeTLS(ln, "", "")
 }
 
-// serve waits for the stop signal and drains.
-func (d *daemon) serve(ctx context.Context) error {
-	<-ctx.Done()
-	return d.drain()
+// serve waits for the stop signal, reloading certificates meanwhile, and drains.
+func (d *daemon) serve(ctx context.Context, reload <-chan os.Signal) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return d.drain()
+		case <-reload:
+			d.reload()
+		}
+	}
+}
+
+// reload reads all certificates again. One that can not be read stays as it was
+// and does not keep the other from being renewed.
+func (d *daemon) reload() {
+	err := d.peerID.Reload()
+	if d.cert != nil {
+		err = errors.Join(err, d.cert.Reload())
+	}
+	if err != nil {
+		d.log.Event(crlog.CertReloadError, crlog.Fields{"error": err.Error()})
+		return
+	}
+	d.log.Event(crlog.CertReloaded, nil)
 }
 
 // drain refuses new work once the peers know, and waits until what is in flight
