--- a/core/crhealth/event.go
+++ b/core/crhealth/event.go
@@ -5,7 +5,7 @@
 	"camphorroad/core/crid"
 )
 
-// The numbered events of this package; docs/events-health.md lists them.
+// The numbered events of this package; docs/events.md describes each.
 const (
 	EventEjected        = 400 // a target was found sick and gets no new work
 	EventReturned       = 401 // an ejected target gets work again
--- a/e2e/config_test.go
+++ b/e2e/config_test.go
@@ -1,12 +1,14 @@
 package e2e_test
 
 import (
+	"fmt"
 	"net/http"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"camphorroad/core/crpolicy"
 	labplatform "camphorroad/lab/crplatform"
 )
 
@@ -103,6 +105,7 @@
 		must(err)
 		Expect(string(state.Raw)).To(ContainSubstring(d.Name()))
 		Expect(string(state.Raw) + d.Log()).NotTo(ContainSubstring(a.Key()))
+		Expect(string(state.Raw) + d.Log()).NotTo(ContainSubstring(fmt.Sprintf("%x", crpolicy.HashKey(a.Key()))))
 		for _, u := range f.Targets() {
 			Expect(u.Runs().Leaks).To(BeZero())
 		}
--- a/io/crexit/crexit.go
+++ b/io/crexit/crexit.go
@@ -39,18 +39,26 @@
 	Targets []Spec
 	Pulse   *crforward.Pulse
 	Clock   func() crid.Instant
+	Idle    time.Duration // longest silence of an upstream within its answer; zero: no bound
 	// Observe is told of each finished run; it must not block.
 	Observe func(target crid.Target, account crid.Account, fault crhop.Fault, status int, took time.Duration)
+	// Probe is told of each known-answer probe, Hint each second what a target's
+	// own pages say, and Leaving when a target begins or ceases to say that it
+	// is draining. They must not block; nil ones are not called.
+	Probe   func(target crid.Target, ok bool, took time.Duration)
+	Hint    func(target crid.Target, bad bool)
+	Leaving func(target crid.Target, leaving bool)
 }
 
 // Exit runs forwards on this daemon's targets. It is safe for concurrent use.
 type Exit struct {
 	opts     Options
 	targets  map[crid.Target]*target
-	own      *crforward.Ledger
 	draining atomic.Bool
 
 	mu      sync.Mutex
+	own     *crforward.Ledger
+	former  *crforward.Ledger // the own one before, until its forwards have ended
 	ledgers map[*crforward.Ledger]struct{}
 }
 
@@ -67,15 +75,36 @@
 	for _, spec := range opts.Targets {
 		x.targets[spec.Name] = newTarget(spec)
 	}
-	// The own entry shares this process's life and pauses, so its ledger has
-	// no pulse: a request that waited through a pause is caught by its deadline.
-	x.own = crforward.NewLedger(crforward.DefaultParams(), 0, opts.Clock(), nil)
+	x.own = x.newOwn()
 	x.ledgers[x.own] = struct{}{}
 	return x
 }
 
-// Own is the ledger of the daemon's own entry.
-func (x *Exit) Own() *crforward.Ledger { return x.own }
+// newOwn returns a ledger for the own entry. It shares this process's life and
+// pauses, so the ledger has no pulse: a request that waited through a pause is
+// caught by its deadline.
+func (x *Exit) newOwn() *crforward.Ledger {
+	return crforward.NewLedger(crforward.DefaultParams(), 0, x.opts.Clock(), nil)
+}
+
+// Own is the ledger for a forward of the daemon's own entry, which must also
+// revoke it there. At its bound of records the ledger is followed by a new one;
+// without that the own entry's work would be refused from then on.
+func (x *Exit) Own() *crforward.Ledger {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if !x.own.Worn() {
+		return x.own
+	}
+	delete(x.ledgers, x.former)
+	x.former = x.own
+	x.own = x.newOwn()
+	x.ledgers[x.own] = struct{}{}
+	if x.draining.Load() {
+		x.own.Drain()
+	}
+	return x.own
+}
 
 // Has reports whether the target stands beside this daemon.
 func (x *Exit) Has(name crid.Target) bool { return x.targets[name] != nil }
@@ -208,8 +237,10 @@
 	var ex *crhop.Exchange
 	if ledger := s.ledgerFor(f.Session); ledger == nil {
 		ex = refusal(crforward.ReasonClosed.String(), true, refusedRetry)
+		ex.Answer.Renew = true
 	} else {
 		ex = s.exit.Run(ctx, ledger, &f, r)
+		ex.Answer.Renew = ledger.Worn()
 	}
 	defer ex.Body.Close()
 	if err := writeAnswer(stream, ex); err != nil {
@@ -219,13 +250,15 @@
 	_ = stream.Close()
 }
 
+// writeAnswer sends the answer; a body that breaks off ends with its mark, so
+// that the entry has the head and knows whose fault it was.
 func writeAnswer(stream *quic.Stream, ex *crhop.Exchange) error {
 	w := crwire.NewWriter(stream)
 	if err := w.Value(ex.Answer); err != nil {
 		return err
 	}
 	if err := crhop.CopyChunks(w, ex.Body); err != nil {
-		return err
+		return w.Abort()
 	}
 	return w.End()
 }
--- a/lab/crfleet/daemon.go
+++ b/lab/crfleet/daemon.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -115,7 +116,7 @@
 	for _, t := range d.targets {
 		text = fmt.Appendf(text, targetFormat, t.name, t.service, t.addr())
 	}
-	text = append(text, d.fleet.opts.settings...)
+	text = append(text, strings.ReplaceAll(d.fleet.opts.settings, "{daemon}", d.name)...)
 	d.config = filepath.Join(dir, d.name+".toml")
 	if err := os.WriteFile(d.config, text, modeSettings); err != nil {
 		return fmt.Errorf("settings of %s: %w", d.name, err)
@@ -185,6 +186,12 @@
 // Resume lets a frozen process run again.
 func (d *Daemon) Resume() error { return d.signal(syscall.SIGCONT) }
 
+// Reload sends SIGHUP, at which the daemon reads its certificates again.
+func (d *Daemon) Reload() error { return d.signal(syscall.SIGHUP) }
+
+// CertFile is the file of the daemon's certificate towards its peers.
+func (d *Daemon) CertFile() string { return filepath.Join(d.fleet.dir, d.name+".pem") }
+
 // Wait waits for the process's end and returns how it ended: nil is exit 0.
 func (d *Daemon) Wait(ctx context.Context) error {
 	d.mu.Lock()
--- a/lab/crfleet/options.go
+++ b/lab/crfleet/options.go
@@ -128,7 +128,8 @@
 // WithDelay delays each datagram between daemons by d, one way.
 func WithDelay(d time.Duration) Option { return func(o *options) { o.delay = d } }
 
-// WithSettings adds TOML tables to each daemon's settings, such as [limits].
+// WithSettings adds TOML tables to each daemon's settings, such as [limits];
+// "{daemon}" in it stands for the daemon's name.
 func WithSettings(text string) Option { return func(o *options) { o.settings = text } }
 
 // WithoutWaiting makes New return at once after starting the processes.
