Show that a planned stop loses the last answers when packets are lost

A daemon that stops waits until nothing runs, and closes its sessions in that moment; what the network has not delivered by then is gone. Ruled out: the drain of the upstream (it answers 503, and that is an answer); the cut link (the request came in at another daemon). Change: a failing spec that loses packets for 380 ms just as the last answers are due.

--- a/e2e/leave_test.go
+++ b/e2e/leave_test.go
@@ -231,3 +231,35 @@
 		Expect(told[crload.Mixed] + told[crload.Unknown]).To(BeZero())
 	})
 })
+
+var _ = Describe("The last answers of a daemon that stops", func() {
+	// The upstream answers the last requests in flight, the daemon passes the
+	// answers on, and just then the network loses packets for a moment. A daemon
+	// that exits once it has written can not send them again; its callers are
+	// told that nobody knows, of a deposit that was charged.
+	It("reach the callers through a moment's loss", func() {
+		a := account("survey", 5000, 5000)
+		f := startFleet(
+			crfleet.WithDaemons(3),
+			crfleet.WithServices(crfleet.Service{Name: "booking", Policy: stepPolicy, Targets: 1, Slots: stepSlots, Time: stepService}),
+			crfleet.WithAccounts(a),
+		)
+		exit, entry := f.Daemon(0), f.Daemon(1)
+		calls := &stepCalls{entry: entry, told: make(map[string]crfleet.Reply)}
+		for n := range stepSlots {
+			calls.send([]crfleet.Request{{Account: a, Method: http.MethodPost, Path: "/holds?work=500", ID: fmt.Sprintf("last-%d", n)}})
+		}
+		time.Sleep(100 * time.Millisecond)
+		must(exit.Stop())
+		time.Sleep(320 * time.Millisecond)
+		f.Links().Cut(exit.Name(), entry.Name())
+		time.Sleep(380 * time.Millisecond)
+		f.Links().Heal(exit.Name(), entry.Name())
+		calls.wg.Wait()
+		Expect(exit.Wait(within(10*time.Second))).To(Succeed(), exit.Log)
+		for id, reply := range calls.told {
+			Expect(reply.Outcome).To(Equal("answered"), "%s: %s", id, reply.Body)
+			Expect(reply.Err).NotTo(HaveOccurred(), id)
+		}
+	})
+})
