Stop only after the entry has read the last answers

A draining daemon waited until nothing ran and closed its sessions at once. What the network had lost, or what a slow caller's entry had buffered and not read, was lost with the session: callers were told "unknown" of requests whose answer had been written. Ruled out: a fixed pause before the end, which either is too short for a loss or delays every stop; waiting for the transport's own acknowledgement, which it does not show, and which says nothing of the entry's unread buffer. Change: the entry keeps its side of a forward's stream open until the answer's body is closed; the exit counts an answer as being delivered until that side ends, and the drain waits for these under its bound. The slot is free as before, once the answer is written. TestAnEarlyAnswerIsNotLost never closed its answers, which now holds their streams; it closes them as the entry does, and checks what it checked. Conclusion: a planned stop no more depends on the network's luck. An exit now holds a stream for one way more; what that costs was not measured.

--- a/io/crdaemon/crdaemon.go
+++ b/io/crdaemon/crdaemon.go
@@ -323,7 +323,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), d.cfg.Limits.DrainTime.Duration)
 	defer cancel()
 	err := d.callers.Shutdown(ctx)
-	for err == nil && d.exit.InFlight() > 0 {
+	for err == nil && d.exit.InFlight()+d.exit.Delivering() > 0 {
 		select {
 		case <-ctx.Done():
 			err = ctx.Err()
--- a/io/crexit/crexit.go
+++ b/io/crexit/crexit.go
@@ -52,9 +52,10 @@
 
 // Exit runs forwards on this daemon's targets. It is safe for concurrent use.
 type Exit struct {
-	opts     Options
-	targets  map[crid.Target]*target
-	draining atomic.Bool
+	opts       Options
+	targets    map[crid.Target]*target
+	draining   atomic.Bool
+	delivering atomic.Int64 // answers written and not yet known to have arrived
 
 	mu      sync.Mutex
 	own     *crforward.Ledger
@@ -146,6 +147,10 @@
 	return n
 }
 
+// Delivering is the number of answers to other daemons that are not known to
+// have arrived.
+func (x *Exit) Delivering() int64 { return x.delivering.Load() }
+
 // OpenSession returns the function that serves the streams of one session that
 // another daemon dialled. The ledger begins with the session's first stream,
 // which tells the session's number.
@@ -242,14 +247,25 @@
 		ex = s.exit.Run(ctx, ledger, &f, r)
 		ex.Answer.Renew = ledger.Worn()
 	}
-	defer ex.Body.Close()
-	if err := writeAnswer(stream, ex); err != nil {
+	s.exit.delivering.Add(1)
+	defer s.exit.delivering.Add(-1)
+	err := writeAnswer(stream, ex)
+	_ = ex.Body.Close() // frees the slot, whatever the delivery takes
+	if err != nil {
 		stream.CancelWrite(crhop.CodeCut)
 		return
 	}
 	_ = stream.Close()
+	awaitDelivery(stream)
 }
 
+// awaitDelivery waits until the entry has read the whole answer or given up: it
+// ends its side of the stream then, and the end of the session ends the wait. A
+// daemon that stopped once it had written would lose what the network or the
+// entry's buffer still held, and the callers would see answers cut and fates
+// unknown at every planned stop.
+func awaitDelivery(stream *quic.Stream) { _, _ = io.Copy(io.Discard, stream) }
+
 // writeAnswer sends the answer; a body that breaks off ends with its mark, so
 // that the entry has the head and knows whose fault it was.
 func writeAnswer(stream *quic.Stream, ex *crhop.Exchange) error {
--- a/io/crexit/hop_test.go
+++ b/io/crexit/hop_test.go
@@ -178,10 +178,12 @@
 			for n := range uint64(4000) {
 				f := forward(worker<<32|n, crpolicy.ClassOnce)
 				f.Target = "nobody" // refused at once, so as early as can be
-				if _, err := h.client.Forward(t.Context(), "exit", f, nil, func(*crhop.Handle) {}); err != nil {
+				ex, err := h.client.Forward(t.Context(), "exit", f, nil, func(*crhop.Handle) {})
+				if err != nil {
 					errs <- err
 					return
 				}
+				_ = ex.Body.Close()
 			}
 		})
 	}
--- a/io/crhop/client.go
+++ b/io/crhop/client.go
@@ -18,7 +18,9 @@
 	"camphorroad/io/crwire"
 )
 
-// Exchange is one forward under way, its answer's head read.
+// Exchange is one forward under way, its answer's head read. Its body must be
+// closed: until then the exit takes the answer as not delivered, and the stream
+// stays open.
 type Exchange struct {
 	Answer Answer
 	Body   io.ReadCloser // the answer's body; io.EOF only after a whole body
@@ -116,8 +118,10 @@
 	}
 	// An exit that has answered early stops reading, and our writes fail; the
 	// answer is there all the same. Only the read tells whether there is one.
+	// The write side stays open, though nothing follows, until the answer's body
+	// is closed: its end is how the exit learns that the answer has arrived.
 	if body == nil {
-		_ = finish(stream, w)
+		_ = w.End()
 	} else {
 		go sendBody(stream, w, body)
 	}
@@ -145,7 +149,7 @@
 		_ = stream.Close()
 		return
 	}
-	_ = finish(stream, w)
+	_ = w.End()
 }
 
 const copyBuffer = 32 << 10
