Use the buffers of a stream again

Cause: an allocation profile of BenchmarkHop showed 55% of the bytes in bufio.NewReaderSize and NewWriterSize.

Ruled out: returning the reader of a forward with a body, which net/http may still read after its answer; it is left to the collector.

Change: crwire's writers and readers take their buffers from pools and give them back by Release.

Race tests of io/crexit picked by Early|Paused|Another|Many pass.

--- a/io/crexit/crexit.go
+++ b/io/crexit/crexit.go
@@ -243,6 +243,9 @@
 		ex.Answer.Renew = ledger.Worn()
 	}
 	defer ex.Body.Close()
+	if f.Length == 0 {
+		r.Release() // with a body, net/http may read on after its answer
+	}
 	if err := writeAnswer(stream, ex); err != nil {
 		stream.CancelWrite(crhop.CodeCut)
 		return
@@ -254,6 +257,7 @@
 // that the entry has the head and knows whose fault it was.
 func writeAnswer(stream *quic.Stream, ex *crhop.Exchange) error {
 	w := crwire.NewWriter(stream)
+	defer w.Release()
 	if err := w.Value(ex.Answer); err != nil {
 		return err
 	}
@@ -274,6 +278,7 @@
 		verdict = ledger.Revoke(rv.ID, rv.Session, s.exit.opts.Clock())
 	}
 	w := crwire.NewWriter(stream)
+	defer w.Release()
 	if w.Value(crhop.Revoked{Verdict: verdict}) != nil || w.End() != nil {
 		stream.CancelWrite(crhop.CodeCancelled)
 		return
--- a/io/crhop/client.go
+++ b/io/crhop/client.go
@@ -71,11 +71,11 @@
 	if ex.Answer.Renew {
 		c.peers.Retire(session)
 	}
-	ex.Body = &answerBody{Reader: ex.Body, close: func() {
+	ex.Body.(*answerBody).close = func() {
 		stop()
 		cancel(stream)
 		session.Done()
-	}}
+	}
 	return ex, nil
 }
 
@@ -108,25 +108,25 @@
 
 func exchange(stream *quic.Stream, f *Forward, body io.Reader) (*Exchange, error) {
 	w := crwire.NewWriter(stream)
-	if err := w.Kind(StreamForward); err != nil {
-		return nil, err
-	}
-	if err := w.Value(f); err != nil {
+	if err := errors.Join(w.Kind(StreamForward), w.Value(f)); err != nil {
+		w.Release()
 		return nil, err
 	}
 	// An exit that has answered early stops reading, and our writes fail; the
 	// answer is there all the same. Only the read tells whether there is one.
 	if body == nil {
 		_ = finish(stream, w)
+		w.Release()
 	} else {
 		go sendBody(stream, w, body)
 	}
 	r := crwire.NewReader(stream)
 	ex := &Exchange{}
 	if err := r.Value(&ex.Answer); err != nil {
+		r.Release()
 		return nil, err
 	}
-	ex.Body = io.NopCloser(r)
+	ex.Body = &answerBody{reader: r}
 	return ex, nil
 }
 
@@ -140,6 +140,7 @@
 // sendBody ends with the stream: the stream's cancellation fails the write, and
 // the caller's connection ends the read.
 func sendBody(stream *quic.Stream, w *crwire.Writer, body io.Reader) {
+	defer w.Release()
 	if err := CopyChunks(w, body); err != nil {
 		_ = w.Abort()
 		_ = stream.Close()
@@ -174,15 +175,28 @@
 	}
 }
 
+// answerBody is read and closed by one goroutine.
 type answerBody struct {
-	io.Reader
-	close func()
-	once  sync.Once
+	reader *crwire.Reader
+	close  func()
+}
+
+// Read implements io.Reader.
+func (b *answerBody) Read(p []byte) (int, error) {
+	if b.reader == nil {
+		return 0, io.ErrClosedPipe
+	}
+	return b.reader.Read(p)
 }
 
 // Close implements io.Closer.
 func (b *answerBody) Close() error {
-	b.once.Do(b.close)
+	if b.reader == nil {
+		return nil
+	}
+	b.reader.Release()
+	b.reader = nil
+	b.close()
 	return nil
 }
 
@@ -209,17 +223,17 @@
 
 func askRevoke(stream *quic.Stream, rv Revoke) (crforward.Verdict, error) {
 	w := crwire.NewWriter(stream)
-	if err := w.Kind(StreamRevoke); err != nil {
-		return 0, err
-	}
-	if err := w.Value(rv); err != nil {
+	defer w.Release()
+	if err := errors.Join(w.Kind(StreamRevoke), w.Value(rv)); err != nil {
 		return 0, err
 	}
 	if err := finish(stream, w); err != nil {
 		return 0, err
 	}
+	r := crwire.NewReader(stream)
+	defer r.Release()
 	var answer Revoked
-	err := crwire.NewReader(stream).Value(&answer)
+	err := r.Value(&answer)
 	return answer.Verdict, err
 }
 
--- a/io/crwire/crwire.go
+++ b/io/crwire/crwire.go
@@ -20,6 +20,7 @@
 	"fmt"
 	"io"
 	"reflect"
+	"sync"
 
 	"github.com/fxamacker/cbor/v2"
 
@@ -102,10 +103,27 @@
 	w *bufio.Writer
 }
 
-const writeBuffer = 4 << 10
+const bufferSize = 4 << 10
+
+// The buffers of a stream are most of what a forward would allocate.
+var (
+	writers = sync.Pool{New: func() any { return bufio.NewWriterSize(nil, bufferSize) }}
+	readers = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, bufferSize) }}
+)
 
 // NewWriter wraps w.
-func NewWriter(w io.Writer) *Writer { return &Writer{w: bufio.NewWriterSize(w, writeBuffer)} }
+func NewWriter(w io.Writer) *Writer {
+	buf := writers.Get().(*bufio.Writer)
+	buf.Reset(w)
+	return &Writer{w: buf}
+}
+
+// Release gives the buffer back; the Writer must not be used any more.
+func (w *Writer) Release() {
+	w.w.Reset(nil)
+	writers.Put(w.w)
+	w.w = nil
+}
 
 // Kind writes the byte that a stream begins with.
 func (w *Writer) Kind(k byte) error { return w.w.WriteByte(k) }
@@ -168,7 +186,19 @@
 }
 
 // NewReader wraps r.
-func NewReader(r io.Reader) *Reader { return &Reader{r: bufio.NewReaderSize(r, writeBuffer)} }
+func NewReader(r io.Reader) *Reader {
+	buf := readers.Get().(*bufio.Reader)
+	buf.Reset(r)
+	return &Reader{r: buf}
+}
+
+// Release gives the buffer back; the Reader must not be used any more, nor be in
+// use by another goroutine: it would read bytes of another request.
+func (r *Reader) Release() {
+	r.r.Reset(nil)
+	readers.Put(r.r)
+	r.r = nil
+}
 
 // Kind reads the byte that a stream begins with.
 func (r *Reader) Kind() (byte, error) {
