--- a/io/crexit/crexit.go
+++ b/io/crexit/crexit.go
@@ -247,6 +247,9 @@
 		ex = s.exit.Run(ctx, ledger, &f, r)
 		ex.Answer.Renew = ledger.Worn()
 	}
+	if f.Length == 0 {
+		r.Release() // with a body, net/http may read on after its answer
+	}
 	s.exit.delivering.Add(1)
 	defer s.exit.delivering.Add(-1)
 	err := writeAnswer(stream, ex)
@@ -270,6 +273,7 @@
 // that the entry has the head and knows whose fault it was.
 func writeAnswer(stream *quic.Stream, ex *crhop.Exchange) error {
 	w := crwire.NewWriter(stream)
+	defer w.Release()
 	if err := w.Value(ex.Answer); err != nil {
 		return err
 	}
@@ -290,6 +294,7 @@
 		verdict = ledger.Revoke(rv.ID, rv.Session, s.exit.opts.Clock())
 	}
 	w := crwire.NewWriter(stream)
+	defer w.Release()
 	if w.Value(crhop.Revoked{Verdict: verdict}) != nil || w.End() != nil {
 		stream.CancelWrite(crhop.CodeCancelled)
 		return
