--- a/io/crdaemon/crdaemon.go
+++ b/io/crdaemon/crdaemon.go
@@ -26,6 +26,7 @@
 	"camphorroad/core/crdaemon"
 	"camphorroad/core/crevent"
 	"camphorroad/core/crforward"
+	"camphorroad/core/crhealth"
 	"camphorroad/core/crid"
 	"camphorroad/core/crmember"
 	"camphorroad/core/crview"
@@ -94,7 +95,7 @@
 }
 
 func newRegistry() (*crwire.Registry, error) {
-	return crwire.NewRegistry(crmember.Messages(), crconfig.Messages(), craccount.Messages())
+	return crwire.NewRegistry(crmember.Messages(), crconfig.Messages(), craccount.Messages(), crhealth.Messages())
 }
 
 func newPlatform(cfg crsettings.Settings) (*crplatform.Client, error) {
@@ -122,6 +123,8 @@
 	}
 	s.in = crview.Input{Self: s.self, Domain: crid.Domain(cfg.Domain), Loads: s.loads}
 	s.wallet = craccount.NewWallet()
+	s.recorder = crhealth.NewRecorder()
+	s.steers = make(map[crid.Service]crhealth.Steer)
 	params := crdaemon.DefaultParams()
 	params.Config.Fleet = cfg.Platform.Fleet
 	opts := crcontrol.Options{
