--- a/e2e/trace_test.go
+++ b/e2e/trace_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"os"
 	"path/filepath"
 	"slices"
@@ -28,10 +29,12 @@
 var _ = Describe("A recorded trace", func() {
 	a := account("survey", 40, 60) // enough for each daemon to own a share
 
+	var dir string
 	start := func() *crfleet.Fleet {
+		dir = GinkgoT().TempDir()
 		return startFleet(
-			crfleet.WithDaemons(3), crfleet.WithServices(booking(time.Millisecond)),
-			crfleet.WithAccounts(a), crfleet.WithTraces(),
+			crfleet.WithDaemons(3), crfleet.WithServices(booking(time.Millisecond)), crfleet.WithAccounts(a),
+			crfleet.WithSettings(fmt.Sprintf("[trace]\nfile = %q\n", filepath.Join(dir, "{daemon}.trace"))),
 		)
 	}
 
@@ -57,13 +60,14 @@
 	replay := func(d *crfleet.Daemon, name string) crtrace.Report {
 		must(d.Stop())
 		must(d.Wait(within(10 * time.Second)))
-		b, err := os.ReadFile(d.Trace())
+		path := filepath.Join(dir, d.Name()+".trace")
+		b, err := os.ReadFile(path)
 		must(err)
-		if dir := os.Getenv(tracesEnv); dir != "" {
-			must(os.WriteFile(filepath.Join(dir, name+".trace"), b, 0o600))
+		if keep := os.Getenv(tracesEnv); keep != "" {
+			must(os.WriteFile(filepath.Join(keep, name+".trace"), b, 0o600))
 		}
 		Expect(string(b)).NotTo(ContainSubstring(a.Key()))
-		file, err := os.Open(d.Trace())
+		file, err := os.Open(path)
 		must(err)
 		defer file.Close()
 		report, err := crtrace.Replay(file)
--- a/lab/crfleet/daemon.go
+++ b/lab/crfleet/daemon.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -115,10 +116,7 @@
 	for _, t := range d.targets {
 		text = fmt.Appendf(text, targetFormat, t.name, t.service, t.addr())
 	}
-	if d.fleet.opts.traces {
-		text = fmt.Appendf(text, "[trace]\nfile = %q\n", d.Trace())
-	}
-	text = append(text, d.fleet.opts.settings...)
+	text = append(text, strings.ReplaceAll(d.fleet.opts.settings, "{daemon}", d.name)...)
 	d.config = filepath.Join(dir, d.name+".toml")
 	if err := os.WriteFile(d.config, text, modeSettings); err != nil {
 		return fmt.Errorf("settings of %s: %w", d.name, err)
@@ -141,9 +139,6 @@
 // Targets are the upstreams beside it.
 func (d *Daemon) Targets() []*Target { return append([]*Target(nil), d.targets...) }
 
-// Trace is the file that the daemon's last life records its control events in.
-func (d *Daemon) Trace() string { return filepath.Join(d.fleet.dir, d.name+".trace") }
-
 // Log is what all its lives have written on standard error.
 func (d *Daemon) Log() string { return d.log.String() }
 
--- a/lab/crfleet/options.go
+++ b/lab/crfleet/options.go
@@ -82,7 +82,6 @@
 	delay    time.Duration
 	noWait   bool
 	settings string
-	traces   bool
 }
 
 func newOptions(opts []Option) options {
@@ -124,11 +123,9 @@
 // WithDelay delays each datagram between daemons by d, one way.
 func WithDelay(d time.Duration) Option { return func(o *options) { o.delay = d } }
 
-// WithSettings adds TOML tables to each daemon's settings, such as [limits].
+// WithSettings adds TOML tables to each daemon's settings, such as [limits];
+// "{daemon}" in it stands for the daemon's name.
 func WithSettings(text string) Option { return func(o *options) { o.settings = text } }
 
-// WithTraces makes each daemon record its control events; see [Daemon.Trace].
-func WithTraces() Option { return func(o *options) { o.traces = true } }
-
 // WithoutWaiting makes New return at once after starting the processes.
 func WithoutWaiting() Option { return func(o *options) { o.noWait = true } }
