--- a/io/crdaemon/crdaemon.go
+++ b/io/crdaemon/crdaemon.go
@@ -3,7 +3,7 @@
 //
 // # Usage
 //
-//	err := crdaemon.Run(ctx, cfg, os.Stderr) // until ctx ends, then drains
+//	err := crdaemon.Run(ctx, cfg, os.Stderr, reload) // until ctx ends, then drains
 package crdaemon
 
 import (
@@ -11,9 +11,11 @@
 	"errors"
 	"fmt"
 	"io"
+	"log"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
 	"slices"
 	"time"
 
@@ -54,8 +56,12 @@
 	settle = 300 * time.Millisecond
 )
 
-// Run starts a daemon, serves until ctx ends, drains, and returns.
-func Run(ctx context.Context, cfg crsettings.Settings, logTo io.Writer) error {
+// Run starts a daemon, serves until ctx ends, drains, and returns. A value on
+// reload makes it read its certificates again; the channel may be nil.
+func Run(ctx context.Context, cfg crsettings.Settings, logTo io.Writer, reload <-chan os.Signal) error {
+	// net/http prints the first bytes of answers that nobody asked for to the
+	// standard logger: some account's data, outside of the numbered events.
+	log.SetOutput(io.Discard)
 	var d *daemon
 	app := fx.New(
 		fx.Supply(cfg),
@@ -63,8 +69,10 @@
 			func() *crlog.Logger { return crlog.New(logTo, cfg.Log.Level, cfg.Name) },
 			func() *crforward.Pulse { return crforward.NewPulse(crforward.DefaultPulseLimit, crclock.Now()) },
 			metrics.NewRegistry,
+			crhealth.NewRecorder,
 			newMeters,
 			newIdentity,
+			newCertificate,
 			newRegistry,
 			newExit,
 			newPlatform,
@@ -84,7 +92,7 @@
 	if err := app.Start(ctx); err != nil {
 		return fmt.Errorf("start: %w", err)
 	}
-	serveErr := d.serve(ctx)
+	serveErr := d.serve(ctx, reload)
 	stopCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopTimeout)
 	defer cancel()
 	return errors.Join(serveErr, app.Stop(stopCtx))
@@ -94,6 +102,14 @@
 	return crpeer.LoadIdentity(cfg.TLS.Cert, cfg.TLS.Key, cfg.TLS.CA)
 }
 
+// newCertificate returns nil where callers come in clear text.
+func newCertificate(cfg crsettings.Settings) (*crentry.Certificate, error) {
+	if cfg.TLS.CallerCert == "" {
+		return nil, nil
+	}
+	return crentry.LoadCertificate(cfg.TLS.CallerCert, cfg.TLS.CallerKey)
+}
+
 func newRegistry() (*crwire.Registry, error) {
 	return crwire.NewRegistry(crmember.Messages(), crconfig.Messages(), craccount.Messages(), crhealth.Messages())
 }
@@ -102,16 +118,23 @@
 	return crplatform.NewClient(cfg.Platform.URL)
 }
 
-func newExit(cfg crsettings.Settings, pulse *crforward.Pulse, m *meters) *crexit.Exit {
+func newExit(cfg crsettings.Settings, pulse *crforward.Pulse, m *meters, rec *crhealth.Recorder) *crexit.Exit {
 	specs := make([]crexit.Spec, 0, len(cfg.Targets))
 	for _, t := range cfg.Targets {
 		specs = append(specs, crexit.Spec{Name: crid.Target(t.Name), Service: crid.Service(t.Service), Addr: t.Addr})
 	}
-	return crexit.New(crexit.Options{Targets: specs, Pulse: pulse, Clock: crclock.Now, Observe: m.ran})
+	return crexit.New(crexit.Options{
+		Targets: specs, Pulse: pulse, Clock: crclock.Now, Observe: m.ran, Idle: cfg.Limits.BodyIdle.Duration,
+		Hint: rec.Hint,
+		Probe: func(target crid.Target, ok bool, took time.Duration) {
+			rec.Record(target, probeResult(ok), took, crhealth.ProbeAccount)
+		},
+	})
 }
 
 func newShell(
 	lc fx.Lifecycle, cfg crsettings.Settings, log *crlog.Logger, pulse *crforward.Pulse, exit *crexit.Exit, m *meters,
+	rec *crhealth.Recorder,
 ) (*shell, error) {
 	s := &shell{
 		self:  cfg.Daemon(),
@@ -123,7 +146,7 @@
 	}
 	s.in = crview.Input{Self: s.self, Domain: crid.Domain(cfg.Domain), Loads: s.loads}
 	s.wallet = craccount.NewWallet()
-	s.recorder = crhealth.NewRecorder()
+	s.recorder = rec
 	s.steers = make(map[crid.Service]crhealth.Steer)
 	params := crdaemon.DefaultParams()
 	params.Config.Fleet = cfg.Platform.Fleet
@@ -178,6 +201,7 @@
 		Observe: s.observe,
 		Replay:  cfg.Limits.ReplayBytes,
 		Held:    int64(cfg.Limits.HoldInFlight),
+		Idle:    cfg.Limits.BodyIdle.Duration,
 	})
 }
 
@@ -188,6 +212,8 @@
 	shell   *shell
 	entry   *crentry.Entry
 	exit    *crexit.Exit
+	peerID  *crpeer.Identity
+	cert    *crentry.Certificate // nil: callers come in clear text
 	callers *http.Server
 	admin   *http.Server
 	cancel  context.CancelFunc
@@ -195,13 +221,17 @@
 
 func newDaemon(
 	lc fx.Lifecycle, cfg crsettings.Settings, log *crlog.Logger, s *shell, entry *crentry.Entry,
-	exit *crexit.Exit, registry metrics.Registry, m *meters, id *crpeer.Identity, platform *crplatform.Client,
+	exit *crexit.Exit, registry metrics.Registry, m *meters, id *crpeer.Identity, cert *crentry.Certificate,
+	platform *crplatform.Client,
 ) (*daemon, error) {
 	if err := register(registry, slices.Concat(entryGauges(entry), s.gauges(exit), processGauges())); err != nil {
 		return nil, fmt.Errorf("register metrics: %w", err)
 	}
-	d := &daemon{cfg: cfg, log: log, shell: s, entry: entry, exit: exit}
-	d.callers = callerServer(cfg, m.timed(entry, crclock.Now))
+	d := &daemon{cfg: cfg, log: log, shell: s, entry: entry, exit: exit, peerID: id, cert: cert}
+	d.callers = crentry.NewServer(m.timed(entry, crclock.Now), crentry.ServerOptions{
+		HeaderBytes: cfg.Limits.HeaderBytes,
+		HeaderTime:  cfg.Limits.HeaderTime.Duration,
+	})
 	d.admin = &http.Server{
 		Handler:           cradmin.New(cradmin.Options{Ready: s.checkReady, State: d.state, Metrics: registry}),
 		ReadHeaderTimeout: cfg.Limits.HeaderTime.Duration,
@@ -209,28 +239,13 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	d.cancel = cancel
 	lc.Append(fx.StartStopHook(
-		func(startCtx context.Context) error { return d.start(startCtx, ctx, id, platform) },
+		func(startCtx context.Context) error { return d.start(startCtx, ctx, platform) },
 		d.stop,
 	))
 	return d, nil
 }
 
-// callerServer takes HTTP/1.1 and HTTP/2, the latter also in clear text.
-func callerServer(cfg crsettings.Settings, h http.Handler) *http.Server {
-	var protocols http.Protocols
-	protocols.SetHTTP1(true)
-	protocols.SetHTTP2(true)
-	protocols.SetUnencryptedHTTP2(true)
-	return &http.Server{
-		Handler:           h,
-		Protocols:         &protocols,
-		ReadHeaderTimeout: cfg.Limits.HeaderTime.Duration,
-		IdleTimeout:       2 * time.Minute,
-		MaxHeaderBytes:    cfg.Limits.HeaderBytes,
-	}
-}
-
-func (d *daemon) start(startCtx, ctx context.Context, _ *crpeer.Identity, platform *crplatform.Client) error {
+func (d *daemon) start(startCtx, ctx context.Context, platform *crplatform.Client) error {
 	var lc net.ListenConfig
 	callers, err := lc.Listen(startCtx, "tcp", d.cfg.Listen.HTTP)
 	if err != nil {
@@ -256,23 +271,45 @@
 	if err := d.shell.loop.Post(started); err != nil {
 		return err
 	}
+	go d.exit.Watch(ctx)
 	go d.serveCallers(callers)
 	go func() { _ = d.admin.Serve(admin) }()
 	return nil
 }
 
 func (d *daemon) serveCallers(ln net.Listener) {
-	if d.cfg.TLS.CallerCert != "" {
-		_ = d.callers.ServeTLS(ln, d.cfg.TLS.CallerCert, d.cfg.TLS.CallerKey)
+	if d.cert == nil {
+		_ = d.callers.Serve(ln)
 		return
 	}
-	_ = d.callers.Serve(ln)
+	d.callers.TLSConfig = d.cert.Config()
+	_ = d.callers.ServeTLS(ln, "", "")
 }
 
-// serve waits for the stop signal and drains.
-func (d *daemon) serve(ctx context.Context) error {
-	<-ctx.Done()
-	return d.drain()
+// serve waits for the stop signal, reloading certificates meanwhile, and drains.
+func (d *daemon) serve(ctx context.Context, reload <-chan os.Signal) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return d.drain()
+		case <-reload:
+			d.reload()
+		}
+	}
+}
+
+// reload reads all certificates again. One that can not be read stays as it was
+// and does not keep the other from being renewed.
+func (d *daemon) reload() {
+	err := d.peerID.Reload()
+	if d.cert != nil {
+		err = errors.Join(err, d.cert.Reload())
+	}
+	if err != nil {
+		d.log.Event(crlog.CertReloadError, crlog.Fields{"error": err.Error()})
+		return
+	}
+	d.log.Event(crlog.CertReloaded, nil)
 }
 
 // drain refuses new work once the peers know, and waits until what is in flight
--- a/io/crdaemon/state_test.go
+++ b/io/crdaemon/state_test.go
@@ -13,6 +13,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"camphorroad/core/crforward"
+	"camphorroad/core/crhealth"
 	"camphorroad/core/crpolicy"
 	"camphorroad/io/cradmin"
 	"camphorroad/io/crclock"
@@ -29,8 +30,9 @@
 	cfg.Name, cfg.Domain = "booking-1", "north"
 	m := newMeters(metrics.NewRegistry())
 	pulse := crforward.NewPulse(crforward.DefaultPulseLimit, crclock.Now())
-	exit := newExit(cfg, pulse, m)
-	s, err := newShell(nil, cfg, crlog.New(io.Discard, "info", cfg.Name), pulse, exit, m)
+	rec := crhealth.NewRecorder()
+	exit := newExit(cfg, pulse, m, rec)
+	s, err := newShell(nil, cfg, crlog.New(io.Discard, "info", cfg.Name), pulse, exit, m, rec)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/io/crdaemon/steer.go
+++ b/io/crdaemon/steer.go
@@ -62,6 +62,14 @@
 	return crhealth.ResultUnreachable
 }
 
+// probeResult is the evidence of a probe with a known answer.
+func probeResult(ok bool) crhealth.Result {
+	if ok {
+		return crhealth.ResultOK
+	}
+	return crhealth.ResultWrong
+}
+
 // drained returns the traffic side's counters as events.
 func (s *shell) drained(now crid.Instant) []crevent.Event {
 	var events []crevent.Event
--- a/io/crhop/crhop.go
+++ b/io/crhop/crhop.go
@@ -81,6 +81,7 @@
 	FaultTimeout                  // the deadline passed
 	FaultWrong                    // the answer was another request's
 	FaultConnect                  // the upstream took no connection; nothing ran
+	FaultBody                     // the request's own body broke off; no evidence against the target
 )
 
 // Answer is the head of what the exit answers.
@@ -94,6 +95,7 @@
 	Reason     string              `cbor:"w"`
 	RetryAfter time.Duration       `cbor:"a"`
 	InFlight   int64               `cbor:"l"` // requests at the target, the exit's count
+	Renew      bool                `cbor:"e"` // the next forwards need a new session
 }
 
 // Revoke asks whether a forward was started, and that it never be if not.
--- a/lab/crfleet/daemon.go
+++ b/lab/crfleet/daemon.go
@@ -186,6 +186,12 @@
 // Resume lets a frozen process run again.
 func (d *Daemon) Resume() error { return d.signal(syscall.SIGCONT) }
 
+// Reload sends SIGHUP, at which the daemon reads its certificates again.
+func (d *Daemon) Reload() error { return d.signal(syscall.SIGHUP) }
+
+// CertFile is the file of the daemon's certificate towards its peers.
+func (d *Daemon) CertFile() string { return filepath.Join(d.fleet.dir, d.name+".pem") }
+
 // Wait waits for the process's end and returns how it ended: nil is exit 0.
 func (d *Daemon) Wait(ctx context.Context) error {
 	d.mu.Lock()
