--- a/io/crtrace/replay.go
+++ b/io/crtrace/replay.go
@@ -92,7 +92,7 @@
 	if err != nil {
 		return err
 	}
-	var h header
+	h := header{Params: crdaemon.DefaultParams()}
 	if rec.Kind != kindHeader {
 		return p.r.fail(fmt.Errorf("%w: %q where the parameters should be", ErrRecord, rec.Kind))
 	}
