--- /dev/null
+++ b/core/crforward/bench_test.go
@@ -0,0 +1,65 @@
+package crforward
+
+import (
+	"encoding/binary"
+	"runtime"
+	"testing"
+	"time"
+
+	"camphorroad/core/crid"
+	"camphorroad/core/crpolicy"
+)
+
+// BenchmarkLedger measures the whole course of a forward at the exit, with a
+// ledger that is full of ended ones.
+func BenchmarkLedger(b *testing.B) {
+	const rate = 800 // a second, the most that the defaults are for
+	l := NewLedger(DefaultParams(), 1, 0, nil)
+	now := crid.Instant(0)
+	id := uint64(0)
+	b.ReportAllocs()
+	for b.Loop() {
+		id++
+		now = now.Add(time.Second / rate)
+		runForward(b, l, numbered(id), now)
+	}
+}
+
+// BenchmarkBytesPerForward measures what a remembered forward takes.
+func BenchmarkBytesPerForward(b *testing.B) {
+	const forwards = 60_000
+	var bytes float64
+	for b.Loop() {
+		before := heapInUse()
+		l := NewLedger(DefaultParams(), 1, 0, nil)
+		for id := range uint64(forwards) {
+			runForward(b, l, numbered(id), crid.Instant(id))
+		}
+		bytes = (heapInUse() - before) / forwards
+		runtime.KeepAlive(l)
+	}
+	b.ReportMetric(bytes, "B/forward")
+}
+
+func runForward(b *testing.B, l *Ledger, id crid.Request, now crid.Instant) {
+	if err := l.Offer(id, crpolicy.ClassOnce, now, now.Add(time.Second)); err != nil {
+		b.Fatal(err)
+	}
+	if err := l.Start(id, now); err != nil {
+		b.Fatal(err)
+	}
+	l.Finish(id, now)
+}
+
+func heapInUse() float64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc)
+}
+
+func numbered(n uint64) crid.Request {
+	var id crid.Request
+	binary.BigEndian.PutUint64(id[:], n)
+	return id
+}
--- /dev/null
+++ b/core/crhealth/bench_test.go
@@ -0,0 +1,58 @@
+package crhealth
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"camphorroad/core/crid"
+)
+
+// BenchmarkBytesPerTarget measures what a target in use takes at an entry (its
+// recorder) and at its service's arbiter (its window), and its sample on the wire.
+func BenchmarkBytesPerTarget(b *testing.B) {
+	const targets = 5000
+	var recorder, arbiter, wire float64
+	for b.Loop() {
+		before := heapInUse()
+		r := NewRecorder()
+		for i := range targets {
+			for n := range 20 {
+				latency := time.Duration(2+n%4) * time.Millisecond
+				r.Record(crid.Target(fmt.Sprintf("target-%05d", i)), ResultOK, latency, crid.Account(fmt.Sprint(n)))
+			}
+		}
+		recorder = (heapInUse() - before) / targets
+		samples := r.Drain()
+		data, err := cbor.Marshal(samples)
+		if err != nil {
+			b.Fatal(err)
+		}
+		wire = float64(len(data)) / targets
+		before = heapInUse()
+		records := make(map[crid.Target]*record, targets)
+		for _, sample := range samples {
+			rec := &record{}
+			for second := range 10 {
+				rec.window.add(crid.Instant(second+1)*crid.Instant(time.Second), "entry", sample)
+			}
+			records[sample.Target] = rec
+		}
+		arbiter = (heapInUse() - before) / targets
+		runtime.KeepAlive(records)
+		runtime.KeepAlive(r)
+	}
+	b.ReportMetric(recorder, "recorder-B/target")
+	b.ReportMetric(arbiter, "arbiter-B/target")
+	b.ReportMetric(wire, "wire-B/sample")
+}
+
+func heapInUse() float64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc)
+}
--- a/core/crmember/bench_test.go
+++ b/core/crmember/bench_test.go
@@ -27,16 +27,72 @@
 	}
 }
 
-func benchRound(b *testing.B, n int) {
+// voterOf is a voter of n daemons, which has standing once it is answered.
+func voterOf(n int) (*world, *node) {
 	w := newWorld(0, 1)
-	names := manyNames(n)
-	list := roll(1_000_000, names...)
+	list := roll(1_000_000, manyNames(n)...)
 	self := Voters(list, 0, w.params.MaxVoters)[0]
 	node := w.start(self)
 	w.read(self, list)
+	node.state.fresh = false
+	node.state.raiseFloor(list.Revision())
+	return w, node
+}
+
+// BenchmarkSecond measures a second of a daemon with nothing to do but its
+// beats, each of which is answered: ticks as the shell gives them, and what the
+// other reducers and the traffic side are told of peers.
+func BenchmarkSecond(b *testing.B) {
+	for _, n := range []int{25, 1000, 5500} {
+		b.Run(fmt.Sprintf("daemons=%d", n), func(b *testing.B) { benchSecond(b, n) })
+	}
+}
+
+func benchSecond(b *testing.B, n int) {
+	const tick = 50 * time.Millisecond
+	w, node := voterOf(n)
+	s := node.state
+	told := 0
+	seqs := uint64(0)
+	b.ReportAllocs()
+	for b.Loop() {
+		for range time.Second / tick {
+			w.now += tick
+			for _, effect := range s.Step(crevent.Tick{Now: node.clock(w.now)}) {
+				switch effect := effect.(type) {
+				case Peers:
+					told++
+				case crevent.Send:
+					seqs++
+					told += answer(s, effect, node.clock(w.now+3*time.Millisecond), seqs)
+				}
+			}
+		}
+	}
+	b.ReportMetric(float64(told)/float64(b.N), "peers-told/s")
+	if s.tenure.Until == 0 {
+		b.Fatal("the daemon measured has no standing")
+	}
+}
+
+// answer lets the peer answer a beat, and counts what comes of it.
+func answer(s *State, send crevent.Send, at crid.Instant, seq uint64) (told int) {
+	beat := send.Msg.(Beat)
+	beat.Echo = Echo{Inc: s.inc, Seq: s.seq}
+	beat.Inc = 1 << 62
+	beat.Seq = seq
+	beat.Reply = true
+	for _, effect := range s.Step(crevent.Received{Now: at, From: send.To, Msg: beat}) {
+		if _, ok := effect.(Peers); ok {
+			told++
+		}
+	}
+	return told
+}
+
+func benchRound(b *testing.B, n int) {
+	w, node := voterOf(n)
 	s := node.state
-	s.fresh = false
-	s.raiseFloor(list.Revision())
 	seqs := uint64(0)
 	beats, size := 0, 0
 	b.ReportAllocs()
--- a/io/crdaemon/crdaemon.go
+++ b/io/crdaemon/crdaemon.go
@@ -131,14 +131,30 @@
 	return s
 }
 
-func newPeers(lc fx.Lifecycle, cfg crsettings.Settings, id *crpeer.Identity, reg *crwire.Registry, s *shell) (*crpeer.Transport, error) {
+func newPeers(
+	lc fx.Lifecycle, cfg crsettings.Settings, id *crpeer.Identity, reg *crwire.Registry, s *shell, gauges metrics.Registry,
+) (*crpeer.Transport, error) {
 	t, err := crpeer.Listen(context.Background(), crpeer.Options{Addr: cfg.Listen.Peer, Identity: id, Registry: reg, Handler: s})
 	if err != nil {
 		return nil, err
 	}
 	s.peers = t
 	lc.Append(fx.StopHook(t.Close))
-	return t, nil
+	return t, gaugeTraffic(gauges, t)
+}
+
+// gaugeTraffic shows the control messages' bytes, without those of the transport.
+func gaugeTraffic(gauges metrics.Registry, t *crpeer.Transport) error {
+	return errors.Join(
+		gauges.Register("control.sent.bytes", metrics.NewFunctionalGauge(func() int64 {
+			sent, _ := t.Traffic()
+			return sent
+		})),
+		gauges.Register("control.received.bytes", metrics.NewFunctionalGauge(func() int64 {
+			_, received := t.Traffic()
+			return received
+		})),
+	)
 }
 
 func newEntry(cfg crsettings.Settings, s *shell, peers *crpeer.Transport) *crentry.Entry {
