Do not take sampled peers for lost, and tell of them seldom

Cause: above 31 daemons most peers get a beat only now and then and are not heard for a horizon though nothing is wrong. The view took each of them for lost and sent its work to the voters and the latest sample only, and the account reducer asked no owner outside them.

Ruled out: notices that carry differences, since what costs most is what receivers make of each; coalescing to the tick, which still leaves 20 a second.

Changes among sampled peers are told once an interval, in a notice marked as passing, which does not renew the view. Peers are walked without a look-up of each name. Nothing changes in a fleet of up to 32 daemons, and nothing in who votes, vouches or has standing.

A sampled peer that dies is found by requests (its session fails) and by the list, no longer by beats; an ejection's capacity (crhealth.isCapacity) still counts reachable peers only and so ejects less than it may in a large fleet, which errs on the safe side.

--- a/core/craccount/craccount.go
+++ b/core/craccount/craccount.go
@@ -179,7 +179,7 @@
 		return true
 	}
 	p, ok := s.peers[d]
-	return ok && p.Reachable && !p.Leaving
+	return ok && !p.Lost() && !p.Leaving
 }
 
 // limits returns an account's rate and burst; zeros for an unknown account.
--- a/core/crmember/bench_test.go
+++ b/core/crmember/bench_test.go
@@ -49,42 +49,46 @@
 }
 
 func benchSecond(b *testing.B, n int) {
-	const tick = 50 * time.Millisecond
 	w, node := voterOf(n)
-	s := node.state
 	told := 0
-	seqs := uint64(0)
 	b.ReportAllocs()
 	for b.Loop() {
-		for range time.Second / tick {
-			w.now += tick
-			for _, effect := range s.Step(crevent.Tick{Now: node.clock(w.now)}) {
-				switch effect := effect.(type) {
-				case Peers:
-					told++
-				case crevent.Send:
-					seqs++
-					told += answer(s, effect, node.clock(w.now+3*time.Millisecond), seqs)
-				}
-			}
-		}
+		told += len(secondOf(w, node))
 	}
 	b.ReportMetric(float64(told)/float64(b.N), "peers-told/s")
-	if s.tenure.Until == 0 {
+	if node.state.tenure.Until == 0 {
 		b.Fatal("the daemon measured has no standing")
 	}
 }
 
-// answer lets the peer answer a beat, and counts what comes of it.
-func answer(s *State, send crevent.Send, at crid.Instant, seq uint64) (told int) {
+// secondOf lets a second pass in which each beat is answered, and returns what
+// is told of peers.
+func secondOf(w *world, node *node) (told []Peers) {
+	const tick = 50 * time.Millisecond
+	s := node.state
+	for range time.Second / tick {
+		w.now += tick
+		for _, effect := range s.Step(crevent.Tick{Now: node.clock(w.now)}) {
+			switch effect := effect.(type) {
+			case Peers:
+				told = append(told, effect)
+			case crevent.Send:
+				told = append(told, answer(s, effect, node.clock(w.now+3*time.Millisecond))...)
+			}
+		}
+	}
+	return told
+}
+
+// answer lets the peer answer a beat.
+func answer(s *State, send crevent.Send, at crid.Instant) (told []Peers) {
 	beat := send.Msg.(Beat)
 	beat.Echo = Echo{Inc: s.inc, Seq: s.seq}
 	beat.Inc = 1 << 62
-	beat.Seq = seq
 	beat.Reply = true
 	for _, effect := range s.Step(crevent.Received{Now: at, From: send.To, Msg: beat}) {
-		if _, ok := effect.(Peers); ok {
-			told++
+		if peers, ok := effect.(Peers); ok {
+			told = append(told, peers)
 		}
 	}
 	return told
--- a/core/crmember/crmember.go
+++ b/core/crmember/crmember.go
@@ -55,6 +55,7 @@
 
 	peers map[crid.Daemon]*peer
 	order []crid.Daemon // keys of peers, sorted
+	known []*peer       // peers in that order
 
 	conf      uint64
 	leaving   bool
@@ -68,6 +69,8 @@
 
 	tenure       Tenure
 	peersChanged bool
+	toldAt       crid.Instant // latest Peers
+	passing      bool         // sampled peers have become reachable, or no longer are
 	out          []crevent.Effect
 
 	askedStranger bool
@@ -155,7 +158,7 @@
 	if s.cur != 0 && (s.beatNow || s.tellAll || !s.now.Before(s.nextRound)) {
 		s.round()
 	}
-	if s.peersChanged {
+	if s.peersChanged || s.passing && s.now.Sub(s.toldAt) >= s.params.Interval {
 		s.tellPeers()
 	}
 }
@@ -174,21 +177,23 @@
 }
 
 func (s *State) refreshPeers() {
-	for _, d := range s.order {
-		s.refreshPeer(d, s.peers[d])
+	for i, d := range s.order {
+		s.refreshPeer(d, s.known[i])
 	}
 }
 
-// refreshPeer notices that a peer became reachable, or no longer is.
+// refreshPeer notices that a peer became reachable, or no longer is. Sampled
+// peers come and go with every beat; they are told of once an interval, since in a
+// large fleet each notice costs its receivers a walk through all peers.
 func (s *State) refreshPeer(d crid.Daemon, p *peer) {
 	alive := s.alive(p)
 	if alive == p.reachable {
 		return
 	}
 	p.reachable = alive
-	s.peersChanged = true
-	if !s.lists[s.cur].hasVoter(d) {
-		return // sampled peers come and go by design
+	s.noteComing(p)
+	if p.sampled || !s.lists[s.cur].hasVoter(d) {
+		return
 	}
 	if alive {
 		s.reportPeer(EventPeerReachable, d)
@@ -197,21 +202,30 @@
 	s.reportPeer(EventPeerLost, d)
 }
 
+// noteComing has Peers told: at once, or of a sampled peer once an interval.
+func (s *State) noteComing(p *peer) {
+	s.passing = s.passing || p.sampled
+	s.peersChanged = s.peersChanged || !p.sampled
+}
+
 func (s *State) tellPeers() {
+	s.emit(Peers{Now: s.now, Peers: s.view(), Passing: !s.peersChanged})
 	s.peersChanged = false
-	s.emit(Peers{Now: s.now, Peers: s.view()})
+	s.passing = false
+	s.toldAt = s.now
 }
 
 // view is the content of Peers.
 func (s *State) view() []Peer {
 	peers := make([]Peer, 0, len(s.order))
-	for _, d := range s.order {
-		p := s.peers[d]
+	for i, d := range s.order {
+		p := s.known[i]
 		peers = append(peers, Peer{
 			Daemon:      d,
 			Domain:      p.domain,
 			Incarnation: p.inc,
 			Reachable:   p.reachable,
+			Sampled:     p.sampled,
 			Leaving:     p.leaving || p.listedLeaving,
 		})
 	}
--- a/core/crmember/list.go
+++ b/core/crmember/list.go
@@ -149,12 +149,21 @@
 		}
 	}
 	s.order = slices.Sorted(maps.Keys(s.peers))
+	s.known = s.known[:0]
 	for _, d := range s.order {
-		s.describe(d, s.peers[d])
+		p := s.peers[d]
+		s.known = append(s.known, p)
+		p.sampled = len(s.order) > s.params.MaxVoters && !s.votes(d)
+		s.describe(d, p)
 	}
 	s.peersChanged = true
 }
 
+// votes reports whether a list held has the daemon as a voter.
+func (s *State) votes(d crid.Daemon) bool {
+	return slices.ContainsFunc(s.revs, func(rev crid.Revision) bool { return s.lists[rev].hasVoter(d) })
+}
+
 // describe sets what the newest list that names the peer says of it.
 func (s *State) describe(d crid.Daemon, p *peer) {
 	for _, rev := range slices.Backward(s.revs) {
--- a/core/crmember/notice.go
+++ b/core/crmember/notice.go
@@ -37,13 +37,24 @@
 	Domain      crid.Domain
 	Incarnation crid.Incarnation
 	Reachable   bool // heard both ways within the horizon
+	Sampled     bool // gets a beat only now and then, so that not being reachable tells nothing
 	Leaving     bool
 }
 
+// Lost reports whether the peer should have been heard and was not. In a fleet
+// with more than MaxVoters daemons most peers are sampled, and hardly ever
+// reachable for as long as a horizon; who took them for lost would send work
+// to, and ask tokens of, a handful of daemons only.
+func (p Peer) Lost() bool { return !p.Reachable && !p.Sampled }
+
 // Peers tells the sibling reducers of a change among the peers.
 type Peers struct {
 	Now   crid.Instant
 	Peers []Peer // sorted by daemon, without this daemon
+
+	// Passing tells that since the last notice nothing has changed but which
+	// sampled peers are reachable, or have been heard at all.
+	Passing bool
 }
 
 // At implements crevent.Event.
--- a/core/crmember/peer.go
+++ b/core/crmember/peer.go
@@ -8,6 +8,7 @@
 // peer is what this daemon knows of another.
 type peer struct {
 	domain        crid.Domain
+	sampled       bool // no voter of a list held, in a fleet where others get beats by chance
 	listedLeaving bool
 
 	// What the latest beat said.
@@ -96,7 +97,7 @@
 	}
 	if p.inc == 0 {
 		p.inc = b.Inc
-		s.peersChanged = true
+		s.noteComing(p)
 		return true
 	}
 	if !echoed || b.Echo.Seq <= p.echoSeq {
--- a/core/crmember/round.go
+++ b/core/crmember/round.go
@@ -29,8 +29,8 @@
 	}
 	chosen := s.chosen()
 	s.tellAll = false
-	for _, d := range s.order {
-		p := s.peers[d]
+	for i, d := range s.order {
+		p := s.known[i]
 		if !chosen[d] && !p.owed {
 			continue
 		}
--- /dev/null
+++ b/core/crmember/sample_test.go
@@ -0,0 +1,85 @@
+package crmember
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"camphorroad/core/crid"
+	"camphorroad/core/crinstance"
+)
+
+// lost returns whom a daemon takes for lost.
+func (w *world) lost(d crid.Daemon) []crid.Daemon {
+	var lost []crid.Daemon
+	for _, p := range w.nodes[d].peers {
+		if p.Lost() {
+			lost = append(lost, p.Daemon)
+		}
+	}
+	slices.Sort(lost)
+	return lost
+}
+
+func bigFleet() (*world, crinstance.List) {
+	list := roll(1, manyNames(45)...)
+	w := newWorld(0, 1)
+	for _, d := range list.Daemons() {
+		w.start(d)
+	}
+	for _, d := range list.Daemons() {
+		w.read(d, list)
+	}
+	w.run(6 * time.Second)
+	return w, list
+}
+
+// With more daemons than voters, most peers get a beat only now and then, and
+// are not heard for a horizon though nothing is wrong with them. Were they taken
+// for lost, each entry would send all its requests to a handful of targets and
+// find hardly any owner to ask for tokens.
+func TestSampledPeersAreNotTakenForLost(t *testing.T) {
+	g := gomega.NewWithT(t)
+	w, node := voterOf(1000)
+	for range 4 {
+		secondOf(w, node)
+	}
+	silent, lost := 0, 0
+	for _, p := range node.state.view() {
+		if !p.Reachable {
+			silent++
+		}
+		if p.Lost() {
+			lost++
+		}
+	}
+	g.Expect(silent).To(gomega.BeNumerically(">", 500))
+	g.Expect(lost).To(gomega.BeZero())
+}
+
+// A voter that dies gets a beat in each round, so that everybody notices within
+// a horizon and turns to others.
+func TestLostVoterIsNoticedInALargeFleet(t *testing.T) {
+	g := gomega.NewWithT(t)
+	w, list := bigFleet()
+	voter := Voters(list, 0, w.params.MaxVoters)[3]
+	delete(w.nodes, voter)
+	w.run(w.params.Horizon + 2*w.params.Interval)
+	for _, d := range w.names() {
+		g.Expect(w.lost(d)).To(gomega.Equal([]crid.Daemon{voter}), string(d))
+	}
+}
+
+// What sampling brings about is told once an interval, while the death of a voter
+// is told at once. A daemon that told of each sampled peer by itself would spend
+// its allowance of processor time on lists of peers.
+func TestSampledPeersAreToldOncePerInterval(t *testing.T) {
+	g := gomega.NewWithT(t)
+	w, node := voterOf(1000)
+	secondOf(w, node)
+	told := secondOf(w, node)
+	g.Expect(told).To(gomega.HaveEach(gomega.HaveField("Passing", true)))
+	g.Expect(len(told)).To(gomega.BeNumerically("<=", time.Second/w.params.Interval))
+}
--- /dev/null
+++ b/core/crview/view_test.go
@@ -0,0 +1,38 @@
+package crview_test
+
+import (
+	"testing"
+
+	"github.com/onsi/gomega"
+
+	"camphorroad/core/crmember"
+	"camphorroad/core/crroute"
+	"camphorroad/core/crview"
+)
+
+// A peer that should answer each beat and does not is avoided; one that is only
+// sampled says nothing by its silence. In a fleet above the number of voters
+// almost every target would be avoided otherwise, and a few would take all work.
+func TestOnlyLostPeersAreAvoided(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := size{daemons: 3, targets: 3, services: 1, routes: 1}
+	in := s.input()
+	in.Peers = []crmember.Peer{
+		{Daemon: "instance-00001", Reachable: false},
+		{Daemon: "instance-00002", Reachable: false, Sampled: true},
+	}
+	view, err := crview.Build(in)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	statuses := make(map[string]crroute.Status)
+	pool := view.Pool(serviceName(0))
+	for _, targets := range [][]*crroute.Target{pool.Local(), pool.Remote()} {
+		for _, t := range targets {
+			statuses[string(t.Daemon())] = t.Status()
+		}
+	}
+	g.Expect(statuses).To(gomega.Equal(map[string]crroute.Status{
+		"instance-00000": crroute.StatusReady,
+		"instance-00001": crroute.StatusEjected,
+		"instance-00002": crroute.StatusReady,
+	}))
+}
