--- a/core/crmember/bench_test.go
+++ b/core/crmember/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
@@ -94,6 +95,31 @@
 	return told
 }
 
+// BenchmarkBytesPerPeer measures what a peer takes, the list of instances
+// without targets included.
+func BenchmarkBytesPerPeer(b *testing.B) {
+	const peers = 5500
+	var bytes float64
+	for b.Loop() {
+		before := heapInUse()
+		w, node := voterOf(peers)
+		for range 2 {
+			secondOf(w, node)
+		}
+		w.packets = nil
+		bytes = (heapInUse() - before) / peers
+		runtime.KeepAlive(w)
+	}
+	b.ReportMetric(bytes, "B/peer")
+}
+
+func heapInUse() float64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc)
+}
+
 func benchRound(b *testing.B, n int) {
 	w, node := voterOf(n)
 	s := node.state
