--- a/core/crmember/bench_test.go
+++ b/core/crmember/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
@@ -27,16 +28,101 @@
 	}
 }
 
-func benchRound(b *testing.B, n int) {
+// voterOf is a voter of n daemons, which has standing once it is answered.
+func voterOf(n int) (*world, *node) {
 	w := newWorld(0, 1)
-	names := manyNames(n)
-	list := roll(1_000_000, names...)
+	list := roll(1_000_000, manyNames(n)...)
 	self := Voters(list, 0, w.params.MaxVoters)[0]
 	node := w.start(self)
 	w.read(self, list)
+	node.state.fresh = false
+	node.state.raiseFloor(list.Revision())
+	return w, node
+}
+
+// BenchmarkSecond measures a second of a daemon with nothing to do but its
+// beats, each of which is answered: ticks as the shell gives them, and what the
+// other reducers and the traffic side are told of peers.
+func BenchmarkSecond(b *testing.B) {
+	for _, n := range []int{25, 1000, 5500} {
+		b.Run(fmt.Sprintf("daemons=%d", n), func(b *testing.B) { benchSecond(b, n) })
+	}
+}
+
+func benchSecond(b *testing.B, n int) {
+	w, node := voterOf(n)
+	told := 0
+	b.ReportAllocs()
+	for b.Loop() {
+		told += len(secondOf(w, node))
+	}
+	b.ReportMetric(float64(told)/float64(b.N), "peers-told/s")
+	if node.state.tenure.Until == 0 {
+		b.Fatal("the daemon measured has no standing")
+	}
+}
+
+// secondOf lets a second pass in which each beat is answered, and returns what
+// is told of peers.
+func secondOf(w *world, node *node) (told []Peers) {
+	const tick = 50 * time.Millisecond
+	s := node.state
+	for range time.Second / tick {
+		w.now += tick
+		for _, effect := range s.Step(crevent.Tick{Now: node.clock(w.now)}) {
+			switch effect := effect.(type) {
+			case Peers:
+				told = append(told, effect)
+			case crevent.Send:
+				told = append(told, answer(s, effect, node.clock(w.now+3*time.Millisecond))...)
+			}
+		}
+	}
+	return told
+}
+
+// answer lets the peer answer a beat.
+func answer(s *State, send crevent.Send, at crid.Instant) (told []Peers) {
+	beat := send.Msg.(Beat)
+	beat.Echo = Echo{Inc: s.inc, Seq: s.seq}
+	beat.Inc = 1 << 62
+	beat.Reply = true
+	for _, effect := range s.Step(crevent.Received{Now: at, From: send.To, Msg: beat}) {
+		if peers, ok := effect.(Peers); ok {
+			told = append(told, peers)
+		}
+	}
+	return told
+}
+
+// BenchmarkBytesPerPeer measures what a peer takes, the list of instances
+// without targets included.
+func BenchmarkBytesPerPeer(b *testing.B) {
+	const peers = 5500
+	var bytes float64
+	for b.Loop() {
+		before := heapInUse()
+		w, node := voterOf(peers)
+		for range 2 {
+			secondOf(w, node)
+		}
+		w.packets = nil
+		bytes = (heapInUse() - before) / peers
+		runtime.KeepAlive(w)
+	}
+	b.ReportMetric(bytes, "B/peer")
+}
+
+func heapInUse() float64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc)
+}
+
+func benchRound(b *testing.B, n int) {
+	w, node := voterOf(n)
 	s := node.state
-	s.fresh = false
-	s.raiseFloor(list.Revision())
 	seqs := uint64(0)
 	beats, size := 0, 0
 	b.ReportAllocs()
