Select the baselines of comparison by settings

Cause: the baselines (round robin, fixed thresholds, local split) were kept in the core and reachable from tests only, so that a fleet of real processes could not be measured beside them.

Change: a settings section [policy] with choose, eject, rate (and daemons, for the split). The defaults are what is in service. The parameters of the two baselines of ejection move from the test to the package.

Ruled out: flags of the daemon (a comparison would then not be in the file that operators check), and build tags (two programs would be compared).

Figures: none taken yet; TestMeasure of core/crhealth passes as before.

--- a/core/crhealth/measure_test.go
+++ b/core/crhealth/measure_test.go
@@ -49,13 +49,7 @@
 
 func policies() map[string]Params {
 	chosen := DefaultParams()
-	fixed := DefaultParams()
-	fixed.Judge = FixedJudge{Rate: 0.2, Median: 60 * time.Millisecond, Least: 5}
-	fixed.Alone = true
-	fixed.without = guardAccounts
-	none := DefaultParams()
-	none.Judge = NoJudge{}
-	return map[string]Params{"chosen": chosen, "fixed": fixed, "none": none}
+	return map[string]Params{"chosen": chosen, "fixed": FixedAlone(chosen), "none": NoEjection(chosen)}
 }
 
 type measured struct {
--- a/io/crdaemon/crdaemon.go
+++ b/io/crdaemon/crdaemon.go
@@ -120,6 +120,7 @@
 	}
 	s.in = crview.Input{Self: s.self, Domain: crid.Domain(cfg.Domain), Loads: s.loads}
 	s.wallet = craccount.NewWallet()
+	s.split = newSplit(cfg.Policy, s)
 	s.recorder = crhealth.NewRecorder()
 	s.steers = make(map[crid.Service]crhealth.Steer)
 	params := crconfig.DefaultParams()
@@ -129,7 +130,7 @@
 		crdaemon.Part{Name: "member", Reducer: crmember.New(crmember.DefaultParams())},
 		crdaemon.Part{Name: "config", Reducer: s.config},
 		crdaemon.Part{Name: "account", Reducer: craccount.New(craccount.DefaultParams())},
-		crdaemon.Part{Name: "health", Reducer: crhealth.New(crhealth.DefaultParams())},
+		crdaemon.Part{Name: "health", Reducer: crhealth.New(healthParams(cfg.Policy))},
 	)
 	s.loop = crcontrol.New(root, crcontrol.Options{
 		Clock: crclock.Now, Do: s.do, Before: s.before, Wake: s.wallet.Wanted(), Stepped: m.stepped,
@@ -155,6 +156,7 @@
 		Hop:     &hop{self: s.self, exit: s.exit, client: crhop.NewClient(peers), clock: crclock.Now},
 		Clock:   crclock.Now,
 		Observe: s.observe,
+		Chooser: newChooser(cfg.Policy),
 		Replay:  cfg.Limits.ReplayBytes,
 		Held:    int64(cfg.Limits.HoldInFlight),
 	})
--- a/io/crdaemon/shell.go
+++ b/io/crdaemon/shell.go
@@ -38,6 +38,7 @@
 	reader *reader
 
 	wallet   *craccount.Wallet
+	split    *craccount.LocalSplit // a baseline; nil in service
 	recorder *crhealth.Recorder
 
 	view    atomic.Pointer[crview.View]
@@ -186,6 +187,10 @@
 // Admit implements crentry.Admitter. Only an account that was not seen here
 // lately waits, for one round trip to its owners at most.
 func (s *shell) Admit(ctx context.Context, account crid.Account, _ crid.Instant) (bool, time.Duration) {
+	if s.split != nil {
+		d := s.split.Take(account, s.clock())
+		return d.Outcome == craccount.Admitted, d.RetryAfter
+	}
 	ctx, cancel := context.WithTimeout(ctx, coldWait)
 	defer cancel()
 	d := s.wallet.Admit(ctx, account, s.clock)
--- a/io/crentry/crentry.go
+++ b/io/crentry/crentry.go
@@ -63,8 +63,9 @@
 	Hop     Hop
 	Clock   func() crid.Instant
 	Observe func(service crid.Service, target crid.Target, account crid.Account, o Outcome, took time.Duration)
-	Replay  int   // bytes of a body kept for another attempt
-	Held    int64 // requests in flight at most
+	Chooser crroute.Chooser[*crroute.Target] // nil: TwoChoices
+	Replay  int                              // bytes of a body kept for another attempt
+	Held    int64                            // requests in flight at most
 }
 
 // Counters count requests by outcome.
@@ -84,9 +85,12 @@
 
 // New returns an Entry.
 func New(opts Options) *Entry {
+	if opts.Chooser == nil {
+		opts.Chooser = crroute.TwoChoices[*crroute.Target]{}
+	}
 	return &Entry{
 		opts:    opts,
-		chooser: crroute.TwoChoices[*crroute.Target]{},
+		chooser: opts.Chooser,
 		budget:  crforward.NewBudget(crforward.DefaultBudgetParams(), opts.Clock()),
 	}
 }
--- a/io/crsettings/crsettings.go
+++ b/io/crsettings/crsettings.go
@@ -30,6 +30,7 @@
 	Targets  []Target `toml:"target"`
 	Log      Log      `toml:"log"`
 	Limits   Limits   `toml:"limits"`
+	Policy   Policy   `toml:"policy"`
 }
 
 // Listen holds the addresses the daemon listens on, each host:port.
@@ -100,6 +101,7 @@
 	return Settings{
 		Log:      Log{Level: "info"},
 		Platform: Platform{Fleet: defaultFleet},
+		Policy:   defaultPolicy(),
 		Limits: Limits{
 			HeaderBytes:  32 << 10,
 			HeaderTime:   Duration{5 * time.Second},
@@ -161,6 +163,7 @@
 		at.http("platform.url", s.Platform.URL),
 		s.checkTargets(at),
 		s.checkLimits(at),
+		s.Policy.check(at),
 	)
 	if (s.TLS.CallerCert == "") != (s.TLS.CallerKey == "") {
 		errs = append(errs, at.fault("tls.callercert", "and tls.callerkey go together; give both or neither"))
