Take the four measures over real processes

Cause: nothing showed the users' four figures beside the baselines, so every tuning was a guess.

Ruled out: scoring wrongful refusals request by request, since over the rate two right limiters pass different requests of a crowd; counts of each account are compared with those of one ideal bucket.

--- a/cmd/camphorlab/main.go
+++ b/cmd/camphorlab/main.go
@@ -18,6 +18,7 @@
 	Platform lab.PlatformOptions `cmd:"" help:"Serve a stand-in of the platform."`
 	Publish  lab.PublishOptions  `cmd:"" help:"Publish a directory on the stand-in."`
 	Load     lab.LoadOptions     `cmd:"" help:"Send load by a plan."`
+	Measure  lab.MeasureOptions  `cmd:"" help:"Take the four measures beside the baselines."`
 	Upstream lab.UpstreamOptions `cmd:"" help:"Serve a stand-in of one upstream."`
 }
 
--- /dev/null
+++ b/command/lab/measure.go
@@ -0,0 +1,85 @@
+package lab
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"camphorroad/command/factory"
+	"camphorroad/lab/crmeasure"
+)
+
+// MeasureOptions takes the users' four measures.
+type MeasureOptions struct {
+	Shape  []string      `placeholder:"NAME" help:"Shapes: beacon, groupement; default both."`
+	Case   []string      `placeholder:"NAME" help:"Cases, for example slow; default all."`
+	Policy []string      `placeholder:"NAME" help:"Policies: chosen, roundrobin, fixed, split; default all."`
+	Seeds  int           `default:"2" help:"Runs of each, with the seeds from 1."`
+	Length time.Duration `default:"12s" help:"Length of each run's load."`
+	Plots  string        `placeholder:"DIR" help:"Draw the timelines of each first seed into DIR."`
+	Binary string        `placeholder:"FILE" help:"The daemon's program; default camphorroad beside this one."`
+	JSON   bool          `name:"json" help:"Print each run as JSON."`
+}
+
+// Help is shown with the command's flags.
+func (*MeasureOptions) Help() string {
+	return `Starts fleets of both deployments' shapes as real processes, causes one fault
+in each, and prints detection time, false ejections, the worst-served account,
+and refusals inside the rate, beside the baselines.
+
+EXAMPLES
+  $ camphorlab measure
+  $ camphorlab measure --shape beacon --case slow,wrong --policy chosen --seeds 3
+  $ camphorlab measure --policy chosen --plots plots --json`
+}
+
+// Run takes the measures; what was measured before a failure is printed too.
+func (o *MeasureOptions) Run(ctx context.Context, f *factory.Factory) error {
+	binary, err := o.binary()
+	if err != nil {
+		return err
+	}
+	runs, err := crmeasure.Run(ctx, crmeasure.Options{
+		Binary: binary, Shapes: o.shapes(), Cases: o.Case, Policies: o.Policy,
+		Seeds: o.Seeds, Length: o.Length, Plots: o.Plots,
+		Progress: func(m crmeasure.Measured) {
+			row := crmeasure.Rows([]crmeasure.Measured{m})[0]
+			_, _ = fmt.Fprintf(f.ErrOut, "seed %d: %s\n", m.Seed, strings.Join(row, " "))
+		},
+	})
+	if o.JSON {
+		if printErr := f.JSON(runs); printErr != nil {
+			return printErr
+		}
+		return err
+	}
+	rows := append([][]string{crmeasure.Header()}, crmeasure.Rows(runs)...)
+	for _, row := range rows {
+		if _, printErr := fmt.Fprintln(f.Out, strings.Join(row, "\t")); printErr != nil {
+			return printErr
+		}
+	}
+	return err
+}
+
+// shapes takes "both" for all of them.
+func (o *MeasureOptions) shapes() []string {
+	if len(o.Shape) == 1 && o.Shape[0] == "both" {
+		return nil
+	}
+	return o.Shape
+}
+
+func (o *MeasureOptions) binary() (string, error) {
+	if o.Binary != "" {
+		return o.Binary, nil
+	}
+	self, err := os.Executable()
+	if err != nil {
+		return "", fmt.Errorf("find the daemon's program; give --binary: %w", err)
+	}
+	return filepath.Join(filepath.Dir(self), "camphorroad"), nil
+}
--- /dev/null
+++ b/lab/crmeasure/score.go
@@ -0,0 +1,250 @@
+package crmeasure
+
+import (
+	"encoding/json"
+	"slices"
+	"strings"
+	"time"
+
+	"camphorroad/core/crhealth"
+	"camphorroad/lab/crfleet"
+	"camphorroad/lab/crload"
+	"camphorroad/lab/crupstream"
+)
+
+// Measured is the score of one run.
+type Measured struct {
+	Shape  string `json:"shape"`
+	Case   string `json:"case"`
+	Policy string `json:"policy"`
+	Seed   uint64 `json:"seed"`
+
+	Detect   float64 `json:"detect"`   // seconds until the last sick target was found; below zero: one was not
+	SickWork float64 `json:"sickwork"` // work of the sick during the fault, of their fair share
+	False    int     `json:"false"`    // healthy targets ejected
+	Share    float64 `json:"share"`    // answered part of the worst-served account
+	P99      float64 `json:"p99"`      // milliseconds, of the account with the highest
+	Median   float64 `json:"median"`   // milliseconds, the median account's p99
+	Refused  int     `json:"refused"`  // though inside the account's rate
+	Sent     int     `json:"sent"`
+
+	Cut     int `json:"cut"`
+	Unknown int `json:"unknown"`
+	NoWord  int `json:"noword"` // the connection failed without an answer
+	Mixed   int `json:"mixed"`
+	Twice   int `json:"twice"` // once-only requests that ran more than once
+	Lied    int `json:"lied"`  // told "not run", and ran
+}
+
+// record is all that was seen of one run.
+type record struct {
+	trial
+	plan     crload.Plan
+	stage    *stage
+	fleet    *crfleet.Fleet
+	from, to time.Duration // of the fault, after start
+	start    time.Time
+	told     []crload.Told
+}
+
+const (
+	// window and step are those in which a target's work is compared with its
+	// fair share, and found is the share below which it counts as out of work.
+	window = 500 * time.Millisecond
+	step   = 50 * time.Millisecond
+	found  = 0.1
+	// hurt is the latency from which a request counts as hurt by a fault
+	// between daemons.
+	hurt = 500 * time.Millisecond
+)
+
+func (r *record) score() Measured {
+	m := Measured{
+		Shape: r.shape.Name, Case: r.fault.Name, Policy: r.policy.Name, Seed: r.seed,
+		Sent: len(r.told), False: r.falseEjections(),
+	}
+	r.detect(&m)
+	r.count(&m)
+	r.serve(&m)
+	return m
+}
+
+// detect finds when the sick got no more work.
+func (r *record) detect(m *Measured) {
+	if r.fault.byCallers {
+		for _, t := range r.told {
+			bad := t.Result == crload.Unknown || t.Result == crload.Cut || t.Took > hurt
+			if bad && t.At >= r.from && t.At < r.to {
+				m.Detect = max(m.Detect, (t.At - r.from).Seconds())
+			}
+		}
+		return
+	}
+	for _, target := range r.stage.sick {
+		own, fair := r.work(target)
+		m.SickWork += inSpan(own, r.from, r.to) / max(1, inSpan(fair, r.from, r.to)) * r.peers(target) / float64(len(r.stage.sick))
+		at := r.foundAt(own, fair, r.peers(target))
+		if at < 0 || m.Detect < 0 {
+			m.Detect = -1
+			continue
+		}
+		m.Detect = max(m.Detect, at)
+	}
+}
+
+// work returns the times of a target's runs, and of its whole service's.
+func (r *record) work(target *crfleet.Target) (own, all []time.Duration) {
+	own = r.after(target.Log())
+	for _, t := range r.fleet.Targets() {
+		if t.Service() == target.Service() {
+			all = append(all, r.after(t.Log())...)
+		}
+	}
+	return own, all
+}
+
+func (r *record) after(runs []crupstream.Run) []time.Duration {
+	out := make([]time.Duration, 0, len(runs))
+	for _, run := range runs {
+		out = append(out, run.At.Sub(r.start))
+	}
+	return out
+}
+
+func (r *record) peers(target *crfleet.Target) float64 {
+	n := 0.0
+	for _, t := range r.fleet.Targets() {
+		if t.Service() == target.Service() {
+			n++
+		}
+	}
+	return n
+}
+
+func (r *record) foundAt(own, all []time.Duration, peers float64) float64 {
+	for at := r.from; at+window <= r.to; at += step {
+		if inSpan(own, at, at+window) < found*inSpan(all, at, at+window)/peers {
+			return (at - r.from).Seconds()
+		}
+	}
+	return -1
+}
+
+func inSpan(at []time.Duration, from, to time.Duration) float64 {
+	n := 0.0
+	for _, t := range at {
+		if t >= from && t < to {
+			n++
+		}
+	}
+	return n
+}
+
+// falseEjections counts the healthy targets that any daemon ejected.
+func (r *record) falseEjections() int {
+	wrongly := make(map[string]bool)
+	for _, d := range r.fleet.Daemons() {
+		for line := range strings.Lines(d.Log()) {
+			var e struct {
+				Event  int    `json:"event"`
+				Target string `json:"target"`
+			}
+			if json.Unmarshal([]byte(line), &e) == nil && e.Event == crhealth.EventEjected {
+				wrongly[e.Target] = true
+			}
+		}
+	}
+	for _, t := range r.stage.sick {
+		delete(wrongly, t.Name())
+	}
+	return len(wrongly)
+}
+
+// count checks what callers were told against what ran.
+func (r *record) count(m *Measured) {
+	runs := r.fleet.Runs()
+	for _, t := range r.told {
+		switch t.Result {
+		case crload.Cut:
+			m.Cut++
+		case crload.Unknown:
+			m.Unknown++
+		case crload.NoWord:
+			m.NoWord++
+		case crload.Mixed:
+			m.Mixed++
+		case crload.NotRun:
+			if runs[t.ID] > 0 {
+				m.Lied++
+			}
+		case crload.Answered:
+		}
+		if t.Method != "GET" && runs[t.ID] > 1 {
+			m.Twice++
+		}
+	}
+}
+
+// serve scores the accounts one beside the other.
+func (r *record) serve(m *Measured) {
+	m.Share = 1
+	var p99s []float64
+	for _, a := range accounts() {
+		told := r.of(a.Name)
+		inside := ideal(told, a)
+		answered, refused := 0, 0
+		var took []float64
+		for _, t := range told {
+			switch t.Result {
+			case crload.Answered:
+				answered++
+				took = append(took, t.Took.Seconds()*1e3)
+			case crload.NotRun:
+				refused++
+			case crload.Unknown, crload.Cut, crload.NoWord, crload.Mixed:
+			}
+		}
+		m.Refused += max(0, refused-(len(told)-inside))
+		m.Share = min(m.Share, float64(answered)/float64(max(1, inside)))
+		p99s = append(p99s, quantile(took, 0.99))
+	}
+	m.P99 = slices.Max(p99s)
+	m.Median = quantile(p99s, 0.5)
+}
+
+// of returns an account's requests in the order of their planned times.
+func (r *record) of(account string) []crload.Told {
+	var out []crload.Told
+	for _, t := range r.told {
+		if t.Account == account {
+			out = append(out, t)
+		}
+	}
+	slices.SortFunc(out, func(a, b crload.Told) int { return int(a.At - b.At) })
+	return out
+}
+
+// ideal counts the requests that one token bucket for the whole fleet, full at
+// the start, would let pass. Counts and not single requests are compared: over
+// the rate, two right limiters pass different requests of a crowd.
+func ideal(told []crload.Told, a crfleet.Account) int {
+	level, at, n := a.Burst, time.Duration(0), 0
+	for _, t := range told {
+		level = min(a.Burst, level+a.Rate*(t.At-at).Seconds())
+		at = t.At
+		if level >= 1 {
+			level--
+			n++
+		}
+	}
+	return n
+}
+
+// quantile sorts its argument; zero for none.
+func quantile(values []float64, q float64) float64 {
+	if len(values) == 0 {
+		return 0
+	}
+	slices.Sort(values)
+	return values[int(q*float64(len(values)-1)+0.5)]
+}
--- /dev/null
+++ b/lab/crmeasure/table.go
@@ -0,0 +1,93 @@
+package crmeasure
+
+import (
+	"fmt"
+	"math"
+	"strconv"
+)
+
+// Header names the columns of Rows. Each figure is the median over the seeds,
+// followed by lowest and highest where they differ.
+func Header() []string {
+	return []string{
+		"SHAPE", "CASE", "POLICY", "RUNS", "DETECT_S", "SICKWORK", "FALSE", "WORSTSHARE", "WORSTP99MS", "MEDIANP99MS",
+		"REFUSED", "SENT", "UNKNOWN", "CUT", "NOWORD", "MIXED", "TWICE", "LIED",
+	}
+}
+
+// Rows summarises the runs, one line for each shape, case and policy.
+func Rows(runs []Measured) [][]string {
+	type key struct{ shape, fault, policy string }
+	groups := make(map[key][]Measured)
+	var order []key
+	for _, m := range runs {
+		k := key{m.Shape, m.Case, m.Policy}
+		if groups[k] == nil {
+			order = append(order, k)
+		}
+		groups[k] = append(groups[k], m)
+	}
+	var rows [][]string
+	for _, k := range order {
+		rows = append(rows, append([]string{k.shape, k.fault, k.policy}, cells(groups[k])...))
+	}
+	return rows
+}
+
+func cells(group []Measured) []string {
+	count := func(f func(Measured) int) string {
+		return spread(group, 0, func(m Measured) float64 { return float64(f(m)) })
+	}
+	return []string{
+		strconv.Itoa(len(group)),
+		detectCell(group),
+		spread(group, 2, func(m Measured) float64 { return m.SickWork }),
+		count(func(m Measured) int { return m.False }),
+		spread(group, 4, func(m Measured) float64 { return m.Share }),
+		spread(group, 0, func(m Measured) float64 { return m.P99 }),
+		spread(group, 0, func(m Measured) float64 { return m.Median }),
+		count(func(m Measured) int { return m.Refused }),
+		count(func(m Measured) int { return m.Sent }),
+		count(func(m Measured) int { return m.Unknown }),
+		count(func(m Measured) int { return m.Cut }),
+		count(func(m Measured) int { return m.NoWord }),
+		count(func(m Measured) int { return m.Mixed }),
+		count(func(m Measured) int { return m.Twice }),
+		count(func(m Measured) int { return m.Lied }),
+	}
+}
+
+// detectCell is "-" where nothing was to be found.
+func detectCell(group []Measured) string {
+	for _, c := range Cases() {
+		if c.Name == group[0].Case && c.count == 0 && !c.byCallers {
+			return "-"
+		}
+	}
+	return spread(group, 2, func(m Measured) float64 {
+		if m.Detect < 0 {
+			return math.Inf(1)
+		}
+		return m.Detect
+	})
+}
+
+func spread(group []Measured, digits int, f func(Measured) float64) string {
+	values := make([]float64, 0, len(group))
+	for _, m := range group {
+		values = append(values, f(m))
+	}
+	mid := number(quantile(values, 0.5), digits)
+	low, high := number(values[0], digits), number(values[len(values)-1], digits)
+	if low == high {
+		return mid
+	}
+	return fmt.Sprintf("%s (%s to %s)", mid, low, high)
+}
+
+func number(v float64, digits int) string {
+	if math.IsInf(v, 1) {
+		return "never"
+	}
+	return strconv.FormatFloat(v, 'f', digits, 64)
+}
