Tell each ejection and the worst-served account in the measures

Change: each run names the worst-served account, counts the refusals by the account's rate, and lists its ejections with time, target and cause. The legend of the timeline no longer lies on the lines.

--- a/command/lab/measure.go
+++ b/command/lab/measure.go
@@ -48,6 +48,9 @@
 		Progress: func(m crmeasure.Measured) {
 			row := crmeasure.Rows([]crmeasure.Measured{m})[0]
 			_, _ = fmt.Fprintf(f.ErrOut, "seed %d: %s\n", m.Seed, strings.Join(row, " "))
+			if m.False > 0 || m.Refused > 0 {
+				_, _ = fmt.Fprintf(f.ErrOut, "worst: %s; limited: %d; ejected: %s\n", m.Worst, m.Limited, strings.Join(m.Ejected, "; "))
+			}
 		},
 	})
 	if o.JSON {
--- a/lab/crmeasure/plot.go
+++ b/lab/crmeasure/plot.go
@@ -24,6 +24,8 @@
 	modeFolder  = 0o755
 	perSecond   = float64(time.Second / plotBin)
 	plotPadding = 8 * vg.Millimeter
+
+	legendHeight = 2 * vg.Centimeter
 )
 
 var (
@@ -96,7 +98,7 @@
 			return nil, err
 		}
 	}
-	p.Legend.Top = true
+	p.Legend.YOffs = legendHeight // where no line is, unless much fails
 	return p, r.markFault(p)
 }
 
--- a/lab/crmeasure/score.go
+++ b/lab/crmeasure/score.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/json"
+	"fmt"
+	"net/http"
 	"slices"
 	"strings"
 	"time"
@@ -26,8 +28,12 @@
 	P99      float64 `json:"p99"`      // milliseconds, of the account with the highest
 	Median   float64 `json:"median"`   // milliseconds, the median account's p99
 	Refused  int     `json:"refused"`  // though inside the account's rate
+	Limited  int     `json:"limited"`  // refusals by the account's rate, wrongful or not
+	Worst    string  `json:"worst"`    // the worst-served account, by Share
 	Sent     int     `json:"sent"`
 
+	Ejected []string `json:"ejected"` // every ejection: when after the fault, target, cause
+
 	Cut     int `json:"cut"`
 	Unknown int `json:"unknown"`
 	NoWord  int `json:"noword"` // the connection failed without an answer
@@ -61,8 +67,9 @@
 func (r *record) score() Measured {
 	m := Measured{
 		Shape: r.shape.Name, Case: r.fault.Name, Policy: r.policy.Name, Seed: r.seed,
-		Sent: len(r.told), False: r.falseEjections(),
+		Sent: len(r.told),
 	}
+	r.ejections(&m)
 	r.detect(&m)
 	r.count(&m)
 	r.serve(&m)
@@ -140,24 +147,30 @@
 	return n
 }
 
-// falseEjections counts the healthy targets that any daemon ejected.
-func (r *record) falseEjections() int {
+// ejections reads them from the daemons' logs, and counts the healthy targets
+// that any daemon ejected.
+func (r *record) ejections(m *Measured) {
 	wrongly := make(map[string]bool)
 	for _, d := range r.fleet.Daemons() {
 		for line := range strings.Lines(d.Log()) {
 			var e struct {
-				Event  int    `json:"event"`
-				Target string `json:"target"`
+				Event  int       `json:"event"`
+				Target string    `json:"target"`
+				Detail string    `json:"detail"`
+				Time   time.Time `json:"time"`
 			}
-			if json.Unmarshal([]byte(line), &e) == nil && e.Event == crhealth.EventEjected {
-				wrongly[e.Target] = true
+			if json.Unmarshal([]byte(line), &e) != nil || e.Event != crhealth.EventEjected {
+				continue
 			}
+			wrongly[e.Target] = true
+			after := e.Time.Sub(r.start) - r.from
+			m.Ejected = append(m.Ejected, fmt.Sprintf("%s: %.0fs: %s: %s", d.Name(), after.Seconds(), e.Target, e.Detail))
 		}
 	}
 	for _, t := range r.stage.sick {
 		delete(wrongly, t.Name())
 	}
-	return len(wrongly)
+	m.False = len(wrongly)
 }
 
 // count checks what callers were told against what ran.
@@ -201,11 +214,16 @@
 				took = append(took, t.Took.Seconds()*1e3)
 			case crload.NotRun:
 				refused++
+				if t.Status == http.StatusTooManyRequests {
+					m.Limited++
+				}
 			case crload.Unknown, crload.Cut, crload.NoWord, crload.Mixed:
 			}
 		}
 		m.Refused += max(0, refused-(len(told)-inside))
-		m.Share = min(m.Share, float64(answered)/float64(max(1, inside)))
+		if share := float64(answered) / float64(max(1, inside)); share < m.Share {
+			m.Share, m.Worst = share, a.Name
+		}
 		p99s = append(p99s, quantile(took, 0.99))
 	}
 	m.P99 = slices.Max(p99s)
