Add make measure and make bench

Cause: the README names both, and neither was there.

Change: `make measure` prints the tables in virtual time (core/crhealth, core/craccount), which repeat exactly, and then runs the fleets; MEASURE takes flags. `make bench` runs all benchmarks of core and io, 200 ms each.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 GOLANGCI_VERSION = v2.15.0
 GOLANGCI = $(shell $(GO) env GOPATH)/bin/golangci-lint
 
-.PHONY: build test lint format spec tools demo
+.PHONY: build test lint format spec tools demo measure bench
 
 build:
 	$(GO) build -o bin/ ./cmd/...
@@ -27,3 +27,15 @@
 
 demo: build
 	script/demo
+
+# The tables in virtual time repeat exactly; those over real processes vary by
+# the machine. MEASURE takes flags of camphorlab measure.
+MEASURE ?= --seeds 2 --plots plots
+measure: build
+	$(GO) test ./core/crhealth -run '^TestMeasure$$' -count 1 -v -seeds 6
+	$(GO) test ./core/craccount -run '^$$' -bench 'Compare|Burst' -benchtime 1x
+	bin/camphorlab measure $(MEASURE)
+
+BENCHTIME ?= 200ms
+bench:
+	$(GO) test -run '^$$' -bench . -benchtime $(BENCHTIME) ./core/... ./io/...
