Call a daemon ready only once it mints

A replaced process mints nothing for one lifetime (2.07 s), yet called itself ready before, so the next daemon was stopped while the shares of the last were still missing. The owners of this account's four shares are among the three daemons replaced.

Change: the reducer tells when it is settled (it has tenure, and for a lifetime), and /ready says no before that, with a reason of its own. Traffic is not held up: it goes by standing alone.

--- a/core/craccount/owner.go
+++ b/core/craccount/owner.go
@@ -130,6 +130,19 @@
 	}
 }
 
+// Settled reports whether this daemon mints all shares that it owns.
+//
+// In a rolling replacement each new process waits out a lifetime before it
+// mints. Were the next daemon stopped within it, an account could lose most of
+// its shares at once, and its callers would be refused inside their rate; so a
+// daemon is not to be called ready before.
+func (s *State) Settled() bool {
+	if !s.hasTenure() || len(s.owner.epochs) == 0 {
+		return false
+	}
+	return s.owner.clock-s.owner.epochs[0].start >= s.params.ownerLifetime()
+}
+
 // minters is the list under which this daemon mints; members may be newer.
 func (s *State) minters() roster {
 	if len(s.owner.epochs) == 0 {
--- a/io/crdaemon/crdaemon.go
+++ b/io/crdaemon/crdaemon.go
@@ -125,11 +125,12 @@
 	s.steers = make(map[crid.Service]crhealth.Steer)
 	params := crconfig.DefaultParams()
 	params.Fleet = cfg.Platform.Fleet
+	s.account = craccount.New(craccount.DefaultParams())
 	s.config = crconfig.New(params, crpolicyfile.ParseManifest, crpolicyfile.Load)
 	root := crdaemon.New(
 		crdaemon.Part{Name: "member", Reducer: crmember.New(crmember.DefaultParams())},
 		crdaemon.Part{Name: "config", Reducer: s.config},
-		crdaemon.Part{Name: "account", Reducer: craccount.New(craccount.DefaultParams())},
+		crdaemon.Part{Name: "account", Reducer: s.account},
 		crdaemon.Part{Name: "health", Reducer: crhealth.New(healthParams(cfg.Policy))},
 	)
 	s.loop = crcontrol.New(root, crcontrol.Options{
--- a/io/crdaemon/shell.go
+++ b/io/crdaemon/shell.go
@@ -44,9 +44,11 @@
 	view    atomic.Pointer[crview.View]
 	trusted atomic.Int64 // the instant up to which keys and policy may be acted on
 	ready   atomic.Bool  // the newest configuration that could be learnt is in force
+	settled atomic.Bool  // the shares of rates that are owned here are minted
 
 	// The rest is the control goroutine's.
 	config  *crconfig.State
+	account *craccount.State
 	steers  map[crid.Service]crhealth.Steer
 	in      crview.Input
 	contact crid.Instant // up to which the fleet is known to be in contact
@@ -105,6 +107,7 @@
 // were withdrawn in it, and trusts none.
 func (s *shell) trust(now crid.Instant) {
 	s.ready.Store(s.config.Ready())
+	s.settled.Store(s.account.Settled())
 	if !s.config.Trusted(now) {
 		s.trusted.Store(0)
 		return
@@ -172,6 +175,7 @@
 var (
 	errNoConfiguration = errors.New("no configuration yet")
 	errNoStanding      = errors.New("cut off from the fleet")
+	errNotSettled      = errors.New("no tokens are minted here yet")
 )
 
 func (s *shell) checkReady() error {
@@ -180,6 +184,8 @@
 		return errNoConfiguration
 	case !s.isTrusted(s.clock()):
 		return errNoStanding
+	case s.split == nil && !s.settled.Load():
+		return errNotSettled
 	}
 	return nil
 }
