--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 GOLANGCI_VERSION = v2.15.0
 GOLANGCI = $(shell $(GO) env GOPATH)/bin/golangci-lint
 
-.PHONY: traces build test lint format spec tools demo
+.PHONY: traces build test lint format spec tools demo measure bench
 
 build:
 	$(GO) build -o bin/ ./cmd/...
@@ -32,3 +32,15 @@
 
 demo: build
 	script/demo
+
+# The tables in virtual time repeat exactly; those over real processes vary by
+# the machine. MEASURE takes flags of camphorlab measure.
+MEASURE ?= --seeds 2 --plots plots
+measure: build
+	$(GO) test ./core/crhealth -run '^TestMeasure$$' -count 1 -v -seeds 6
+	$(GO) test ./core/craccount -run '^$$' -bench 'Compare|Burst' -benchtime 1x
+	bin/camphorlab measure $(MEASURE)
+
+BENCHTIME ?= 200ms
+bench:
+	$(GO) test -run '^$$' -bench . -benchtime $(BENCHTIME) ./core/... ./io/...
--- a/core/crdaemon/control.go
+++ b/core/crdaemon/control.go
@@ -25,16 +25,23 @@
 	}
 }
 
-// NewControl returns the root over all reducers of a daemon, and the one of the
-// configuration. A daemon and the replay of its trace are both made here, so
-// that they can not come to differ.
-func NewControl(p Params, parse crconfig.Parser, load crconfig.Loader) (*State, *crconfig.State) {
-	config := crconfig.New(p.Config, parse, load)
-	root := New(
+// Control is the root over all reducers of a daemon, with those that the shell
+// asks beside.
+type Control struct {
+	Root    *State
+	Config  *crconfig.State
+	Account *craccount.State
+}
+
+// NewControl returns all reducers of a daemon. A daemon and the replay of its
+// trace are both made here, so that they can not come to differ.
+func NewControl(p Params, parse crconfig.Parser, load crconfig.Loader) Control {
+	c := Control{Config: crconfig.New(p.Config, parse, load), Account: craccount.New(p.Account)}
+	c.Root = New(
 		Part{Name: "member", Reducer: crmember.New(p.Member)},
-		Part{Name: "config", Reducer: config},
-		Part{Name: "account", Reducer: craccount.New(p.Account)},
+		Part{Name: "config", Reducer: c.Config},
+		Part{Name: "account", Reducer: c.Account},
 		Part{Name: "health", Reducer: crhealth.New(p.Health)},
 	)
-	return root, config
+	return c
 }
--- a/e2e/idle_test.go
+++ b/e2e/idle_test.go
@@ -11,6 +11,8 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"camphorroad/lab/crfleet"
 )
 
 const (
@@ -27,8 +29,8 @@
 // cost is what one daemon has used so far.
 type cost struct{ cpu, sent, received, memory float64 }
 
-func (d *daemon) cost() cost {
-	pid := d.cmd.Process.Pid
+func costOf(d *crfleet.Daemon) cost {
+	pid := d.PID()
 	stat := readProc(pid, "stat")
 	fields := strings.Fields(stat[strings.LastIndex(stat, ")")+1:])
 	c := cost{cpu: (number(fields[11]) + number(fields[12])) / clockTicks}
@@ -37,7 +39,7 @@
 			c.memory = number(strings.Fields(rest)[0]) * 1024
 		}
 	}
-	resp, err := http.Get("http://" + d.admin + "/metrics") //nolint:noctx // a test's read
+	resp, err := http.Get(d.AdminURL() + "/metrics") //nolint:noctx // a test's read
 	Expect(err).NotTo(HaveOccurred())
 	defer resp.Body.Close()
 	for lines := bufio.NewScanner(resp.Body); lines.Scan(); {
@@ -65,20 +67,20 @@
 }
 
 // idle is the mean over the daemons of what one uses in a second.
-func (f *fleet) idle() cost {
+func idle(f *crfleet.Fleet) cost {
 	var before, mean cost
-	for _, d := range f.daemons {
-		c := d.cost()
+	for _, d := range f.Daemons() {
+		c := costOf(d)
 		before.cpu, before.sent, before.received = before.cpu+c.cpu, before.sent+c.sent, before.received+c.received
 	}
 	start := time.Now()
 	time.Sleep(idleFor)
-	for _, d := range f.daemons {
-		c := d.cost()
+	for _, d := range f.Daemons() {
+		c := costOf(d)
 		mean.cpu, mean.sent, mean.received = mean.cpu+c.cpu, mean.sent+c.sent, mean.received+c.received
 		mean.memory += c.memory
 	}
-	n := float64(len(f.daemons))
+	n := float64(len(f.Daemons()))
 	seconds := n * time.Since(start).Seconds()
 	return cost{
 		cpu: (mean.cpu - before.cpu) / seconds, sent: (mean.sent - before.sent) / seconds,
@@ -98,9 +100,9 @@
 		It("keeps a daemon's control bytes within the allowance, of "+size, func() {
 			n, err := strconv.Atoi(size)
 			Expect(err).NotTo(HaveOccurred())
-			f := newFleet(n, time.Millisecond, account{name: "surveyor", rate: 50, burst: 100})
+			f := newFleet(n, time.Millisecond, account("surveyor", 50, 100))
 			time.Sleep(idleSettle)
-			c := f.idle()
+			c := idle(f)
 			AddReportEntry(fmt.Sprintf(
 				"idle daemons=%d cpu=%.2f%% sent=%.0fB/s received=%.0fB/s rss=%.1fMB",
 				n, 100*c.cpu, c.sent, c.received, c.memory/1e6))
--- a/io/crdaemon/crdaemon.go
+++ b/io/crdaemon/crdaemon.go
@@ -146,10 +146,12 @@
 	}
 	s.in = crview.Input{Self: s.self, Domain: crid.Domain(cfg.Domain), Loads: s.loads}
 	s.wallet = craccount.NewWallet()
+	s.split = newSplit(cfg.Policy, s)
 	s.recorder = rec
 	s.steers = make(map[crid.Service]crhealth.Steer)
 	params := crdaemon.DefaultParams()
 	params.Config.Fleet = cfg.Platform.Fleet
+	params.Health = healthParams(cfg.Policy)
 	opts := crcontrol.Options{
 		Clock: crclock.Now, Do: s.do, Before: s.before, Wake: s.wallet.Wanted(), Stepped: m.stepped,
 	}
@@ -162,9 +164,9 @@
 		opts.Recorder = rec
 		parse, load = rec.Parse(parse), rec.Load(load)
 	}
-	var root *crdaemon.State
-	root, s.config = crdaemon.NewControl(params, parse, load)
-	s.loop = crcontrol.New(root, opts)
+	control := crdaemon.NewControl(params, parse, load)
+	s.config, s.account = control.Config, control.Account
+	s.loop = crcontrol.New(control.Root, opts)
 	return s, nil
 }
 
@@ -215,6 +217,7 @@
 		Hop:     &hop{self: s.self, exit: s.exit, client: crhop.NewClient(peers), clock: crclock.Now},
 		Clock:   crclock.Now,
 		Observe: s.observe,
+		Chooser: newChooser(cfg.Policy),
 		Replay:  cfg.Limits.ReplayBytes,
 		Held:    int64(cfg.Limits.HoldInFlight),
 		Idle:    cfg.Limits.BodyIdle.Duration,
--- a/io/crdaemon/shell.go
+++ b/io/crdaemon/shell.go
@@ -38,14 +38,17 @@
 	reader *reader
 
 	wallet   *craccount.Wallet
+	split    *craccount.LocalSplit // a baseline; nil in service
 	recorder *crhealth.Recorder
 
 	view    atomic.Pointer[crview.View]
 	trusted atomic.Int64 // the instant up to which keys and policy may be acted on
 	ready   atomic.Bool  // the newest configuration that could be learnt is in force
+	settled atomic.Bool  // the shares of rates that are owned here are minted
 
 	// The rest is the control goroutine's.
 	config  *crconfig.State
+	account *craccount.State
 	steers  map[crid.Service]crhealth.Steer
 	in      crview.Input
 	contact crid.Instant // up to which the fleet is known to be in contact
@@ -104,6 +107,7 @@
 // were withdrawn in it, and trusts none.
 func (s *shell) trust(now crid.Instant) {
 	s.ready.Store(s.config.Ready())
+	s.settled.Store(s.account.Settled())
 	if !s.config.Trusted(now) {
 		s.trusted.Store(0)
 		return
@@ -171,6 +175,7 @@
 var (
 	errNoConfiguration = errors.New("no configuration yet")
 	errNoStanding      = errors.New("cut off from the fleet")
+	errNotSettled      = errors.New("no tokens are minted here yet")
 )
 
 func (s *shell) checkReady() error {
@@ -179,6 +184,8 @@
 		return errNoConfiguration
 	case !s.isTrusted(s.clock()):
 		return errNoStanding
+	case s.split == nil && !s.settled.Load():
+		return errNotSettled
 	}
 	return nil
 }
@@ -186,6 +193,10 @@
 // Admit implements crentry.Admitter. Only an account that was not seen here
 // lately waits, for one round trip to its owners at most.
 func (s *shell) Admit(ctx context.Context, account crid.Account, _ crid.Instant) (bool, time.Duration) {
+	if s.split != nil {
+		d := s.split.Take(account, s.clock())
+		return d.Outcome == craccount.Admitted, d.RetryAfter
+	}
 	ctx, cancel := context.WithTimeout(ctx, coldWait)
 	defer cancel()
 	d := s.wallet.Admit(ctx, account, s.clock)
--- a/io/crentry/crentry.go
+++ b/io/crentry/crentry.go
@@ -63,9 +63,10 @@
 	Hop     Hop
 	Clock   func() crid.Instant
 	Observe func(service crid.Service, target crid.Target, account crid.Account, o Outcome, took time.Duration)
-	Replay  int           // bytes of a body kept for another attempt
-	Held    int64         // requests in flight at most
-	Idle    time.Duration // longest silence of a caller within a body, either way
+	Chooser crroute.Chooser[*crroute.Target] // nil: TwoChoices
+	Replay  int                              // bytes of a body kept for another attempt
+	Held    int64                            // requests in flight at most
+	Idle    time.Duration                    // longest silence of a caller within a body, either way
 }
 
 // Counters count requests by outcome.
@@ -85,9 +86,12 @@
 
 // New returns an Entry.
 func New(opts Options) *Entry {
+	if opts.Chooser == nil {
+		opts.Chooser = crroute.TwoChoices[*crroute.Target]{}
+	}
 	return &Entry{
 		opts:    opts,
-		chooser: crroute.TwoChoices[*crroute.Target]{},
+		chooser: opts.Chooser,
 		budget:  crforward.NewBudget(crforward.DefaultBudgetParams(), opts.Clock()),
 	}
 }
--- a/io/crsettings/check.go
+++ b/io/crsettings/check.go
@@ -28,6 +28,7 @@
 	}
 	s.checkTargets(c)
 	s.checkLimits(c)
+	s.Policy.check(c)
 }
 
 func (s Settings) checkTargets(c *collector) {
--- a/io/crsettings/crsettings.go
+++ b/io/crsettings/crsettings.go
@@ -27,6 +27,7 @@
 	Log      Log      `toml:"log"`
 	Limits   Limits   `toml:"limits"`
 	Trace    Trace    `toml:"trace"`
+	Policy   Policy   `toml:"policy"`
 }
 
 // Listen holds the addresses the daemon listens on, each host:port.
@@ -110,6 +111,7 @@
 		Log:      Log{Level: "info"},
 		Platform: Platform{Fleet: defaultFleet},
 		Trace:    Trace{Size: defaultTrace},
+		Policy:   defaultPolicy(),
 		Limits: Limits{
 			HeaderBytes:  32 << 10,
 			HeaderTime:   Duration{Duration: 5 * time.Second},
--- a/io/crtrace/replay.go
+++ b/io/crtrace/replay.go
@@ -99,9 +99,9 @@
 	if err := rec.decode(&h); err != nil {
 		return p.r.fail(err)
 	}
-	var config *crconfig.State
-	p.root, config = crdaemon.NewControl(h.Params, p.parse, p.load)
-	config.UseDigests(digestOf)
+	control := crdaemon.NewControl(h.Params, p.parse, p.load)
+	control.Config.UseDigests(digestOf)
+	p.root = control.Root
 	return nil
 }
 
--- a/lab/crfleet/daemon.go
+++ b/lab/crfleet/daemon.go
@@ -186,6 +186,9 @@
 // Resume lets a frozen process run again.
 func (d *Daemon) Resume() error { return d.signal(syscall.SIGCONT) }
 
+// PID is the number of the running process.
+func (d *Daemon) PID() int { return d.cmd.Process.Pid }
+
 // Reload sends SIGHUP, at which the daemon reads its certificates again.
 func (d *Daemon) Reload() error { return d.signal(syscall.SIGHUP) }
 
