--- a/e2e/account_test.go
+++ b/e2e/account_test.go
@@ -61,8 +61,8 @@
 })
 
 // surge sends an account's requests far above its rate through the entries.
-func surge(a crfleet.Account, seconds float64, entries []string) *crload.Report {
-	return run(crload.Plan{
+func surge(a crfleet.Account, seconds float64, entries []string) {
+	run(crload.Plan{
 		Seconds: seconds, Seed: 13, Entries: entries,
 		Accounts: []crload.Account{{Name: a.Name, Key: a.Key(), Rate: 8 * a.Rate, Calls: reads}},
 	})
--- a/e2e/health_test.go
+++ b/e2e/health_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"slices"
 	"sync"
@@ -46,6 +47,7 @@
 	mu    sync.Mutex
 	by    map[string][]string // daemon to targets
 	most  []string
+	err   error
 	ended chan struct{}
 }
 
@@ -55,8 +57,12 @@
 		defer close(w.ended)
 		for ctx.Err() == nil {
 			for _, d := range f.Daemons() {
-				if state, err := d.State(ctx); err == nil {
+				state, err := d.State(ctx)
+				switch {
+				case err == nil:
 					w.saw(d.Name(), state.Ejected())
+				case ctx.Err() == nil:
+					w.failed(err)
 				}
 			}
 			time.Sleep(20 * time.Millisecond)
@@ -65,6 +71,23 @@
 	return w
 }
 
+func (w *ejectedWatch) failed(err error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.err = err
+}
+
+// error is the last that a dump could not be had for: what was not seen must
+// not count as not ejected.
+func (w *ejectedWatch) error() error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.err == nil && len(w.by) < sickDaemons {
+		return errors.New("not every daemon's dump was seen")
+	}
+	return w.err
+}
+
 func (w *ejectedWatch) saw(daemon string, targets []string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -165,8 +188,16 @@
 		start := time.Now()
 		Eventually(func() bool { return w.everywhere(t.Name()) }, foundWithin, "20ms").Should(BeTrue())
 		AddReportEntry("found everywhere after", time.Since(start).Round(10*time.Millisecond).String())
+		sent := 0
+		for _, r := range t.Log() {
+			if r.At.After(start) {
+				sent++
+			}
+		}
+		AddReportEntry("sent to it meanwhile", sent)
 		t.SetFault(well)
 		Expect(len(w.mostOut())).To(BeNumerically("<=", sickDaemons-sickFloor), "below the floor: %v", w.mostOut())
+		must(w.error())
 		Eventually(w.nowhere, "25s", "50ms").Should(BeTrue(), "a mended target comes back")
 	},
 		Entry("when slow", 0, crupstream.Fault{Kind: crupstream.FaultSlow, Factor: 8}),
@@ -188,6 +219,7 @@
 		for i := range 3 {
 			f.Target(i).SetFault(well)
 		}
+		must(w.error())
 	})
 })
 
@@ -201,6 +233,7 @@
 			t.SetFault(crupstream.Fault{Kind: crupstream.FaultSlow, Factor: 5})
 		}
 		Consistently(func() []string { return w.mostOut() }, "8s", "100ms").Should(BeEmpty())
+		must(w.error())
 	})
 
 	// One account sends what no upstream can digest, and every one errs for that
@@ -214,5 +247,6 @@
 			t.SetFault(crupstream.Fault{Kind: crupstream.FaultPoison, Account: accounts[0].Name})
 		}
 		Consistently(func() []string { return w.mostOut() }, "8s", "100ms").Should(BeEmpty())
+		must(w.error())
 	})
 })
--- a/e2e/step_test.go
+++ b/e2e/step_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -134,18 +137,41 @@
 
 func killEntry(_ *crfleet.Fleet, entry, _ *crfleet.Daemon) error { return entry.Kill() }
 
-// Holds stand at every step of a forward to one exit when something happens: a
-// part has been sent to the upstream, a part waits for a slot, a part is being
-// answered. Whoever is told "not run" places the hold again; had it run, the
-// kit would be held and the deposit charged twice. Whoever gets the first half
-// of an answer must see that it broke off.
-var _ = DescribeTable("A hold at every step of its forward", func(fault stepFault) {
+// stepFaults are the faults that holds at every step meet.
+var stepFaults = map[string]stepFault{
+	"with no fault":                               {strike: none, mend: none},
+	"when the exit is killed":                     {strike: killExit, mend: startExit, lasts: 500 * time.Millisecond},
+	"when the exit is frozen within the deadline": {strike: freezeExit, mend: resumeExit, lasts: 700 * time.Millisecond},
+	"when the exit is frozen past the deadline":   {strike: freezeExit, mend: resumeExit, lasts: 3 * time.Second},
+	"when the entry is killed":                    {strike: killEntry, mend: none, entry: true},
+	"when the way to the exit is cut":             {strike: cutForth, mend: healAll, lasts: 3 * time.Second},
+	"when the way back is cut":                    {strike: cutBack, mend: healAll, lasts: 3 * time.Second},
+	"when the way back is cut for a moment":       {strike: cutBack, mend: healAll, lasts: 700 * time.Millisecond},
+}
+
+// stepResult is what became of one fault's holds.
+type stepResult struct {
+	err    error
+	before map[string]int // runs at the moment of the fault
+	after  map[string]int
+	told   map[string]crfleet.Reply
+	logs   string
+}
+
+// strikeAtSteps brings holds to every step of their forwards to one exit, lets
+// the fault strike, and waits until nothing can run late any more.
+func strikeAtSteps(fault stepFault) (r stepResult) {
 	a := account("survey", 5000, 5000)
-	f := startFleet(
+	f, err := crfleet.New(context.Background(),
 		crfleet.WithDaemons(3),
 		crfleet.WithServices(crfleet.Service{Name: "booking", Policy: stepPolicy, Targets: 1, Slots: stepSlots, Time: stepService}),
 		crfleet.WithAccounts(a),
 	)
+	if err != nil {
+		return stepResult{err: err}
+	}
+	defer f.Close()
+	time.Sleep(time.Second) // a fleet just started has few tokens
 	exit, entry := f.Daemon(0), f.Daemon(1)
 	calls := &stepCalls{entry: entry, told: make(map[string]crfleet.Reply)}
 	calls.send(stepRequests(a, stepRun, 2))
@@ -154,33 +180,63 @@
 	time.Sleep(stepSettle / 2)
 	calls.send(stepRequests(a, stepQueue, 4))
 	time.Sleep(stepSettle / 2)
-	expectAtStep(f)
-
-	must(fault.strike(f, entry, exit))
+	r.before = f.Runs()
+	r.err = fault.strike(f, entry, exit)
 	if !fault.entry {
 		calls.send(stepRequests(a, stepLate, 4))
 	}
 	time.Sleep(fault.lasts)
-	must(fault.mend(f, entry, exit))
+	r.err = errors.Join(r.err, fault.mend(f, entry, exit))
 	calls.wg.Wait()
 	// What an exit might still start late has its chance before the count.
 	time.Sleep(2 * time.Second)
-	expectToldTrue(f, calls, fault.entry)
-},
-	Entry("with no fault", stepFault{strike: none, mend: none}),
-	Entry("when the exit is killed", stepFault{strike: killExit, mend: startExit, lasts: 500 * time.Millisecond}),
-	Entry("when the exit is frozen within the deadline", stepFault{strike: freezeExit, mend: resumeExit, lasts: 700 * time.Millisecond}),
-	Entry("when the exit is frozen past the deadline", stepFault{strike: freezeExit, mend: resumeExit, lasts: 3 * time.Second}),
-	Entry("when the entry is killed", stepFault{strike: killEntry, mend: none, entry: true}),
-	Entry("when the way to the exit is cut", stepFault{strike: cutForth, mend: healAll, lasts: 3 * time.Second}),
-	Entry("when the way back is cut", stepFault{strike: cutBack, mend: healAll, lasts: 3 * time.Second}),
-	Entry("when the way back is cut for a moment", stepFault{strike: cutBack, mend: healAll, lasts: 700 * time.Millisecond}),
-)
+	r.after, r.told = f.Runs(), calls.told
+	for _, d := range f.Daemons() {
+		r.logs += d.Log()
+	}
+	return r
+}
+
+// Holds stand at every step of a forward to one exit when something happens: a
+// part has been sent to the upstream, a part waits for a slot, a part is being
+// answered. Whoever is told "not run" places the hold again; had it run, the
+// kit would be held and the deposit charged twice. Whoever gets the first half
+// of an answer must see that it broke off.
+var _ = Describe("A hold at every step of its forward", Ordered, ContinueOnFailure, func() {
+	results := make(map[string]stepResult)
+
+	// Each fault has a fleet of its own, and mostly waits: four at a time.
+	BeforeAll(func() {
+		var mu sync.Mutex
+		var wg sync.WaitGroup
+		slots := make(chan struct{}, 4)
+		for name, fault := range stepFaults {
+			wg.Go(func() {
+				slots <- struct{}{}
+				defer func() { <-slots }()
+				r := strikeAtSteps(fault)
+				mu.Lock()
+				defer mu.Unlock()
+				results[name] = r
+			})
+		}
+		wg.Wait()
+	})
+
+	for _, name := range slices.Sorted(maps.Keys(stepFaults)) {
+		It("is told the truth "+name, func() {
+			r := results[name]
+			must(r.err)
+			expectAtStep(r.before)
+			expectToldTrue(r.after, r.told, stepFaults[name].entry)
+			Expect(r.logs).NotTo(Or(ContainSubstring("DATA RACE"), ContainSubstring("panic:")))
+		})
+	}
+})
 
-// expectAtStep makes sure that the requests are where the spec wants them.
-func expectAtStep(f *crfleet.Fleet) {
+// expectAtStep makes sure that the requests were where the spec wants them.
+func expectAtStep(runs map[string]int) {
 	GinkgoHelper()
-	runs := f.Runs()
 	for i := range 2 {
 		Expect(runs[fmt.Sprintf("%s-%d", stepRun, i)]).To(Equal(1))
 		Expect(runs[fmt.Sprintf("%s-%d", stepAnswer, i)]).To(Equal(1))
@@ -191,11 +247,10 @@
 	}
 }
 
-func expectToldTrue(f *crfleet.Fleet, calls *stepCalls, entryDies bool) {
+func expectToldTrue(runs map[string]int, told map[string]crfleet.Reply, entryDies bool) {
 	GinkgoHelper()
-	runs := f.Runs()
 	count := make(map[string]int)
-	for id, reply := range calls.told {
+	for id, reply := range told {
 		step, _, _ := strings.Cut(id, "-")
 		word := reply.Outcome
 		switch {
@@ -223,6 +278,5 @@
 		}
 	}
 	AddReportEntry("told", count)
-	// Beyond the deadline nobody waits: the route's timeout is two seconds.
 	Expect(count).NotTo(BeEmpty())
 }
--- a/e2e/withdraw_test.go
+++ b/e2e/withdraw_test.go
@@ -134,9 +134,7 @@
 		for _, d := range f.Daemons() {
 			state, err := d.State(within(5 * time.Second))
 			must(err)
-			config, err := state.Config()
-			must(err)
-			if config.Reader {
+			if state.Config.Reader {
 				reader = d
 			}
 		}
@@ -172,9 +170,7 @@
 			return func() []string {
 				state, err := d.State(within(5 * time.Second))
 				must(err)
-				config, err := state.Config()
-				must(err)
-				return config.Refused
+				return state.Config.Refused
 			}
 		}
 		for _, d := range f.Daemons() {
--- a/lab/crfleet/call.go
+++ b/lab/crfleet/call.go
@@ -87,47 +87,48 @@
 	return err
 }
 
-// State is the operators' dump of a daemon.
-type State struct {
-	Daemon   string `json:"daemon"`
-	Standing bool   `json:"standing"`
-	InFlight int64  `json:"inflight"`
-	Running  int64  `json:"running"`
-	Control  struct {
-		Parts map[string]json.RawMessage `json:"parts"`
-	} `json:"control"`
-	Raw []byte `json:"-"` // the whole dump
-}
+// ErrDump tells that a dump lacks what this package reads from it.
+var ErrDump = errors.New("the dump lacks a part")
 
-// Member is the dump's part on membership.
-func (s State) Member() (crmember.Dump, error) {
-	var m crmember.Dump
-	err := json.Unmarshal(s.Control.Parts["member"], &m)
-	return m, err
-}
-
-// Config is the dump's part on configuration.
-func (s State) Config() (crconfig.Dumped, error) {
-	var c crconfig.Dumped
-	err := json.Unmarshal(s.Control.Parts["config"], &c)
-	return c, err
-}
-
-// Health is the dump's part on the targets' health.
-func (s State) Health() (crhealth.Dump, error) {
-	var h crhealth.Dump
-	err := json.Unmarshal(s.Control.Parts["health"], &h)
-	return h, err
+// State is the operators' dump of a daemon, as far as proofs read it.
+type State struct {
+	Daemon   string
+	Standing bool
+	Revision int64
+	Member   crmember.Dump
+	Config   crconfig.Dumped
+	Health   crhealth.Dump
+	Raw      []byte // the whole dump
+}
+
+// readState decodes a dump. A part that is missing is an error: a proof that saw
+// no ejection in an empty part would prove nothing.
+func readState(raw []byte) (State, error) {
+	var dump struct {
+		Daemon   string                     `json:"daemon"`
+		Standing bool                       `json:"standing"`
+		Revision int64                      `json:"revision"`
+		Parts    map[string]json.RawMessage `json:"parts"`
+	}
+	if err := json.Unmarshal(raw, &dump); err != nil {
+		return State{}, err
+	}
+	s := State{Daemon: dump.Daemon, Standing: dump.Standing, Revision: dump.Revision, Raw: raw}
+	for name, part := range map[string]any{"member": &s.Member, "config": &s.Config, "health": &s.Health} {
+		if len(dump.Parts[name]) == 0 {
+			return State{}, fmt.Errorf("%w: %s", ErrDump, name)
+		}
+		if err := json.Unmarshal(dump.Parts[name], part); err != nil {
+			return State{}, fmt.Errorf("part %s: %w", name, err)
+		}
+	}
+	return s, nil
 }
 
 // Ejected names the targets to which the daemon sends no work as sick.
 func (s State) Ejected() []string {
-	h, err := s.Health()
-	if err != nil {
-		return nil
-	}
 	var names []string
-	for _, service := range h.Services {
+	for _, service := range s.Health.Services {
 		for _, t := range service.Steered {
 			if t.Ejected {
 				names = append(names, string(t.Target))
@@ -139,11 +140,7 @@
 
 // Reaches reports whether the daemon has two-way contact with a peer.
 func (s State) Reaches(peer string) bool {
-	m, err := s.Member()
-	if err != nil {
-		return false
-	}
-	for _, p := range m.Peers {
+	for _, p := range s.Member.Peers {
 		if string(p.Daemon) == peer {
 			return p.Reachable
 		}
@@ -157,8 +154,8 @@
 	if err != nil {
 		return State{}, err
 	}
-	s := State{Raw: body}
-	if err := json.Unmarshal(body, &s); err != nil {
+	s, err := readState(body)
+	if err != nil {
 		return State{}, fmt.Errorf("state of %s: %w", d.name, err)
 	}
 	return s, nil
