Test the bounds of a new policy, and count packets of a hop

Cause: that connections and room follow a new policy had no test; it was asked whether stream bookkeeping costs packets or a 25 ms tail.

Change: TestANewPolicyBoundsConnectionsAndRoom; packets sent, received and lost in BenchmarkHop, by a new Session.Stats.

--- a/io/crexit/hop_test.go
+++ b/io/crexit/hop_test.go
@@ -124,6 +124,14 @@
 			mu.Unlock()
 			return h.get(id)
 		})
+		session, err := h.peers.Session(b.Context(), "exit")
+		if err != nil {
+			b.Fatal(err)
+		}
+		stats := session.Stats()
+		b.ReportMetric(float64(stats.PacketsSent)/float64(n), "sent/op")
+		b.ReportMetric(float64(stats.PacketsReceived)/float64(n), "received/op")
+		b.ReportMetric(float64(stats.PacketsLost), "lost")
 	})
 	b.Run("straight", func(b *testing.B) {
 		srv := httptest.NewServer(answer)
--- a/io/crexit/session_test.go
+++ b/io/crexit/session_test.go
@@ -125,3 +125,50 @@
 	_, err = h.get(3)
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 }
+
+// A new policy gives a target fewer connections and less room to wait. A daemon
+// that kept the former figures would go on filling a target that was to be spared.
+func TestANewPolicyBoundsConnectionsAndRoom(t *testing.T) {
+	g := gomega.NewWithT(t)
+	release := make(chan struct{})
+	finish := sync.OnceFunc(func() { close(release) })
+	defer finish()
+	var mu sync.Mutex
+	conns := map[string]bool{}
+	h := newHop(t, http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		mu.Lock()
+		conns[r.RemoteAddr] = true
+		mu.Unlock()
+		<-release
+	}), service)
+	open := func() int {
+		mu.Lock()
+		defer mu.Unlock()
+		return len(conns)
+	}
+	apply := func(svc crpolicy.Service) { h.exit.Apply(crpolicy.NewSnapshot(2, []crpolicy.Service{svc}, nil)) }
+	apply(crpolicy.Service{Name: "s", Slots: 8, Queue: 8, Connections: 3})
+	var wg sync.WaitGroup
+	kinds := make(chan crhop.Kind, 20)
+	send := func(n uint64) {
+		wg.Go(func() {
+			ex := h.exit.Run(t.Context(), h.exit.Own(), forward(n, crpolicy.ClassOnce), nil)
+			kinds <- ex.Answer.Kind
+			_ = ex.Body.Close()
+		})
+	}
+	for n := range uint64(8) {
+		send(n + 1)
+	}
+	g.Eventually(open).Should(gomega.Equal(3))
+	g.Consistently(open, 200*time.Millisecond).Should(gomega.Equal(3))
+	apply(crpolicy.Service{Name: "s", Slots: 8, Queue: 0, Connections: 3})
+	send(100)
+	g.Eventually(kinds).Should(gomega.Receive(gomega.Equal(crhop.KindRefusal)), "no room is left to wait")
+	finish()
+	wg.Wait()
+	g.Expect(kinds).To(gomega.HaveLen(8))
+	for range 8 {
+		g.Expect(<-kinds).To(gomega.Equal(crhop.KindAnswer))
+	}
+}
--- a/io/crpeer/session.go
+++ b/io/crpeer/session.go
@@ -29,6 +29,9 @@
 // Peer is the daemon at the other end.
 func (s *Session) Peer() crid.Daemon { return s.peer }
 
+// Stats returns what the connection sent, received and lost so far.
+func (s *Session) Stats() quic.ConnectionStats { return s.conn.ConnectionStats() }
+
 // Context ends with the session.
 func (s *Session) Context() context.Context { return s.conn.Context() }
 
