Read the dump's parts where they stand now

Ruled out: keeping `control` in the dump as well, a second form of the same.

Change: crfleet.State reads `parts`; two fields that nobody used go.

Conclusion: whoever lands this runs the whole of e2e.

--- a/lab/crfleet/call.go
+++ b/lab/crfleet/call.go
@@ -89,34 +89,30 @@
 
 // State is the operators' dump of a daemon.
 type State struct {
-	Daemon   string `json:"daemon"`
-	Standing bool   `json:"standing"`
-	InFlight int64  `json:"inflight"`
-	Running  int64  `json:"running"`
-	Control  struct {
-		Parts map[string]json.RawMessage `json:"parts"`
-	} `json:"control"`
-	Raw []byte `json:"-"` // the whole dump
+	Daemon   string                     `json:"daemon"`
+	Standing bool                       `json:"standing"`
+	Parts    map[string]json.RawMessage `json:"parts"`
+	Raw      []byte                     `json:"-"` // the whole dump
 }
 
 // Member is the dump's part on membership.
 func (s State) Member() (crmember.Dump, error) {
 	var m crmember.Dump
-	err := json.Unmarshal(s.Control.Parts["member"], &m)
+	err := json.Unmarshal(s.Parts["member"], &m)
 	return m, err
 }
 
 // Config is the dump's part on configuration.
 func (s State) Config() (crconfig.Dumped, error) {
 	var c crconfig.Dumped
-	err := json.Unmarshal(s.Control.Parts["config"], &c)
+	err := json.Unmarshal(s.Parts["config"], &c)
 	return c, err
 }
 
 // Health is the dump's part on the targets' health.
 func (s State) Health() (crhealth.Dump, error) {
 	var h crhealth.Dump
-	err := json.Unmarshal(s.Control.Parts["health"], &h)
+	err := json.Unmarshal(s.Parts["health"], &h)
 	return h, err
 }
 
