Name the reasons of refusals in the load tool and the measures

Cause: in the rolling replacement of the groupement 55 and 25 requests were refused inside their rate, of which only 11 and 15 by the rate (429), and nothing said why the others were.

Change: the load tool keeps the body of a refusal, and each run counts them.

--- a/lab/crload/run.go
+++ b/lab/crload/run.go
@@ -43,6 +43,7 @@
 	Took    time.Duration // from the planned time
 	At      time.Duration // planned, after the start
 	Retry   bool          // came with Retry-After
+	Reason  string        // the body of a refusal
 }
 
 type runner struct {
@@ -147,36 +148,42 @@
 
 func (r *runner) send(ctx context.Context, a Account, call Call, entry, id string, at time.Duration) {
 	told := Told{ID: id, Account: a.Name, Method: call.Method, At: at}
-	told.Result, told.Status, told.Retry = r.exchange(ctx, a, call, entry, id)
+	r.exchange(ctx, a, call, entry, &told)
 	told.Took = time.Since(r.start) - at
 	r.record(told)
 }
 
-func (r *runner) exchange(ctx context.Context, a Account, call Call, entry, id string) (Result, int, bool) {
+// exchange fills in what the caller was told; at first it is no word.
+func (r *runner) exchange(ctx context.Context, a Account, call Call, entry string, told *Told) {
+	told.Result = NoWord
 	var body io.Reader
 	if call.Bytes > 0 {
 		body = strings.NewReader(strings.Repeat("b", call.Bytes))
 	}
 	req, err := http.NewRequestWithContext(ctx, call.Method, entry+call.Path, body)
 	if err != nil {
-		return NoWord, 0, false
+		return
 	}
 	req.GetBody = nil // a retry by the client would count as a run of ours
-	req.Header.Set(crupstream.HeaderLabID, id)
+	req.Header.Set(crupstream.HeaderLabID, told.ID)
 	if a.Key != "" {
 		req.Header.Set("Authorization", "Bearer "+a.Key)
 	}
 	resp, err := r.client.Do(req)
 	if err != nil {
-		return NoWord, 0, false
+		return
 	}
 	defer resp.Body.Close()
 	b, err := io.ReadAll(resp.Body)
-	retry := resp.Header.Get("Retry-After") != ""
+	told.Status, told.Retry = resp.StatusCode, resp.Header.Get("Retry-After") != ""
 	if err != nil {
-		return Cut, resp.StatusCode, retry
+		told.Result = Cut
+		return
+	}
+	told.Result = judge(resp, b, a, told.ID)
+	if told.Result == NotRun {
+		told.Reason = strings.TrimSpace(string(b))
 	}
-	return judge(resp, b, a, id), resp.StatusCode, retry
 }
 
 // judge checks an answer against its request.
--- a/lab/crmeasure/score.go
+++ b/lab/crmeasure/score.go
@@ -32,7 +32,8 @@
 	Worst    string  `json:"worst"`    // the worst-served account, by Share
 	Sent     int     `json:"sent"`
 
-	Ejected []string `json:"ejected"` // every ejection: when after the fault, target, cause
+	Reasons map[string]int `json:"reasons"` // of refusals
+	Ejected []string       `json:"ejected"` // every ejection: when after the fault, target, cause
 
 	Cut     int `json:"cut"`
 	Unknown int `json:"unknown"`
@@ -201,6 +202,7 @@
 // serve scores the accounts one beside the other.
 func (r *record) serve(m *Measured) {
 	m.Share = 1
+	m.Reasons = make(map[string]int)
 	var p99s []float64
 	for _, a := range accounts() {
 		told := r.of(a.Name)
@@ -214,6 +216,7 @@
 				took = append(took, t.Took.Seconds()*1e3)
 			case crload.NotRun:
 				refused++
+				m.Reasons[t.Reason]++
 				if t.Status == http.StatusTooManyRequests {
 					m.Limited++
 				}
