Pass over a target whose daemon has no policy yet

Cause: a daemon that has just restarted is heard by its peers before it has its configuration. Its exit refuses in no time, so its targets look the idlest of all and draw the requests of the service; a request whose attempts all met this daemon, or that found no retry left, was refused though others stood ready.

Change: the exit marks this refusal with a fault of its own, and the entry passes the target over for 200 ms. It speaks neither against the target (no evidence of failure, no doubling of the pause) nor for it.

Ruled out: treating it like an upstream that takes no connection; that counts as failure, and a healthy target could be ejected for its daemon's restart.

--- a/core/crroute/crroute_test.go
+++ b/core/crroute/crroute_test.go
@@ -226,3 +226,23 @@
 		_, _ = c.Pick(p, ask)
 	}
 }
+
+// A daemon that has just restarted refuses at once, for it has no policy yet, and
+// its targets look the idlest of all. Entries that went on choosing them had
+// their requests refused three times over, while others stood ready.
+func TestAnUnreadyTargetIsPassedOverForAMoment(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var l crroute.Load
+	now := crid.Instant(time.Minute)
+	l.Unready(now)
+	g.Expect(l.Avoided(now)).To(gomega.BeTrue())
+	g.Expect(l.Avoided(now.Add(time.Second))).To(gomega.BeFalse())
+	for range 20 {
+		l.Unready(now)
+	}
+	g.Expect(l.Avoided(now.Add(time.Second))).To(gomega.BeFalse(), "it must not add up: the target is well")
+	l.Unreachable(now)
+	until := l.AvoidedUntil()
+	l.Unready(now.Add(-time.Second))
+	g.Expect(l.AvoidedUntil()).To(gomega.Equal(until), "a longer avoidance stands")
+}
--- a/io/crentry/serve.go
+++ b/io/crentry/serve.go
@@ -176,10 +176,17 @@
 	case crhop.KindRefusal:
 		s.tracker.Refused(n, ex.Answer.NotRun, ex.Answer.RetryAfter)
 		s.reason = ex.Answer.Reason
-		if ex.Answer.Fault == crhop.FaultConnect {
+		switch ex.Answer.Fault {
+		case crhop.FaultConnect:
 			target.Load().Unreachable(now)
 			s.observe(target, OutcomeFailed, took)
-		} else {
+		case crhop.FaultUnready:
+			// Its refusals are so quick that it looks the idlest of all. Were it
+			// not passed over, it would draw the requests of a whole service, and
+			// those whose every attempt met the same daemon would be refused.
+			target.Load().Unready(now)
+			s.observe(target, OutcomeShed, took)
+		default:
 			s.observe(target, OutcomeShed, took)
 		}
 	case crhop.KindFailure:
--- a/io/crexit/run.go
+++ b/io/crexit/run.go
@@ -80,7 +80,9 @@
 	queue := r.target.queue.Load()
 	if queue == nil {
 		r.ledger.Cancel(r.forward.ID, r.exit.opts.Clock())
-		return refusal("target has no policy", true, refusedRetry)
+		ex := refusal("target has no policy", true, refusedRetry)
+		ex.Answer.Fault = crhop.FaultUnready
+		return ex
 	}
 	lease, err := queue.Acquire(ctx, r.forward.Account, r.deadline)
 	if err != nil {
--- a/io/crhop/crhop.go
+++ b/io/crhop/crhop.go
@@ -81,6 +81,7 @@
 	FaultTimeout                  // the deadline passed
 	FaultWrong                    // the answer was another request's
 	FaultConnect                  // the upstream took no connection; nothing ran
+	FaultUnready                  // the exit has no policy for the target yet; nothing ran
 )
 
 // Answer is the head of what the exit answers.
