--- a/lab/crmeasure/cases.go
+++ b/lab/crmeasure/cases.go
@@ -15,6 +15,7 @@
 	count int     // sick upstreams, of the first service
 	apart int     // last daemons at which no caller enters
 	surge float64 // of the first account
+	lone  bool    // each account enters at one daemon only
 	// byCallers tells that the fault is between daemons, where the upstreams'
 	// logs can not show how long work was still sent into it.
 	byCallers bool
@@ -43,6 +44,7 @@
 	flap := crupstream.Fault{Kind: crupstream.FaultFlap, Factor: slowFactor, Period: flapPeriod}
 	return []Case{
 		{Name: "calm"},
+		{Name: "oneentry", lone: true},
 		{Name: "slow", count: 1, begin: faults(slow), end: well},
 		{Name: "wrong", count: 1, begin: faults(wrong), end: well},
 		{Name: "flapping", count: 1, begin: faults(flap), end: well},
--- a/lab/crmeasure/shape.go
+++ b/lab/crmeasure/shape.go
@@ -132,6 +132,9 @@
 	}
 	for i, a := range accounts() {
 		load := crload.Account{Name: a.Name, Key: a.Key(), Rate: loadFactor * a.Rate, Calls: t.shape.calls()}
+		if t.fault.lone {
+			load.Entry = i + 1
+		}
 		if i == 0 && t.fault.surge > 0 {
 			load.Surge = crload.Surge{From: from.Seconds(), To: to.Seconds(), Factor: t.fault.surge}
 		}
