--- a/io/crhop/crhop.go
+++ b/io/crhop/crhop.go
@@ -82,6 +82,7 @@
 	FaultWrong                    // the answer was another request's
 	FaultConnect                  // the upstream took no connection; nothing ran
 	FaultBody                     // the request's own body broke off; no evidence against the target
+	FaultUnready                  // the exit has no policy for the target yet; nothing ran
 )
 
 // Answer is the head of what the exit answers.
