Avoid a target that only sheds, with pauses that grow

Ruled out: a wider bound; avoiding at the first shed answer (in an overload every target sheds some, and load would be pushed round). Change: three shed answers in a row without another answer between avoid the target at this entry for 2 s, doubling to 10 s.

--- a/core/crroute/crroute_test.go
+++ b/core/crroute/crroute_test.go
@@ -246,3 +246,19 @@
 	l.Unready(now.Add(-time.Second))
 	g.Expect(l.AvoidedUntil()).To(gomega.Equal(until), "a longer avoidance stands")
 }
+
+// A target turns everything away while it drains, long before the list says so.
+// Callers of once requests, which are not tried elsewhere after an answer, would
+// get its refusal again and again. In an overload, where all targets refuse some
+// requests and answer others, none may be avoided for it.
+func TestATargetThatOnlyShedsIsAvoided(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var drains, busy crroute.Load
+	for range 5 {
+		drains.Shed(1)
+		busy.Shed(1)
+		busy.Answered()
+	}
+	g.Expect(drains.Avoided(2)).To(gomega.BeTrue())
+	g.Expect(busy.Avoided(2)).To(gomega.BeFalse())
+}
--- a/core/crroute/load.go
+++ b/core/crroute/load.go
@@ -11,8 +11,10 @@
 const (
 	avoidBase   = 200 * time.Millisecond
 	avoidMost   = 10 * time.Second
-	avoidShifts = 6  // doublings from avoidBase to above avoidMost
-	maxStrikes  = 16 // keeps the penalty of a failing target finite
+	shedBase    = 2 * time.Second // first pause after shedRow; each trial may cost a caller of a once request
+	shedRow     = 3               // refusals for load in a row, after which a target is avoided
+	avoidShifts = 6               // doublings from avoidBase to above avoidMost
+	maxStrikes  = 16              // keeps the penalty of a failing target finite
 	// hintLife is how long a load reported by the exit is believed. Reports
 	// lag: an older one would keep work off a target that has long been idle.
 	hintLife = 100 * time.Millisecond
@@ -63,8 +65,22 @@
 // In a one-way cut only some daemons lose a target. Ejecting it would take good
 // capacity from all others; going on would cost each request a timeout.
 func (l *Load) Unreachable(now crid.Instant) {
-	shift := min(l.strike()-1, avoidShifts)
-	pause := min(avoidBase<<shift, avoidMost)
+	l.avoidFor(avoidBase, l.strike(), now)
+}
+
+// Shed notes that the target turned a request away for load. One that answers
+// nothing between several such refusals is avoided, too: it has nothing in
+// flight, and would look like the idlest of all. In an overload the targets that
+// do answer are not avoided, since an answer takes all strikes back.
+func (l *Load) Shed(now crid.Instant) {
+	if n := l.strike(); n >= shedRow {
+		l.avoidFor(shedBase, n-shedRow+1, now)
+	}
+}
+
+func (l *Load) avoidFor(base time.Duration, strikes int64, now crid.Instant) {
+	shift := min(strikes-1, avoidShifts)
+	pause := min(base<<shift, avoidMost)
 	l.avoid.Store(int64(now.Add(pause)))
 }
 
--- a/io/crentry/serve.go
+++ b/io/crentry/serve.go
@@ -245,9 +245,7 @@
 	shed := status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable
 	switch {
 	case shed:
-		// A target that turns everything away has nothing in flight, and would
-		// look like the least loaded of all.
-		target.Load().Failed()
+		target.Load().Shed(s.entry.opts.Clock())
 		s.observe(target, OutcomeShed, took)
 	case status >= http.StatusInternalServerError:
 		target.Load().Failed()
