--- /dev/null
+++ b/lab/crfleet/cost.go
@@ -0,0 +1,99 @@
+package crfleet
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// clockTicks a second is the unit of processor time in /proc on Linux.
+const clockTicks = 100
+
+// Cost is what a daemon uses.
+type Cost struct {
+	CPU      float64 // seconds, or their part of a second
+	Sent     float64 // bytes of control messages, or a second
+	Received float64
+	Memory   float64 // resident bytes
+}
+
+// Cost is what the process has used so far, by the system's and its own word.
+func (d *Daemon) Cost(ctx context.Context) (Cost, error) {
+	var c Cost
+	stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", d.PID()))
+	if err != nil {
+		return c, err
+	}
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", d.PID()))
+	if err != nil {
+		return c, err
+	}
+	metrics, err := d.fetchAdmin(ctx, "/metrics")
+	if err != nil {
+		return c, err
+	}
+	fields := strings.Fields(string(stat[bytes.LastIndexByte(stat, ')')+1:]))
+	c.CPU = (number(fields[11]) + number(fields[12])) / clockTicks
+	c.Memory = 1024 * number(strings.Fields(valueOf(status, "VmRSS:"))[0])
+	c.Sent = number(valueOf(metrics, "camphorroad_control_sent_bytes "))
+	c.Received = number(valueOf(metrics, "camphorroad_control_received_bytes "))
+	return c, nil
+}
+
+// valueOf returns what follows a name at the start of a line; "0" if none does.
+func valueOf(text []byte, name string) string {
+	for lines := bufio.NewScanner(bytes.NewReader(text)); lines.Scan(); {
+		if rest, ok := strings.CutPrefix(lines.Text(), name); ok {
+			return strings.TrimSpace(rest)
+		}
+	}
+	return "0"
+}
+
+func number(s string) float64 {
+	n, _ := strconv.ParseFloat(s, 64)
+	return n
+}
+
+// CostOver is the mean over the daemons of what one uses in a second, watched
+// for the given time; Memory is that at its end.
+func (f *Fleet) CostOver(ctx context.Context, watched time.Duration) (Cost, error) {
+	before, err := f.sumCost(ctx)
+	if err != nil {
+		return Cost{}, err
+	}
+	start := time.Now()
+	time.Sleep(watched)
+	after, err := f.sumCost(ctx)
+	if err != nil {
+		return Cost{}, err
+	}
+	n := float64(len(f.Daemons()))
+	seconds := n * time.Since(start).Seconds()
+	return Cost{
+		CPU:      (after.CPU - before.CPU) / seconds,
+		Sent:     (after.Sent - before.Sent) / seconds,
+		Received: (after.Received - before.Received) / seconds,
+		Memory:   after.Memory / n,
+	}, nil
+}
+
+func (f *Fleet) sumCost(ctx context.Context) (Cost, error) {
+	var sum Cost
+	for _, d := range f.Daemons() {
+		c, err := d.Cost(ctx)
+		if err != nil {
+			return sum, fmt.Errorf("cost of %s: %w", d.Name(), err)
+		}
+		sum.CPU += c.CPU
+		sum.Sent += c.Sent
+		sum.Received += c.Received
+		sum.Memory += c.Memory
+	}
+	return sum, nil
+}
