Make the platform's calls through the one function that does

Cause: the daemon's reader wrote again what crplatform.Perform does: the three calls with their timeouts, and the turning of errors into the reducer's words. Ruled out: keeping both, which had to change together. Conclusion: same behaviour, one copy.

--- a/io/crdaemon/shell.go
+++ b/io/crdaemon/shell.go
@@ -85,12 +85,8 @@
 		s.dirty = s.dirty || !eff.Passing // sampled peers are never lost, so the view is the same
 	case crconfig.InForce:
 		s.inForce(eff)
-	case crconfig.WatchPlatform:
-		go s.reader.watch(eff)
-	case crconfig.ReadPlatform:
-		go s.reader.read(eff)
-	case crconfig.ReadList:
-		go s.reader.list()
+	case crconfig.WatchPlatform, crconfig.ReadPlatform, crconfig.ReadList:
+		go s.reader.perform(eff)
 	case crhealth.Steer:
 		s.steer(eff)
 	case craccount.Deposit:
@@ -163,10 +159,6 @@
 	return s.drained(now)
 }
 
-func usedOf(now crid.Instant, usage []craccount.Usage) crevent.Event {
-	return craccount.Used{Now: now, Usage: usage}
-}
-
 // isTrusted reports whether this daemon may act on what it knows.
 func (s *shell) isTrusted(now crid.Instant) bool {
 	return s.ready.Load() && now.Before(crid.Instant(s.trusted.Load()))
--- a/io/crdaemon/steer.go
+++ b/io/crdaemon/steer.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"camphorroad/core/craccount"
 	"camphorroad/core/crevent"
 	"camphorroad/core/crhealth"
 	"camphorroad/core/crid"
@@ -74,7 +75,7 @@
 func (s *shell) drained(now crid.Instant) []crevent.Event {
 	var events []crevent.Event
 	if usage := s.wallet.Drain(now); len(usage) > 0 {
-		events = append(events, usedOf(now, usage))
+		events = append(events, craccount.Used{Now: now, Usage: usage})
 	}
 	if samples := s.recorder.Drain(); len(samples) > 0 {
 		events = append(events, crhealth.Observed{Now: now, Samples: samples})
