Let both programs parse their command lines by one function

Cause: the two mains set up kong, signals and exit codes alike, and camphorlab told a wrong call differently from camphorroad. Change: factory.Program holds a name, a description and a tree and runs it; both mains are a call of it. Ruled out: a package of its own, for what is forty lines beside the factory that it hands on. Measured: both programs called with a wrong command, without one and with a missing argument: exit 2 and one line that says what to look at, before and after for camphorroad; camphorlab printed its whole usage before. go vet and the tests of command/ pass.

--- a/cmd/camphorlab/main.go
+++ b/cmd/camphorlab/main.go
@@ -3,18 +3,13 @@
 package main
 
 import (
-	"context"
 	"os"
-	"os/signal"
-	"syscall"
-
-	"github.com/alecthomas/kong"
 
 	"camphorroad/command/factory"
 	"camphorroad/command/lab"
 )
 
-type options struct {
+type tree struct {
 	Platform lab.PlatformOptions `cmd:"" help:"Serve a stand-in of the platform."`
 	Publish  lab.PublishOptions  `cmd:"" help:"Publish a directory on the stand-in."`
 	Load     lab.LoadOptions     `cmd:"" help:"Send load by a plan."`
@@ -23,30 +18,10 @@
 }
 
 func main() {
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	f := factory.System()
-	code := run(ctx, f, os.Args[1:])
-	stop()
-	os.Exit(code)
-}
-
-func run(ctx context.Context, f *factory.Factory, args []string) int {
-	var opts options
-	parser, err := kong.New(&opts,
-		kong.Name("camphorlab"),
-		kong.Description("Stand-ins for the platform and the upstreams of a camphorroad fleet."),
-		kong.UsageOnError(),
-		kong.Writers(f.Out, f.ErrOut),
-		kong.BindTo(ctx, (*context.Context)(nil)),
-		kong.Bind(f),
-	)
-	if err != nil {
-		return factory.Exit(f, err)
-	}
-	parsed, err := parser.Parse(args)
-	if err != nil {
-		factory.Exit(f, err)
-		return factory.ExitUsage
+	program := factory.Program{
+		Name:        "camphorlab",
+		Description: "Stand-ins for the platform and the upstreams of a camphorroad fleet.",
+		Tree:        &tree{},
 	}
-	return factory.Exit(f, parsed.Run())
+	os.Exit(program.RunProcess(os.Args[1:]))
 }
--- a/command/command.go
+++ b/command/command.go
@@ -6,14 +6,8 @@
 package command
 
 import (
-	"context"
 	"fmt"
-	"os"
-	"os/signal"
 	"runtime/debug"
-	"syscall"
-
-	"github.com/alecthomas/kong"
 
 	"camphorroad/command/cert"
 	"camphorroad/command/events"
@@ -36,31 +30,14 @@
 	Version versionOptions  `cmd:"" help:"Print the version."`
 }
 
-// Run parses the arguments and runs the command; it returns the exit code.
-func Run(ctx context.Context, f *factory.Factory, args []string) int {
-	var opts tree
-	parser, err := kong.New(&opts,
-		kong.Name("camphorroad"),
-		kong.Description("A proxy fleet for upstreams that fail gray. Exit codes: 0 done, 1 failed, 2 called wrongly."),
-		kong.Writers(f.Out, f.ErrOut),
-		kong.BindTo(ctx, (*context.Context)(nil)),
-		kong.Bind(f),
-	)
-	if err != nil {
-		return factory.Exit(f, err)
-	}
-	parsed, err := parser.Parse(args)
-	if err != nil {
-		return factory.Exit(f, fmt.Errorf("%w: %w (see camphorroad --help)", factory.ErrUsage, err))
-	}
-	return factory.Exit(f, parsed.Run())
-}
-
-// RunProcess runs the command with the process's own streams and signals.
+// RunProcess runs the command with the process's own streams and signals; it
+// returns the exit code.
 func RunProcess(args []string) int {
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
-	return Run(ctx, factory.System(), args)
+	return factory.Program{
+		Name:        "camphorroad",
+		Description: "A proxy fleet for upstreams that fail gray.",
+		Tree:        &tree{},
+	}.RunProcess(args)
 }
 
 type versionOptions struct{}
