--- a/Makefile
+++ b/Makefile
@@ -34,7 +34,7 @@
 	script/demo
 
 # The tables in virtual time repeat exactly; those over real processes vary by
-# the machine. MEASURE takes flags of camphorlab measure.
+# the machine, and take half an hour. MEASURE takes flags of camphorlab measure.
 MEASURE ?= --seeds 2 --plots plots
 measure: build
 	$(GO) test ./core/crhealth -run '^TestMeasure$$' -count 1 -v -seeds 6
--- a/lab/crmeasure/crmeasure.go
+++ b/lab/crmeasure/crmeasure.go
@@ -25,7 +25,8 @@
 	"camphorroad/lab/crload"
 )
 
-// Options say what to measure; an empty list means all.
+// Options say what to measure; an empty list means all, of policies the chosen
+// one and in each case the baselines that decide otherwise in it.
 type Options struct {
 	Binary   string // the daemon's program
 	Shapes   []string
@@ -58,7 +59,7 @@
 	if err != nil {
 		return nil, err
 	}
-	policies, err := pick("policy", Policies(), opts.Policies, func(p Policy) string { return p.Name })
+	named, err := pick("policy", Policies(), opts.Policies, func(p Policy) string { return p.Name })
 	if err != nil {
 		return nil, err
 	}
@@ -68,6 +69,10 @@
 	var runs []Measured
 	for _, s := range shapes {
 		for _, c := range cases {
+			policies := c.policies()
+			if len(opts.Policies) > 0 {
+				policies = named
+			}
 			for _, p := range policies {
 				for seed := range opts.Seeds {
 					m, err := opts.run(ctx, trial{shape: s, fault: c, policy: p, seed: uint64(seed) + 1})
@@ -118,7 +123,7 @@
 	}
 	defer fleet.Close()
 	time.Sleep(settleTime)
-	rec, err := t.observe(ctx, fleet, o.Length)
+	rec, err := t.observe(ctx, fleet, max(o.Length, t.fault.least))
 	if err != nil {
 		return Measured{}, err
 	}
--- a/lab/crmeasure/policy.go
+++ b/lab/crmeasure/policy.go
@@ -10,13 +10,21 @@
 	rate   string
 }
 
+// The policies' names.
+const (
+	chosen          = "chosen"
+	roundRobin      = "roundrobin"
+	fixedThresholds = "fixed"
+	localSplit      = "split"
+)
+
 // Policies are the one in service and its baselines.
 func Policies() []Policy {
 	return []Policy{
-		{Name: "chosen", choose: "twochoices", eject: "peers", rate: "shares"},
-		{Name: "roundrobin", choose: "roundrobin", eject: "none", rate: "shares"},
-		{Name: "fixed", choose: "twochoices", eject: "fixed", rate: "shares"},
-		{Name: "split", choose: "twochoices", eject: "peers", rate: "split"},
+		{Name: chosen, choose: "twochoices", eject: "peers", rate: "shares"},
+		{Name: roundRobin, choose: "roundrobin", eject: "none", rate: "shares"},
+		{Name: fixedThresholds, choose: "twochoices", eject: "fixed", rate: "shares"},
+		{Name: localSplit, choose: "twochoices", eject: "peers", rate: "split"},
 	}
 }
 
