Strike at the steps of a forward only once the holds stand there

The fault had struck too early to show anything; no promise was seen broken. Ruled out: a longer wait, which runs out of the deadline of two seconds; leaving the line out, which would let a spec pass without its fault at the step. Change: a try whose holds are not at their steps ends before the fault strikes, and a new fleet tries again, three times in all. The line stays, over the try that counts, and now names the misplaced holds.

--- a/e2e/step_test.go
+++ b/e2e/step_test.go
@@ -30,6 +30,7 @@
 const (
 	stepSlots   = 6
 	stepSettle  = 400 * time.Millisecond // until every request is at its step
+	stepTries   = 3                      // of bringing them there
 	stepService = 20 * time.Millisecond
 	dripBytes   = 20_000
 )
@@ -158,9 +159,22 @@
 	logs   string
 }
 
-// strikeAtSteps brings holds to every step of their forwards to one exit, lets
-// the fault strike, and waits until nothing can run late any more.
+// strikeAtSteps tries until the holds were at their steps when the fault struck.
+// On a busy machine one may come late to its step; the fault would then strike
+// elsewhere than it should, so such a try ends before it.
 func strikeAtSteps(fault stepFault) (r stepResult) {
+	for range stepTries {
+		r = tryAtSteps(fault)
+		if r.err != nil || len(misplaced(r.before)) == 0 {
+			break
+		}
+	}
+	return r
+}
+
+// tryAtSteps brings holds to every step of their forwards to one exit, lets
+// the fault strike, and waits until nothing can run late any more.
+func tryAtSteps(fault stepFault) (r stepResult) {
 	a := account("survey", 5000, 5000)
 	f, err := crfleet.New(context.Background(),
 		crfleet.WithDaemons(3),
@@ -180,7 +194,9 @@
 	time.Sleep(stepSettle / 2)
 	calls.send(stepRequests(a, stepQueue, 4))
 	time.Sleep(stepSettle / 2)
-	r.before = f.Runs()
+	if r.before = f.Runs(); len(misplaced(r.before)) > 0 {
+		return r
+	}
 	r.err = fault.strike(f, entry, exit)
 	if !fault.entry {
 		calls.send(stepRequests(a, stepLate, 4))
@@ -227,24 +243,27 @@
 		It("is told the truth "+name, func() {
 			r := results[name]
 			must(r.err)
-			expectAtStep(r.before)
+			Expect(misplaced(r.before)).To(BeEmpty())
 			expectToldTrue(r.after, r.told, stepFaults[name].entry)
 			Expect(r.logs).NotTo(Or(ContainSubstring("DATA RACE"), ContainSubstring("panic:")))
 		})
 	}
 })
 
-// expectAtStep makes sure that the requests were where the spec wants them.
-func expectAtStep(runs map[string]int) {
-	GinkgoHelper()
-	for i := range 2 {
-		Expect(runs[fmt.Sprintf("%s-%d", stepRun, i)]).To(Equal(1))
-		Expect(runs[fmt.Sprintf("%s-%d", stepAnswer, i)]).To(Equal(1))
-		Expect(runs[fmt.Sprintf("%s-%d", stepRequest, i)]).To(BeZero())
-	}
-	for i := range 4 {
-		Expect(runs[fmt.Sprintf("%s-%d", stepQueue, i)]).To(BeZero())
+// misplaced names the requests that are not where the spec wants them.
+func misplaced(runs map[string]int) []string {
+	var names []string
+	for _, want := range []struct {
+		step        string
+		count, runs int
+	}{{stepRun, 2, 1}, {stepAnswer, 2, 1}, {stepRequest, 2, 0}, {stepQueue, 4, 0}} {
+		for i := range want.count {
+			if id := fmt.Sprintf("%s-%d", want.step, i); runs[id] != want.runs {
+				names = append(names, id)
+			}
+		}
 	}
+	return names
 }
 
 func expectToldTrue(runs map[string]int, told map[string]crfleet.Reply, entryDies bool) {
