Look for changed limits in the values that changed only

Cause: at each change craccount walked through all accounts, sorted by name, to find those with another rate or burst.

All others are the same by construction, and the walk skipped them one by one; the order by name stays, so decisions are the same.

--- a/core/craccount/config.go
+++ b/core/craccount/config.go
@@ -12,7 +12,7 @@
 		return
 	}
 	members := len(s.minters().names)
-	for _, a := range snap.Accounts() {
+	for _, a := range snap.AccountsSince(old) {
 		before, _ := old.Account(a.Name)
 		if before.Rate == a.Rate && before.Burst == a.Burst {
 			continue
--- a/io/crpolicyfile/load_bench_test.go
+++ b/io/crpolicyfile/load_bench_test.go
@@ -4,7 +4,9 @@
 	"fmt"
 	"testing"
 
+	"camphorroad/core/crconfig"
 	"camphorroad/core/crid"
+	"camphorroad/core/crpolicy"
 	"camphorroad/io/crpolicyfile"
 )
 
@@ -35,28 +37,52 @@
 }
 
 // BenchmarkChange tells what a change of one account costs a daemon that has the
-// former configuration in force.
+// former configuration in force: to load it, and to find the accounts that may
+// differ, next to a walk through all.
 func BenchmarkChange(b *testing.B) {
 	for _, n := range []int{20_000, 410_000} {
-		b.Run(fmt.Sprintf("accounts=%d", n), func(b *testing.B) {
-			policy := manyAccounts(n)
-			var pub publisher
-			load := crpolicyfile.NewLoader().Load
-			m, values := pub.publish(b, policy)
-			if _, err := load(0, m, values); err != nil {
-				b.Fatal(err)
-			}
-			rev := crid.Revision(0)
+		policy := manyAccounts(n)
+		var pub publisher
+		load := crpolicyfile.NewLoader().Load
+		rev := crid.Revision(0)
+		change := func(b *testing.B) (crconfig.Manifest, map[string][]byte) {
+			rev++
+			policy.Accounts[int(rev)*7919%n].Rate++
+			return pub.publish(b, policy)
+		}
+		m, values := change(b)
+		former, err := load(rev, m, values)
+		if err != nil {
+			b.Fatal(err)
+		}
+		snap := former
+		b.Run(fmt.Sprintf("accounts=%d/load", n), func(b *testing.B) {
 			for b.Loop() {
 				b.StopTimer()
-				rev++
-				policy.Accounts[int(rev)*7919%n].Rate++
-				m, values := pub.publish(b, policy)
+				m, values := change(b)
+				former = snap
 				b.StartTimer()
-				if _, err := load(rev, m, values); err != nil {
+				if snap, err = load(rev, m, values); err != nil {
 					b.Fatal(err)
 				}
 			}
 		})
+		b.Run(fmt.Sprintf("accounts=%d/since", n), func(b *testing.B) {
+			for b.Loop() {
+				walk(former, snap.AccountsSince(former))
+			}
+		})
+		b.Run(fmt.Sprintf("accounts=%d/walk", n), func(b *testing.B) {
+			for b.Loop() {
+				walk(former, snap.Accounts())
+			}
+		})
+	}
+}
+
+// walk looks every account up in the former configuration, as craccount does.
+func walk(former *crpolicy.Snapshot, accounts []crpolicy.Account) {
+	for _, a := range accounts {
+		former.Account(a.Name)
 	}
 }
