--- a/io/crpolicyfile/load_bench_test.go
+++ b/io/crpolicyfile/load_bench_test.go
@@ -1,9 +1,12 @@
 package crpolicyfile_test
 
 import (
+	"bytes"
 	"fmt"
+	"runtime"
 	"testing"
 
+	"camphorroad/core/crconfig"
 	"camphorroad/core/crid"
 	"camphorroad/core/crpolicy"
 	"camphorroad/io/crpolicyfile"
@@ -12,28 +15,16 @@
 // BenchmarkLoad tells what putting a configuration in force costs a daemon, and
 // how large it is on the wire.
 func BenchmarkLoad(b *testing.B) {
-	for _, n := range []int{8, 10_000, 100_000} {
+	for _, n := range []int{8, 20_000, 410_000} {
 		b.Run(fmt.Sprintf("accounts=%d", n), func(b *testing.B) {
-			var p crpolicyfile.Policy
-			for i := range n {
-				name := fmt.Sprintf("account-%06d", i)
-				p.Accounts = append(p.Accounts, crpolicy.Account{
-					Name: crid.Account(name), Rate: 1, Burst: 1, Keys: []crpolicy.KeyHash{crpolicy.HashKey(name)},
-				})
-			}
-			bundle, err := crpolicyfile.Pack(p)
-			if err != nil {
-				b.Fatal(err)
-			}
-			m, err := crpolicyfile.ParseManifest(bundle.Manifest())
+			bundle, err := crpolicyfile.Pack(manyAccounts(n))
 			if err != nil {
 				b.Fatal(err)
 			}
-			values := make(map[string][]byte)
+			m, values := loadable(b, bundle)
 			total := 0
-			for _, v := range bundle.Values() {
-				values[v.Name] = v.Data
-				total += len(v.Data)
+			for _, data := range values {
+				total += len(data)
 			}
 			for b.Loop() {
 				if _, err := crpolicyfile.Load(1, m, values); err != nil {
@@ -46,3 +37,94 @@
 		})
 	}
 }
+
+// BenchmarkChange tells what a change of one account costs a daemon that has the
+// former configuration in force: to load it, and to find the accounts that may
+// differ, next to a walk through all.
+func BenchmarkChange(b *testing.B) {
+	for _, n := range []int{20_000, 410_000} {
+		policy := manyAccounts(n)
+		var pub publisher
+		load := crpolicyfile.NewLoader().Load
+		rev := crid.Revision(0)
+		change := func(b *testing.B) (crconfig.Manifest, map[string][]byte) {
+			rev++
+			policy.Accounts[int(rev)*7919%n].Rate++
+			return pub.publish(b, policy)
+		}
+		m, values := change(b)
+		former, err := load(rev, m, values)
+		if err != nil {
+			b.Fatal(err)
+		}
+		snap := former
+		b.Run(fmt.Sprintf("accounts=%d/load", n), func(b *testing.B) {
+			for b.Loop() {
+				b.StopTimer()
+				m, values := change(b)
+				former = snap
+				b.StartTimer()
+				if snap, err = load(rev, m, values); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+		b.Run(fmt.Sprintf("accounts=%d/since", n), func(b *testing.B) {
+			for b.Loop() {
+				walk(former, snap.AccountsSince(former))
+			}
+		})
+		b.Run(fmt.Sprintf("accounts=%d/walk", n), func(b *testing.B) {
+			for b.Loop() {
+				walk(former, snap.Accounts())
+			}
+		})
+	}
+}
+
+// walk looks every account up in the former configuration, as craccount does.
+func walk(former *crpolicy.Snapshot, accounts []crpolicy.Account) {
+	for _, a := range accounts {
+		former.Account(a.Name)
+	}
+}
+
+// BenchmarkHeld tells the memory of a configuration in force, with the bytes of
+// its values for peers, and what a look-up of a key costs.
+func BenchmarkHeld(b *testing.B) {
+	const accounts = 410_000
+	bundle, err := crpolicyfile.Pack(manyAccounts(accounts))
+	if err != nil {
+		b.Fatal(err)
+	}
+	before := heap()
+	m, values := loadable(b, bundle)
+	for name, data := range values {
+		values[name] = bytes.Clone(data)
+	}
+	load := crpolicyfile.NewLoader().Load
+	snap, err := load(1, m, values)
+	if err != nil {
+		b.Fatal(err)
+	}
+	held := heap() - before
+	h := crpolicy.HashKey("account-000007")
+	for b.Loop() {
+		if _, ok := snap.AccountByKey(h); !ok {
+			b.Fatal("not found")
+		}
+	}
+	b.ReportMetric(float64(held)/accounts, "B/account")
+	runtime.KeepAlive(bundle)
+	runtime.KeepAlive(values)
+	runtime.KeepAlive(load)
+}
+
+// heap collects twice, since pools of buffers outlive one collection.
+func heap() uint64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
