--- a/core/craccount/craccount.go
+++ b/core/craccount/craccount.go
@@ -169,13 +169,6 @@
 	}
 }
 
-func (s *State) takePeers(ev crmember.Peers) {
-	clear(s.peers)
-	for _, p := range ev.Peers {
-		s.peers[p.Daemon] = p
-	}
-}
-
 // askable reports whether asking d is worth a message.
 func (s *State) askable(d crid.Daemon) bool {
 	if d == s.self {
@@ -194,8 +187,9 @@
 	return a
 }
 
-// stop hands all tokens back and asks for no more. As an owner it hands
-// nothing on: the successor's start does not trust what a predecessor says.
+// stop hands back what is held ahead. Requests that still come ask for their own
+// tokens, and as an owner this daemon grants as long as it runs: what it has not
+// granted by then is lost, since its successor trusts no word of a predecessor.
 func (s *State) stop() {
 	s.stopping = true
 	s.report(EventStopped, "accounts", itoa(len(s.entry.accounts)))
--- a/core/craccount/entry.go
+++ b/core/craccount/entry.go
@@ -197,6 +197,9 @@
 
 // target is how many tokens an account should have at hand here.
 func (s *State) target(a *account) int {
+	if s.stopping {
+		return 0
+	}
 	limit := s.limits(a.name)
 	ahead := a.demand * s.ahead(a).Seconds()
 	if limit.Rate > 0 {
@@ -216,9 +219,6 @@
 // plan asks the owners for what is missing. An owner that was short is left
 // out for a while: it remembers the Ask and sends tokens as it mints them.
 func (s *State) plan(a *account) {
-	if s.stopping {
-		return
-	}
 	s.route(a)
 	pending := a.pending()
 	var free []int
@@ -248,18 +248,22 @@
 	part, rest := need/asked, need%asked
 	for k := range asked {
 		share := free[(a.rotate+k)%len(free)]
-		src := &a.sources[share]
 		want := part
 		if k < rest {
 			want++
 		}
-		src.want, src.askedAt = want, s.now
-		ask := s.out.askFor(src.owner)
-		ask.Items = append(ask.Items, AskItem{Account: a.name, Share: share, Want: want, Keep: keep})
+		s.askShare(a, share, want, keep)
 	}
 	a.rotate += asked
 }
 
+func (s *State) askShare(a *account, share, want int, keep bool) {
+	src := &a.sources[share]
+	src.want, src.askedAt = want, s.now
+	ask := s.out.askFor(src.owner)
+	ask.Items = append(ask.Items, AskItem{Account: a.name, Share: share, Want: want, Keep: keep})
+}
+
 // noteDry lets requests be refused at once, since no owner has a token.
 func (s *State) noteDry(a *account, pending int) {
 	if a.held > 0 || pending > 0 || (a.cold == 0 && s.now.Sub(a.dryAt) < dryGap) {
--- a/core/craccount/grant.go
+++ b/core/craccount/grant.go
@@ -57,7 +57,7 @@
 	s.entry.lots[key] = l
 	s.entry.lotOrder = append(s.entry.lotOrder, key)
 	a, ok := s.entry.accounts[item.Account]
-	if !ok || s.stopping {
+	if !ok {
 		l.back = l.tokens
 		s.addUse(key, l)
 		return
--- a/core/craccount/measure_test.go
+++ b/core/craccount/measure_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"camphorroad/core/crevent"
 	"camphorroad/core/crid"
 	"camphorroad/core/crpolicy"
 )
@@ -68,6 +69,7 @@
 	name     string
 	oneEntry bool
 	loseOne  bool
+	leave    bool // the lost daemon is stopped as planned, and goes a second later
 	surge    float64
 	seconds  float64 // burst in seconds of the rate; zero: two
 }
@@ -116,6 +118,10 @@
 	w.run(warmUp)
 	w.measure = shares > 0
 	w.at(5*time.Second, func() {
+		if sc.leave {
+			w.leave(victim)
+			w.at(time.Second, func() { w.lose(victim) })
+		}
 		if sc.loseOne {
 			w.lose(victim)
 		}
@@ -128,6 +134,19 @@
 	return shareOwners(a.Name, newRoster(members), params.shareCount(len(members), a))[0]
 }
 
+// leave stops a daemon as planned: it tells the others, and takes requests for
+// 300 ms more, as the daemon does.
+func (w *testNet) leave(victim crid.Daemon) {
+	for _, nd := range w.nodes {
+		if nd.name == victim {
+			nd.leaving = true
+			w.at(300*time.Millisecond, func() { nd.shut = true })
+			w.step(nd, crevent.Stopping{Now: w.clock(nd)})
+		}
+	}
+	w.at(5*time.Millisecond, w.tellPeers)
+}
+
 // lose kills a daemon; the list without it becomes active two seconds later.
 func (w *testNet) lose(victim crid.Daemon) {
 	var rest []crid.Daemon
@@ -152,7 +171,7 @@
 	if !sc.oneEntry {
 		i = w.rng.IntN(fleetSize)
 	}
-	for w.nodes[i].dead {
+	for w.nodes[i].dead || w.nodes[i].shut {
 		i = (i + 1) % fleetSize
 	}
 	return i
@@ -209,7 +228,7 @@
 // BenchmarkCompare prints the table of docs/design/03-account-rate.md.
 func BenchmarkCompare(b *testing.B) {
 	for _, oneEntry := range []bool{false, true} {
-		for _, sc := range []scenario{{name: "calm"}, {name: "lost", loseOne: true}, {name: "surge", surge: 5}} {
+		for _, sc := range []scenario{{name: "calm"}, {name: "lost", loseOne: true}, {name: "leave", leave: true}, {name: "surge", surge: 5}} {
 			sc.oneEntry = oneEntry
 			for _, shares := range []int{0, 1, 4} {
 				name := fmt.Sprintf("oneEntry=%v/%s/shares=%d", oneEntry, sc.name, shares)
--- a/core/craccount/net_test.go
+++ b/core/craccount/net_test.go
@@ -53,17 +53,19 @@
 }
 
 type node struct {
-	name   crid.Daemon
-	state  *State
-	wallet *Wallet
-	inc    crid.Incarnation
-	skew   float64
-	offset time.Duration
-	paused time.Duration // until
-	dead   bool
-	colds  []coldRequest
-	knows  crid.Revision // newest list it was told of in a handover
-	split  *LocalSplit   // the baseline's part of this daemon
+	name    crid.Daemon
+	state   *State
+	wallet  *Wallet
+	inc     crid.Incarnation
+	skew    float64
+	offset  time.Duration
+	paused  time.Duration // until
+	dead    bool
+	leaving bool
+	shut    bool // takes no more requests
+	colds   []coldRequest
+	knows   crid.Revision // newest list it was told of in a handover
+	split   *LocalSplit   // the baseline's part of this daemon
 }
 
 // testNet runs real reducers and wallets over a network that may lose, repeat
@@ -154,7 +156,7 @@
 func (w *testNet) start(nd *node) {
 	nd.inc = crid.Incarnation(w.rng.Uint64() | 1)
 	nd.state, nd.wallet, nd.colds = New(w.params), NewWallet(), nil
-	nd.paused, nd.dead = 0, false
+	nd.paused, nd.dead, nd.leaving = 0, false, false
 	now := w.clock(nd)
 	w.step(nd, crevent.Started{Now: now, Self: nd.name, Incarnation: nd.inc})
 	w.step(nd, crconfig.InForce{Now: now, Snapshot: w.snap})
@@ -170,7 +172,7 @@
 func (w *testNet) tellPeers() {
 	var peers []crmember.Peer
 	for _, nd := range w.nodes {
-		peers = append(peers, crmember.Peer{Daemon: nd.name, Incarnation: nd.inc, Reachable: !nd.dead})
+		peers = append(peers, crmember.Peer{Daemon: nd.name, Incarnation: nd.inc, Reachable: !nd.dead, Leaving: nd.leaving})
 	}
 	for _, nd := range w.nodes {
 		w.deliver(nd, func() { w.step(nd, crmember.Peers{Now: w.clock(nd), Peers: peers}) })
--- a/core/craccount/owner.go
+++ b/core/craccount/owner.go
@@ -258,7 +258,7 @@
 // mayGrant returns the share when this daemon may grant from it now. Without
 // tenure it may not: its successor counts the last grant from the end of that.
 func (s *State) mayGrant(key shareKey) *share {
-	if s.stopping || !s.hasTenure() {
+	if !s.hasTenure() {
 		return nil
 	}
 	sh := s.share(key)
@@ -359,7 +359,7 @@
 		}
 		sh.mint(s.owner.clock)
 		sh.expire(s.now)
-		if s.hasTenure() && !s.stopping {
+		if s.hasTenure() {
 			s.serve(key, sh)
 		}
 		if len(sh.grants)+len(sh.waiters) == 0 {
