Write token messages as arrays, without field names

Cause: of 54.6 KB/s of Asks and Grants (25 daemons, calm, even) a third was names of fields: a report of 46 bytes had 14 of them, a granted item of 30 had 13.

Ruled out: longer report gaps (400 ms: 3 % fewer bytes, wrongful refusals 0.018 to 0.033 % in calm, 0.137 to 0.188 % with an owner lost; 800 ms: more bytes, since most bursts are then too small to wait with reports); one incarnation for all reports of a message (a message has hardly more than one report: no gain).

Change: the six structs are encoded as arrays. Daemons of before and after do not understand one another's Asks.

--- a/core/craccount/message.go
+++ b/core/craccount/message.go
@@ -9,6 +9,8 @@
 
 // Ask asks the owner of shares for tokens, and reports on earlier grants.
 type Ask struct {
+	_ struct{} `cbor:",toarray"`
+
 	Inc   crid.Incarnation `cbor:"i"` // of the asking daemon
 	Seq   uint64           `cbor:"q"` // grows with every Ask of one incarnation
 	Items []AskItem        `cbor:"t"`
@@ -20,6 +22,8 @@
 
 // AskItem asks for tokens of one share.
 type AskItem struct {
+	_ struct{} `cbor:",toarray"`
+
 	Account crid.Account `cbor:"a"`
 	Share   int          `cbor:"s"`
 	Want    int          `cbor:"w"` // tokens
@@ -29,6 +33,8 @@
 // Use reports on one grant, cumulatively, so that a duplicate changes nothing
 // and a lost report is made good by the next.
 type Use struct {
+	_ struct{} `cbor:",toarray"`
+
 	Account crid.Account     `cbor:"a"`
 	Share   int              `cbor:"s"`
 	Inc     crid.Incarnation `cbor:"i"` // of the granting daemon
@@ -40,6 +46,8 @@
 
 // Grant moves tokens to the daemon that asked.
 type Grant struct {
+	_ struct{} `cbor:",toarray"`
+
 	Inc   crid.Incarnation `cbor:"i"` // of the granting daemon
 	To    crid.Incarnation `cbor:"o"` // of the asking daemon
 	Seq   uint64           `cbor:"q"` // of the Ask that is answered
@@ -52,6 +60,8 @@
 // GrantItem moves tokens of one share; with no tokens it says that the owner
 // is short.
 type GrantItem struct {
+	_ struct{} `cbor:",toarray"`
+
 	Account crid.Account `cbor:"a"`
 	Share   int          `cbor:"s"`
 	ID      uint64       `cbor:"g"` // unique in the granting incarnation
@@ -64,6 +74,8 @@
 
 // Return reports on grants without asking for more.
 type Return struct {
+	_ struct{} `cbor:",toarray"`
+
 	Uses []Use `cbor:"u"`
 }
 
