--- a/core/craccount/entry.go
+++ b/core/craccount/entry.go
@@ -17,6 +17,8 @@
 	aheadPart   = 0.25                   // of the burst, that all entries together hold ahead of demand
 	askChunk    = 8                      // tokens asked of one owner before the next is asked, too
 	refill      = 0.6                    // ask again when below this part of the target
+	scarceAhead = 50 * time.Millisecond  // demand that tokens are held for while the owners are short
+	scarceFor   = 500 * time.Millisecond // after an owner was short
 	maxRetry    = time.Minute
 	voidNever   = crid.Instant(math.MaxInt64)
 	warnDryGap  = 10 * time.Second // between two reports that an account is exhausted
@@ -43,6 +45,7 @@
 	usedAt    crid.Instant
 	dryAt     crid.Instant
 	warnedAt  crid.Instant
+	scarce    crid.Instant // an owner was short; little is held ahead until then
 	recalled  crid.Instant // asks for no float until then
 	sources   []source
 	sourcesOK bool
@@ -183,10 +186,22 @@
 	}
 }
 
+// ahead is the demand that an account holds tokens for. While the owners are
+// short, what one entry holds ahead another lacks for a request of this moment.
+func (s *State) ahead(a *account) time.Duration {
+	if s.now.Before(a.scarce) {
+		return min(scarceAhead, s.params.Ahead)
+	}
+	return s.params.Ahead
+}
+
 // target is how many tokens an account should have at hand here.
 func (s *State) target(a *account) int {
+	if s.stopping {
+		return 0
+	}
 	limit := s.limits(a.name)
-	ahead := a.demand * s.params.Ahead.Seconds()
+	ahead := a.demand * s.ahead(a).Seconds()
 	if limit.Rate > 0 {
 		ahead = min(ahead, a.demand*limit.Burst/limit.Rate*aheadPart)
 	}
@@ -204,9 +219,6 @@
 // plan asks the owners for what is missing. An owner that was short is left
 // out for a while: it remembers the Ask and sends tokens as it mints them.
 func (s *State) plan(a *account) {
-	if s.stopping {
-		return
-	}
 	s.route(a)
 	pending := a.pending()
 	var free []int
@@ -236,18 +248,22 @@
 	part, rest := need/asked, need%asked
 	for k := range asked {
 		share := free[(a.rotate+k)%len(free)]
-		src := &a.sources[share]
 		want := part
 		if k < rest {
 			want++
 		}
-		src.want, src.askedAt = want, s.now
-		ask := s.out.askFor(src.owner)
-		ask.Items = append(ask.Items, AskItem{Account: a.name, Share: share, Want: want, Keep: keep})
+		s.askShare(a, share, want, keep)
 	}
 	a.rotate += asked
 }
 
+func (s *State) askShare(a *account, share, want int, keep bool) {
+	src := &a.sources[share]
+	src.want, src.askedAt = want, s.now
+	ask := s.out.askFor(src.owner)
+	ask.Items = append(ask.Items, AskItem{Account: a.name, Share: share, Want: want, Keep: keep})
+}
+
 // noteDry lets requests be refused at once, since no owner has a token.
 func (s *State) noteDry(a *account, pending int) {
 	if a.held > 0 || pending > 0 || (a.cold == 0 && s.now.Sub(a.dryAt) < dryGap) {
--- a/core/craccount/message.go
+++ b/core/craccount/message.go
@@ -9,6 +9,8 @@
 
 // Ask asks the owner of shares for tokens, and reports on earlier grants.
 type Ask struct {
+	_ struct{} `cbor:",toarray"`
+
 	Inc   crid.Incarnation `cbor:"i"` // of the asking daemon
 	Seq   uint64           `cbor:"q"` // grows with every Ask of one incarnation
 	Items []AskItem        `cbor:"t"`
@@ -20,6 +22,8 @@
 
 // AskItem asks for tokens of one share.
 type AskItem struct {
+	_ struct{} `cbor:",toarray"`
+
 	Account crid.Account `cbor:"a"`
 	Share   int          `cbor:"s"`
 	Want    int          `cbor:"w"` // tokens
@@ -29,16 +33,21 @@
 // Use reports on one grant, cumulatively, so that a duplicate changes nothing
 // and a lost report is made good by the next.
 type Use struct {
+	_ struct{} `cbor:",toarray"`
+
 	Account crid.Account     `cbor:"a"`
 	Share   int              `cbor:"s"`
 	Inc     crid.Incarnation `cbor:"i"` // of the granting daemon
 	Grant   uint64           `cbor:"g"`
-	Taken   int              `cbor:"t"` // tokens spent
-	Back    int              `cbor:"b"` // tokens given up unspent
+	Taken   int              `cbor:"t"`           // tokens spent
+	Back    int              `cbor:"b"`           // tokens given up unspent
+	Spent   []Spent          `cbor:"p,omitempty"` // ages of tokens that no report told of before
 }
 
 // Grant moves tokens to the daemon that asked.
 type Grant struct {
+	_ struct{} `cbor:",toarray"`
+
 	Inc   crid.Incarnation `cbor:"i"` // of the granting daemon
 	To    crid.Incarnation `cbor:"o"` // of the asking daemon
 	Seq   uint64           `cbor:"q"` // of the Ask that is answered
@@ -51,17 +60,22 @@
 // GrantItem moves tokens of one share; with no tokens it says that the owner
 // is short.
 type GrantItem struct {
+	_ struct{} `cbor:",toarray"`
+
 	Account crid.Account `cbor:"a"`
 	Share   int          `cbor:"s"`
 	ID      uint64       `cbor:"g"` // unique in the granting incarnation
 	Tokens  int          `cbor:"n"`
-	Short   bool         `cbor:"h"` // less than was asked for
-	After   int          `cbor:"f"` // when short: milliseconds until the next token is minted
-	Recall  bool         `cbor:"r"` // others are short: give back what is not needed at once
+	Short   bool         `cbor:"h"`           // less than was asked for
+	After   int          `cbor:"f"`           // when short: milliseconds until the next token is minted
+	Rivals  bool         `cbor:"v,omitempty"` // when short: other daemons wait, too
+	Recall  bool         `cbor:"r"`           // others are short: give back what is not needed at once
 }
 
 // Return reports on grants without asking for more.
 type Return struct {
+	_ struct{} `cbor:",toarray"`
+
 	Uses []Use `cbor:"u"`
 }
 
@@ -120,6 +134,7 @@
 	Account crid.Account
 	Key     GrantKey
 	Taken   int
+	Spent   crid.Instant // when the last of Taken was spent, by the request's clock reading
 	Back    int
 	Refused int
 	Cold    int
--- a/core/craccount/owner.go
+++ b/core/craccount/owner.go
@@ -35,6 +35,7 @@
 	clock   time.Duration // minting clock: time spent with tenure, nothing else
 	last    crid.Instant
 	heldTo  crid.Instant // the last instant with tenure
+	gapAt   crid.Instant // the last instant known to be without
 	lapsed  bool
 	active  crid.Revision
 	epochs  []epoch // with gaps in tenure of at most a lifetime, oldest first
@@ -68,6 +69,9 @@
 		s.owner.clock += d
 		s.owner.heldTo = end
 	}
+	if end.Before(now) {
+		s.owner.gapAt = max(s.owner.gapAt, now)
+	}
 	s.owner.last = max(s.owner.last, now)
 	s.now = max(s.now, now)
 }
@@ -254,7 +258,7 @@
 // mayGrant returns the share when this daemon may grant from it now. Without
 // tenure it may not: its successor counts the last grant from the end of that.
 func (s *State) mayGrant(key shareKey) *share {
-	if s.stopping || !s.hasTenure() {
+	if !s.hasTenure() {
 		return nil
 	}
 	sh := s.share(key)
@@ -275,7 +279,9 @@
 			sh.mint(s.owner.clock)
 		}
 		sh.expire(s.now)
-		sh.settle(from, use)
+		sh.settle(from, use, func(spent []Spent, reported int) {
+			sh.credit(spent, reported, s.reading, s.params.flaws.creditTwice)
+		})
 	}
 }
 
@@ -297,6 +303,7 @@
 		item := GrantItem{Account: key.account, Share: key.share, Tokens: n, Short: short}
 		if short {
 			item.After = int(sh.nextToken().Milliseconds())
+			item.Rivals = len(sh.waiters) > 1
 		}
 		if n > 0 {
 			s.owner.nextID++
@@ -352,7 +359,7 @@
 		}
 		sh.mint(s.owner.clock)
 		sh.expire(s.now)
-		if s.hasTenure() && !s.stopping {
+		if s.hasTenure() {
 			s.serve(key, sh)
 		}
 		if len(sh.grants)+len(sh.waiters) == 0 {
