Measure what the path adds, over processes and an open loop

The only figures of the path were taken in one process in a closed loop, which says nothing of half of capacity. camphorlab path, a line of make measure, starts two daemons without relays between them, finds the throughput of two hops in a closed loop, and sends a part of it (half by default) in an open loop straight to the upstream, through the daemon beside it, and through both, in turn in each round. It prints p50 and p99, what they add as difference and ratio by round, and processor time (/proc) and allocations (a new gauge) of each daemon a request.

--- a/Makefile
+++ b/Makefile
@@ -40,6 +40,7 @@
 	$(GO) test ./core/crhealth -run '^TestMeasure$$' -count 1 -v -seeds 6
 	$(GO) test ./core/craccount -run '^$$' -bench 'Compare|Burst' -benchtime 1x
 	bin/camphorlab measure $(MEASURE)
+	bin/camphorlab path
 
 BENCHTIME ?= 200ms
 bench:
--- a/cmd/camphorlab/main.go
+++ b/cmd/camphorlab/main.go
@@ -16,6 +16,7 @@
 
 type options struct {
 	Platform lab.PlatformOptions `cmd:"" help:"Serve a stand-in of the platform."`
+	Path     lab.PathOptions     `cmd:"" help:"Measure what the path of a request adds."`
 	Publish  lab.PublishOptions  `cmd:"" help:"Publish a directory on the stand-in."`
 	Load     lab.LoadOptions     `cmd:"" help:"Send load by a plan."`
 	Measure  lab.MeasureOptions  `cmd:"" help:"Take the four measures beside the baselines."`
--- a/command/lab/measure.go
+++ b/command/lab/measure.go
@@ -38,7 +38,7 @@
 
 // Run takes the measures; what was measured before a failure is printed too.
 func (o *MeasureOptions) Run(ctx context.Context, f *factory.Factory) error {
-	binary, err := o.binary()
+	binary, err := daemonBinary(o.Binary)
 	if err != nil {
 		return err
 	}
@@ -76,9 +76,10 @@
 	return o.Shape
 }
 
-func (o *MeasureOptions) binary() (string, error) {
-	if o.Binary != "" {
-		return o.Binary, nil
+// daemonBinary is the daemon's program: the one given, or that beside this one.
+func daemonBinary(given string) (string, error) {
+	if given != "" {
+		return given, nil
 	}
 	self, err := os.Executable()
 	if err != nil {
--- a/io/crdaemon/meters.go
+++ b/io/crdaemon/meters.go
@@ -125,13 +125,18 @@
 	return []gauge{
 		{"process.goroutines", func() int64 { return int64(runtime.NumGoroutine()) }},
 		{"process.heap.bytes", heapBytes},
+		{"process.allocations.total", allocations},
 	}
 }
 
-// heapBytes reads the live heap without stopping the process, as
-// runtime.ReadMemStats would.
-func heapBytes() int64 {
-	sample := []runtimemetrics.Sample{{Name: "/memory/classes/heap/objects:bytes"}}
+func heapBytes() int64 { return runtimeMetric("/memory/classes/heap/objects:bytes") }
+
+func allocations() int64 { return runtimeMetric("/gc/heap/allocs:objects") }
+
+// runtimeMetric reads one of the runtime's figures without stopping the process,
+// as runtime.ReadMemStats would.
+func runtimeMetric(name string) int64 {
+	sample := []runtimemetrics.Sample{{Name: name}}
 	runtimemetrics.Read(sample)
 	return int64(sample[0].Value.Uint64())
 }
--- a/lab/crfleet/cost.go
+++ b/lab/crfleet/cost.go
@@ -20,6 +20,7 @@
 	Sent     float64 // bytes of control messages, or a second
 	Received float64
 	Memory   float64 // resident bytes
+	Allocs   float64 // objects, or a second
 }
 
 // Cost is what the process has used so far, by the system's and its own word.
@@ -42,6 +43,7 @@
 	c.Memory = 1024 * number(strings.Fields(valueOf(status, "VmRSS:"))[0])
 	c.Sent = number(valueOf(metrics, "camphorroad_control_sent_bytes "))
 	c.Received = number(valueOf(metrics, "camphorroad_control_received_bytes "))
+	c.Allocs = number(valueOf(metrics, "camphorroad_process_allocations_total "))
 	return c, nil
 }
 
@@ -80,6 +82,7 @@
 		Sent:     (after.Sent - before.Sent) / seconds,
 		Received: (after.Received - before.Received) / seconds,
 		Memory:   after.Memory / n,
+		Allocs:   (after.Allocs - before.Allocs) / seconds,
 	}, nil
 }
 
@@ -94,6 +97,7 @@
 		sum.Sent += c.Sent
 		sum.Received += c.Received
 		sum.Memory += c.Memory
+		sum.Allocs += c.Allocs
 	}
 	return sum, nil
 }
--- a/lab/crfleet/crfleet.go
+++ b/lab/crfleet/crfleet.go
@@ -215,7 +215,7 @@
 	list := make([]crinstance.Instance, 0, len(f.daemons))
 	for _, d := range f.daemons {
 		in := crinstance.Instance{
-			Daemon: crid.Daemon(d.name), Domain: crid.Domain(d.domain), Addr: f.links.addr(d.name), State: crinstance.StateLive,
+			Daemon: crid.Daemon(d.name), Domain: crid.Domain(d.domain), Addr: f.addrOf(d), State: crinstance.StateLive,
 		}
 		for _, t := range d.targets {
 			in.Targets = append(in.Targets, crinstance.Target{Name: crid.Target(t.name), Service: crid.Service(t.service)})
@@ -225,6 +225,14 @@
 	return list
 }
 
+// addrOf is where the other daemons find one.
+func (f *Fleet) addrOf(d *Daemon) string {
+	if f.opts.direct {
+		return d.peer
+	}
+	return f.links.addr(d.name)
+}
+
 // List puts a list of instances on the platform and returns its revision.
 func (f *Fleet) List(instances []crinstance.Instance) crid.Revision {
 	return f.platform.SetInstances(instances)
--- a/lab/crfleet/options.go
+++ b/lab/crfleet/options.go
@@ -82,6 +82,7 @@
 	binary   string
 	delay    time.Duration
 	noWait   bool
+	direct   bool
 	settings string
 }
 
@@ -128,6 +129,10 @@
 // WithDelay delays each datagram between daemons by d, one way.
 func WithDelay(d time.Duration) Option { return func(o *options) { o.delay = d } }
 
+// WithoutRelays lets daemons reach one another directly, as a measure of the path
+// needs. No link can be cut or delayed then.
+func WithoutRelays() Option { return func(o *options) { o.direct = true } }
+
 // WithSettings adds TOML tables to each daemon's settings, such as [limits];
 // "{daemon}" in it stands for the daemon's name.
 func WithSettings(text string) Option { return func(o *options) { o.settings = text } }
