Say what the failed requests of a path measurement were told

A run at a loaded machine showed 17 of 40,255 failed and no word of why. The measurement now prints results, statuses and reasons of those that failed.

--- a/command/lab/path.go
+++ b/command/lab/path.go
@@ -48,6 +48,11 @@
 		return f.JSON(result)
 	}
 	_, _ = fmt.Fprintf(f.ErrOut, "capacity of two hops in a closed loop: %.0f requests a second\n", result.Capacity)
+	for _, run := range result.Runs {
+		if run.Failed > 0 {
+			_, _ = fmt.Fprintf(f.ErrOut, "%s: %d of %d failed: %v\n", run.Way, run.Failed, run.Sent, run.Told)
+		}
+	}
 	for _, row := range append([][]string{crpath.Header()}, result.Rows()...) {
 		if _, err := fmt.Fprintln(f.Out, strings.Join(row, "\t")); err != nil {
 			return err
--- a/lab/crpath/crpath.go
+++ b/lab/crpath/crpath.go
@@ -13,6 +13,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"strings"
 	"time"
 
 	"camphorroad/lab/crfleet"
@@ -47,6 +48,8 @@
 	P99    time.Duration `json:"p99"`
 	Entry  Use           `json:"entry"` // for each request
 	Exit   Use           `json:"exit"`
+	// Told counts what the failed were told.
+	Told map[string]int `json:"told,omitempty"`
 }
 
 // Use is what a daemon's process spends on a request.
@@ -162,11 +165,22 @@
 	}
 	line := report.Lines()[0]
 	run := Run{Way: way, Sent: line.Sent, Failed: line.Sent - line.Results[crload.Answered], P50: line.P50, P99: line.P99}
+	run.Told = failures(report)
 	run.Exit = each(before[0], after[0], line.Sent)
 	run.Entry = each(before[1], after[1], line.Sent)
 	return run, nil
 }
 
+func failures(report *crload.Report) map[string]int {
+	told := make(map[string]int)
+	for _, t := range report.Told() {
+		if t.Result != crload.Answered {
+			told[strings.TrimSpace(fmt.Sprintf("%s %d %s", t.Result, t.Status, t.Reason))]++
+		}
+	}
+	return told
+}
+
 // key is empty without a daemon: no upstream may see one.
 func (b *bench) key(way Way) string {
 	if way == Straight {
