Read heads where they stand, and set the exit's headers at once

Cause: each head was copied out of the stream's buffer to be decoded, though the decoder copies what it keeps; the exit wrote the identity twice as text and set three headers with an allocation each. Change: frames that fit the buffer are decoded in it; the identity is written once; the exit's three headers share their memory. The race tests of crentry, crexit and crhop pass.

--- a/io/crexit/run.go
+++ b/io/crexit/run.go
@@ -17,8 +17,8 @@
 	"camphorroad/io/crhop"
 )
 
-// Headers that the exit sets towards the upstream. The entry has removed any
-// that the caller had sent.
+// Headers that the exit sets towards the upstream, in their canonical form. The
+// entry has removed any that the caller had sent.
 const (
 	HeaderRequest  = "Camphorroad-Request"  // the request's identity
 	HeaderAccount  = "Camphorroad-Account"  // the client account it runs for
@@ -42,7 +42,7 @@
 		return refused(err)
 	}
 	t.inflight.Add(1)
-	run := &run{exit: x, target: t, ledger: ledger, forward: f, deadline: deadline}
+	run := &run{exit: x, target: t, ledger: ledger, forward: f, id: f.ID.String(), deadline: deadline}
 	ex := run.do(ctx, body)
 	ex.Answer.InFlight = t.inflight.Load()
 	ex.Body = &runBody{ReadCloser: ex.Body, end: run.end}
@@ -54,6 +54,7 @@
 	target   *target
 	ledger   *crforward.Ledger
 	forward  *crhop.Forward
+	id       string // of the forward, as the upstream sees it
 	deadline crid.Instant
 	lease    *crslot.Lease
 	started  crid.Instant
@@ -266,7 +267,7 @@
 		return true
 	}
 	echo := resp.Header.Get(name)
-	return echo == r.forward.ID.String() || (echo == "" && isShed(resp.StatusCode))
+	return echo == r.id || (echo == "" && isShed(resp.StatusCode))
 }
 
 func (r *run) request(ctx context.Context, body io.Reader, left time.Duration) *http.Request {
@@ -275,9 +276,8 @@
 	if header == nil {
 		header = make(http.Header)
 	}
-	header.Set(HeaderRequest, f.ID.String())
-	header.Set(HeaderAccount, string(f.Account))
-	header.Set(HeaderDeadline, strconv.FormatInt(left.Milliseconds(), 10))
+	own := [...]string{r.id, string(f.Account), strconv.FormatInt(left.Milliseconds(), 10)}
+	header[HeaderRequest], header[HeaderAccount], header[HeaderDeadline] = own[0:1:1], own[1:2:2], own[2:3:3]
 	if _, ok := header["User-Agent"]; !ok {
 		header["User-Agent"] = nil // keeps net/http from adding its own
 	}
--- a/io/crwire/crwire.go
+++ b/io/crwire/crwire.go
@@ -212,8 +212,8 @@
 	if err != nil {
 		return err
 	}
-	b := make([]byte, n)
-	if _, err := io.ReadFull(r.r, b); err != nil {
+	b, err := r.frame(int(n))
+	if err != nil {
 		return truncated(err)
 	}
 	if err := cbor.Unmarshal(b, v); err != nil {
@@ -222,6 +222,23 @@
 	return nil
 }
 
+// frame returns the next n bytes, which are good until the next read. Nearly all
+// heads fit the buffer and need no memory of their own; the decoder keeps none of
+// the bytes.
+func (r *Reader) frame(n int) ([]byte, error) {
+	if n <= r.r.Size() {
+		b, err := r.r.Peek(n)
+		if err != nil {
+			return nil, err
+		}
+		_, err = r.r.Discard(n)
+		return b, err
+	}
+	b := make([]byte, n)
+	_, err := io.ReadFull(r.r, b)
+	return b, err
+}
+
 // Read reads the bytes of the chunks that follow. It returns io.EOF only after
 // the end mark, and ErrTruncated when the stream ends without it.
 func (r *Reader) Read(p []byte) (int, error) {
