Give a word where a short answer breaks off, in place of a closed connection

Cause: the entry handed an answer's head to net/http before the first byte of the body was there. net/http keeps back 2 KiB; when the upstream or the exit broke off within them, the entry aborted the connection with nothing written, and the caller saw a connection closed without a word: no status, no outcome, no time to come back, at an entry that was not stopping. Ruled out: an outcome in a trailer (HTTP/1.1 callers drop them); holding back more than net/http does, which would delay streams. Change: the start of the body (a short one of known length whole, else the first part) is read before the head goes out. What breaks off in it becomes 504, unknown; a repeat request is tried again as after any lost attempt. Measured: three rows of TestBrokenUpstreams, over HTTP/1.1 and h2c, asked for a broken stream and now ask for 504, unknown, Retry-After and the evidence against the target, which all rows with 504 now ask for too; six subtests failed before ("got: EOF"), all pass. Race tests of crentry pass.

--- a/io/crentry/answer.go
+++ b/io/crentry/answer.go
@@ -8,6 +8,7 @@
 	"sync"
 
 	"camphorroad/core/crforward"
+	"camphorroad/core/crroute"
 	"camphorroad/io/crhop"
 	"camphorroad/io/crwire"
 )
@@ -17,10 +18,11 @@
 // look whole.
 func (e *Entry) pass(w http.ResponseWriter, r *http.Request, s *serving, ex *crhop.Exchange) {
 	defer s.end()
+	defer s.opening.release()
 	defer ex.Body.Close()
 	s.tracker.Passed()
 	writeHead(w, &ex.Answer)
-	if err := e.copyBody(w, r, ex); err != nil {
+	if err := e.copyBody(w, r, ex, &s.opening); err != nil {
 		s.broke(err)
 		e.count(crforward.Cut)
 		panic(http.ErrAbortHandler)
@@ -57,19 +59,16 @@
 
 var copyBuffers = sync.Pool{New: func() any { b := make([]byte, copyBuffer); return &b }}
 
-func (e *Entry) copyBody(w http.ResponseWriter, r *http.Request, ex *crhop.Exchange) error {
-	if r.Method == http.MethodHead || ex.Answer.Status == http.StatusNoContent || ex.Answer.Status == http.StatusNotModified {
+func (e *Entry) copyBody(w http.ResponseWriter, r *http.Request, ex *crhop.Exchange, start *opening) error {
+	if bodyless(r.Method, ex.Answer.Status) {
 		return nil
 	}
-	part := copyBuffers.Get().(*[]byte)
-	defer copyBuffers.Put(part)
-	buf := *part
+	buf := *start.buf
 	rc := http.NewResponseController(w)
 	wait := e.guardWrites(rc, ex.Answer.Length)
 	defer wait.close()
 	var total int64
-	for {
-		n, err := ex.Body.Read(buf)
+	for n, err := start.n, start.err; ; n, err = ex.Body.Read(buf) {
 		total += int64(n)
 		if n > 0 {
 			wait.begin()
@@ -111,6 +110,63 @@
 	return newGuard(e.opts.Idle, rc.SetWriteDeadline)
 }
 
+// opening is the start of an answer's body, which is read before the head goes to
+// the caller: an answer that breaks off in it can still become a refusal that is
+// true, where the caller would otherwise see a connection closed without a word.
+// It delays nothing, as net/http keeps back as much.
+type opening struct {
+	buf *[]byte // nil: the answer has no body
+	n   int
+	err error // that came with the last of it
+}
+
+// read reads the first part of a body, and a short one to its end.
+func (o *opening) read(ex *crhop.Exchange) error {
+	o.buf = copyBuffers.Get().(*[]byte)
+	short := ex.Answer.Length >= 0 && ex.Answer.Length <= unsent
+	for o.err == nil && (o.n == 0 || short) && o.n < len(*o.buf) {
+		var n int
+		n, o.err = ex.Body.Read((*o.buf)[o.n:])
+		o.n += n
+	}
+	switch {
+	case errors.Is(o.err, io.EOF):
+		return whole(int64(o.n), ex.Answer.Length)
+	case o.n > 0 && !short:
+		return nil // what broke off after it is told once it has gone out
+	}
+	return o.err
+}
+
+func (o *opening) release() {
+	if o.buf != nil {
+		copyBuffers.Put(o.buf)
+	}
+	*o = opening{}
+}
+
+// begin reads the start of the answer; it reports whether the answer can go out.
+func (s *serving) begin(n int, target *crroute.Target, ex *crhop.Exchange) bool {
+	s.target = target
+	if bodyless(s.method, ex.Answer.Status) {
+		return true
+	}
+	err := s.opening.read(ex)
+	if err == nil {
+		return true
+	}
+	s.opening.release()
+	s.broke(err)
+	s.tracker.Lost(n)
+	s.reason = "the answer broke off"
+	return false
+}
+
+// bodyless reports whether an answer has no body, whatever its head says.
+func bodyless(method string, status int) bool {
+	return method == http.MethodHead || status == http.StatusNoContent || status == http.StatusNotModified
+}
+
 // errShort tells of an answer shorter or longer than its head said.
 var errShort = errors.New("answer's length differs from its head")
 
--- a/io/crentry/serve.go
+++ b/io/crentry/serve.go
@@ -72,6 +72,7 @@
 	deadline crid.Instant
 	tried    []crid.Target
 	target   *crroute.Target // that gave the answer
+	opening  opening         // of its body
 	reason   string
 	wrong    bool
 	end      func() // of the attempt that gave the answer
@@ -147,8 +148,7 @@
 		target.Load().End()
 	}
 	if err == nil {
-		if good := s.judge(n, target, ex, now); good {
-			s.target = target
+		if s.judge(n, target, ex, now) && s.begin(n, target, ex) {
 			s.end = end
 			return ex
 		}
--- a/io/crentry/upstream_test.go
+++ b/io/crentry/upstream_test.go
@@ -87,7 +87,9 @@
 
 // Upstreams break in ways that no handler would. Whatever one sends, its caller
 // gets the whole answer, a broken stream, or a refusal that is true; a short
-// body that looks whole would be filed or booked.
+// body that looks whole would be filed or booked. As long as nothing of the
+// answer has gone out, a caller gets a word: once it got none at all, a closed
+// connection, for each short answer that broke off.
 func TestBrokenUpstreams(t *testing.T) {
 	const stall = "stall"
 	cases := []struct {
@@ -106,13 +108,13 @@
 		{"1xx without end", strings.Repeat("HTTP/1.1 103 Early\r\nX: "+strings.Repeat("a", 1000)+"\r\n\r\n", 200), false, 504, ""},
 		{"head too large", "HTTP/1.1 200 OK\r\nX: " + strings.Repeat("a", 128<<10) + "\r\n\r\n", false, 504, ""},
 		{"two lengths", "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 2\r\n\r\nfine", true, 504, ""},
-		{"too little", "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nfine", false, 0, ""},
+		{"too little", "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nfine", false, 504, ""},
 		{"too little in chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nfine\r\n", false, 0, ""},
 		{"a long one cut in its middle", "HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n" + strings.Repeat("a", 50000), false, 0, ""},
 		{"neither length nor chunks", "HTTP/1.1 200 OK\r\n\r\nfi", false, 504, ""},
 		{"too much", "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nfine and more", true, 200, "fine"},
-		{"garbage for chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", false, 0, ""},
-		{"stalls within the body", "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nfine" + stall, true, 0, ""},
+		{"garbage for chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", false, 504, ""},
+		{"stalls within the body", "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nfine" + stall, true, 504, ""},
 		{"stalls between chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nfine\r\n" + stall, true, 0, ""},
 		{"no content, yet content", "HTTP/1.1 204 No\r\nContent-Length: 4\r\n\r\nfine", true, 204, ""},
 		{"not modified", "HTTP/1.1 304 Not Modified\r\nEtag: x\r\n\r\n", true, 304, ""},
@@ -125,9 +127,11 @@
 				got := p.via(client, "POST", "/once", "")
 				p.Eventually(p.exit.InFlight, 2*time.Second).Should(gomega.BeZero())
 				p.Expect(up.runs.Load()).To(gomega.BeEquivalentTo(1))
+				if c.status == 0 || c.status == http.StatusGatewayTimeout {
+					p.Eventually(func() []crentry.Outcome { o, _ := p.evidence(); return o }).Should(gomega.ContainElement(crentry.OutcomeFailed))
+				}
 				if c.status == 0 {
 					p.Expect(got.err).To(gomega.HaveOccurred(), "%+v", got)
-					p.Eventually(func() []crentry.Outcome { o, _ := p.evidence(); return o }).Should(gomega.ContainElement(crentry.OutcomeFailed))
 					return
 				}
 				p.Expect(got.err).NotTo(gomega.HaveOccurred())
