Rank readers by the list and not by who is heard just now

Cause: above 31 daemons membership hears most peers only now and then, and the rank of readers was over those heard at the moment.

Change: ranked are the daemons of the domain that are not known to be lost. The list's voters come first, since of them membership tells for certain when they are gone. A ranked daemon that is no voter counts as away once the other ranked ones miss its tellings for 3 s; a spare steps in. Who in such a fleet hears no majority of voters for 3 s reads by itself, on its share, as before: an old list may rank nobody who still lives. In fleets up to 31 nothing changes.

Ruled out: rank over all that are not lost without voters first: with the ranked six of each domain dead and the list old nobody read any more, while the fleet kept standing (mutant below). An age of the last platform contact in each telling: more bytes in each, and all poll a platform that is away.

Each guard taken out alone fails it: voters first, silence, reading alone.

--- a/core/crconfig/fault_test.go
+++ b/core/crconfig/fault_test.go
@@ -1,11 +1,16 @@
 package crconfig_test
 
 import (
+	"cmp"
+	"slices"
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"camphorroad/core/crconfig"
 	"camphorroad/core/crid"
+	"camphorroad/core/crmember"
 	"camphorroad/core/crpolicy"
 )
 
@@ -129,6 +134,67 @@
 	f.until(t, f.plat.publish(content{}), 9*time.Second)
 }
 
+// Above 31 daemons membership hears most peers only now and then. Daemons that
+// take whom they do not hear just now for gone would nearly all hold the watch:
+// thousands of calls at each change, and the platform refuses those beyond its
+// rate. Then readers die, those of whom membership tells and those of whom it
+// does not, and in the end all that rank anywhere; somebody has to go on reading
+// while the list still names them, or changes and withdrawals arrive no more.
+func TestSampledFleetHasTwoReadersADomain(t *testing.T) {
+	f := newFleet(300, 9, crconfig.DefaultParams())
+	f.sampled = true
+	rev := f.plat.publish(content{})
+	f.start(f.names...)
+	f.until(t, rev, 60*time.Second)
+	expect := func(when string) {
+		t.Helper()
+		f.run(10 * time.Second)
+		if n := len(f.readers()); n != 18 {
+			t.Errorf("%d readers of 9 domains %s", n, when)
+		}
+	}
+	f.run(20 * time.Second)
+	expect("at rest")
+	calls := f.plat.calls
+	f.until(t, f.plat.publish(content{}), 9*time.Second)
+	f.run(time.Second)
+	if n := f.plat.calls - calls; n > 70 {
+		t.Errorf("%d calls for a change", n)
+	}
+	voters := crmember.Voters(f.plat.list, 0, crmember.DefaultParams().MaxVoters)
+	f.killIn("m0", voters)
+	expect("after the voters of one died")
+	f.killIn("m0", f.readers())
+	expect("after two of whom membership does not tell died")
+	weight := func(d crid.Daemon) uint64 { return xxhash.Sum64String("reader/" + string(d)) }
+	byWeight := slices.SortedFunc(slices.Values(f.names), func(a, b crid.Daemon) int { return cmp.Compare(weight(a), weight(b)) })
+	perDomain := make(map[crid.Domain]int)
+	f.killIn("", slices.DeleteFunc(byWeight, func(d crid.Daemon) bool { // all that would rank if voters did not come first
+		perDomain[f.domains[d]]++
+		return perDomain[f.domains[d]] > 6
+	}))
+	f.run(5 * time.Second)
+	f.until(t, f.plat.publish(content{}), 9*time.Second)
+	f.killIn("", voters)
+	f.run(time.Second)
+	for _, d := range f.alive() {
+		if life := f.daemons[d]; life != nil {
+			f.killIn("", life.Dump().(crconfig.Dumped).Ranked)
+		}
+	}
+	f.until(t, f.plat.publish(content{}), 60*time.Second)
+}
+
+// killIn kills daemons of a domain, or of all for an empty one.
+func (f *fleet) killIn(domain crid.Domain, names []crid.Daemon) {
+	for _, d := range names {
+		if domain == "" || f.domains[d] == domain {
+			delete(f.daemons, d)
+		}
+	}
+	f.membership()
+}
+
 func keyGone(t *testing.T, f *fleet, rev crid.Revision) {
 	t.Helper()
 	took := f.until(t, rev, 9*time.Second)
--- a/core/crconfig/fleet_test.go
+++ b/core/crconfig/fleet_test.go
@@ -106,6 +106,7 @@
 	plat    *platform
 	cut     func(from, to crid.Daemon) bool
 	peers   bool    // membership works
+	sampled bool    // membership is told as in a large fleet
 	loss    float64 // of messages between daemons
 	msgs    int
 	listed  int // instances sent between daemons
@@ -167,6 +168,10 @@
 
 // membership tells every daemon its peers: those linked both ways.
 func (f *fleet) membership() {
+	if f.sampled {
+		f.sampleMembership()
+		return
+	}
 	for _, d := range f.alive() {
 		var peers []crmember.Peer
 		for _, p := range f.alive() {
@@ -179,6 +184,43 @@
 	}
 }
 
+// sampleMembership tells peers as crmember does above MaxVoters: whom the list
+// names, truly whether a voter is reachable, and of the others only who was in a
+// sample within the last horizon.
+func (f *fleet) sampleMembership() {
+	params := crmember.DefaultParams()
+	voters := crmember.Voters(f.plat.list, 0, params.MaxVoters)
+	n := len(f.names)
+	near := make([]bool, n*n)
+	for i := range f.names {
+		for range params.Sample * int(params.Horizon/params.Interval) {
+			j := f.rng.IntN(n)
+			near[i*n+j], near[j*n+i] = true, true
+		}
+	}
+	up := func(d, p crid.Daemon) bool { return f.daemons[p] != nil && (p == d || f.linked(d, p)) }
+	for i, d := range f.names {
+		if f.daemons[d] == nil {
+			continue
+		}
+		heard := 0
+		peers := make([]crmember.Peer, 0, n)
+		_, votes := slices.BinarySearch(voters, d)
+		for j, p := range f.names {
+			_, voter := slices.BinarySearch(voters, p)
+			reachable := up(d, p) && (voter || votes || near[i*n+j])
+			if reachable && voter {
+				heard++
+			}
+			if p != d {
+				peers = append(peers, crmember.Peer{Daemon: p, Domain: f.domains[p], Reachable: reachable, Sampled: !voter})
+			}
+		}
+		f.daemons[d].peersAt = max(0, heard-len(voters)/2) // a majority of the voters
+		f.step(d, crmember.Peers{Now: f.clock(d), Peers: peers})
+	}
+}
+
 func (f *fleet) alive() []crid.Daemon {
 	var alive []crid.Daemon
 	for _, d := range f.names {
@@ -307,6 +349,9 @@
 }
 
 func (f *fleet) tick() {
+	if f.sampled && f.now%time.Second == 0 {
+		f.membership()
+	}
 	for _, d := range f.alive() {
 		life := f.daemons[d]
 		if life.peersAt > 0 {
--- a/core/crconfig/list.go
+++ b/core/crconfig/list.go
@@ -6,6 +6,7 @@
 
 	"camphorroad/core/crid"
 	"camphorroad/core/crinstance"
+	"camphorroad/core/crmember"
 )
 
 // listFetch is a newer list of instances on its way.
@@ -202,6 +203,7 @@
 func (s *State) adopt(list crinstance.List) {
 	s.changes.record(s.list, list)
 	s.list = list
+	s.voter = slices.Contains(crmember.Voters(list, 0, s.params.Voters), s.self)
 	s.listed = 0
 	for _, in := range list.Instances() {
 		if in.Domain == s.domain && !in.Leaving() {
--- a/core/crconfig/reader.go
+++ b/core/crconfig/reader.go
@@ -20,10 +20,13 @@
 
 // watch is this daemon's part in reading the platform.
 type watch struct {
-	ranked     []crid.Daemon // first ones of the domain, with the spares
-	sight      int           // reachable daemons of the domain, with this one
-	rankedAt   crid.Instant  // since when this daemon would be a reader
-	mine       bool          // this daemon would be a reader
+	ranked     []crid.Daemon                // first ones of the domain, with the spares
+	sight      int                          // daemons of the domain not known to be lost, with this one
+	fellows    map[crid.Daemon]crid.Instant // ranked ones that only their tellings show to be there, last heard
+	alone      bool                         // for long no majority was heard
+	heardAt    crid.Instant                 // when a majority was heard last, or this life began
+	rankedAt   crid.Instant                 // since when this daemon would be a reader
+	mine       bool                         // this daemon would be a reader
 	reader     bool
 	aloneAfter time.Duration // for which to wait for peers before watching without any
 	busy       bool
@@ -86,7 +89,8 @@
 // rank finds the domain's readers. A reader that can not read is passed over
 // for a spare, but keeps trying.
 func (s *State) rank(now crid.Instant) {
-	mine := slices.Contains(s.readers(), s.self)
+	s.checkAlone(now)
+	mine := s.watch.alone || slices.Contains(s.readers(now), s.self)
 	if mine && !s.watch.mine {
 		s.watch.rankedAt = now
 	}
@@ -108,40 +112,71 @@
 	s.report(number, "domain", string(s.domain))
 }
 
-// isLimited reports whether less than half of the domain is in sight, so that
-// many daemons may believe themselves ranked first.
+// checkAlone notices, in a large fleet, that no majority was heard for long. The
+// list may still rank daemons that are all gone, so each that is left reads by
+// itself then, within its share of the rate.
+func (s *State) checkAlone(now crid.Instant) {
+	if now.Before(s.until) {
+		s.watch.heardAt = now
+	}
+	s.watch.alone = s.sampled && now.Sub(s.watch.heardAt) >= s.params.Grace
+}
+
+// isLimited reports whether many daemons may believe themselves ranked first:
+// less than half of the domain is in sight, or no majority is heard.
 func (s *State) isLimited() bool {
-	return s.list.Revision() == 0 || 2*s.watch.sight < s.listed
+	return s.list.Revision() == 0 || 2*s.watch.sight < s.listed || s.watch.alone
 }
 
-// survey counts and ranks the domain's reachable daemons anew.
-func (s *State) survey() {
-	weights := map[crid.Daemon]uint64{s.self: weight(s.self)}
-	domain := []crid.Daemon{s.self}
-	s.watch.sight = 1
-	for _, p := range s.peers {
-		if p.Domain != s.domain {
-			continue
-		}
-		s.watch.sight++
+// candidate is a daemon of the domain that may be a reader.
+type candidate struct {
+	daemon crid.Daemon
+	unsure bool // membership does not tell when it is gone
+	weight uint64
+}
+
+// survey counts and ranks the domain's daemons anew. In a large fleet membership
+// hears the voters of the list for certain, and the others now and then. A rank
+// by who is heard just now would be another at each daemon, and most of them
+// would come out first; so who is not known to be lost is ranked, voters first.
+func (s *State) survey(now crid.Instant) {
+	unsure := s.sampled && !s.voter && s.list.Revision() > 0
+	all := []candidate{{daemon: s.self, unsure: unsure, weight: weight(s.self)}}
+	s.watch.sight = 1 + len(s.domains)
+	for _, p := range s.domains {
 		if !p.Leaving {
-			domain = append(domain, p.Daemon)
-			weights[p.Daemon] = weight(p.Daemon)
+			all = append(all, candidate{daemon: p.Daemon, unsure: p.Sampled, weight: weight(p.Daemon)})
 		}
 	}
-	slices.SortFunc(domain, func(a, b crid.Daemon) int {
-		return cmp.Or(cmp.Compare(weights[a], weights[b]), cmp.Compare(a, b))
-	})
-	s.watch.ranked = domain[:min(s.params.Readers+s.params.Spares, len(domain))]
+	slices.SortFunc(all, compareCandidates)
+	former := s.watch.fellows
+	s.watch.ranked = nil
+	s.watch.fellows = make(map[crid.Daemon]crid.Instant)
+	for _, c := range all[:min(s.params.Readers+s.params.Spares, len(all))] {
+		s.watch.ranked = append(s.watch.ranked, c.daemon)
+		if c.unsure && c.daemon != s.self {
+			s.watch.fellows[c.daemon] = cmp.Or(former[c.daemon], now)
+		}
+	}
+}
+
+func compareCandidates(a, b candidate) int {
+	if a.unsure != b.unsure {
+		if a.unsure {
+			return 1
+		}
+		return -1
+	}
+	return cmp.Or(cmp.Compare(a.weight, b.weight), cmp.Compare(a.daemon, b.daemon))
 }
 
 // readers returns the ranked first, and a spare for each of them that is away.
-func (s *State) readers() []crid.Daemon {
+func (s *State) readers(now crid.Instant) []crid.Daemon {
 	n := min(s.params.Readers, len(s.watch.ranked))
 	readers := slices.Clone(s.watch.ranked[:n])
 	lost := 0
 	for _, d := range readers {
-		if s.isAway(d) {
+		if s.isAway(now, d) {
 			lost++
 		}
 	}
@@ -150,18 +185,21 @@
 			break
 		}
 		readers = append(readers, d)
-		if !s.isAway(d) {
+		if !s.isAway(now, d) {
 			lost--
 		}
 	}
 	return readers
 }
 
-func (s *State) isAway(d crid.Daemon) bool {
+// isAway reports whether a ranked daemon says that it can not read, or where
+// only its tellings show that it is there, that none came for long.
+func (s *State) isAway(now crid.Instant, d crid.Daemon) bool {
 	if d == s.self {
 		return s.watch.away
 	}
-	return s.haves[d].Away
+	heard, unsure := s.watch.fellows[d]
+	return s.haves[d].Away || (unsure && now.Sub(heard) > s.params.Silence)
 }
 
 // fellows are the other ranked daemons of the domain; they tell one another
--- a/core/crconfig/spread.go
+++ b/core/crconfig/spread.go
@@ -36,6 +36,9 @@
 		return
 	}
 	s.haves[from] = msg
+	if _, ok := s.watch.fellows[from]; ok {
+		s.watch.fellows[from] = now
+	}
 	if msg.Echo != 0 && msg.Echo == s.ask {
 		s.told[from] = true
 	}
--- a/core/crconfig/spread_bench_test.go
+++ b/core/crconfig/spread_bench_test.go
@@ -53,6 +53,36 @@
 	}
 }
 
+// BenchmarkSampled tells what the readers of a fleet cost whose membership hears
+// most peers only now and then: how many there are, and calls at rest and a
+// change, in simulated time.
+func BenchmarkSampled(b *testing.B) {
+	const seconds, changes = 120, 5
+	for range b.N {
+		f := newFleet(1000, 9, crconfig.DefaultParams())
+		f.sampled = true
+		rev := f.plat.publish(content{})
+		f.start(f.names...)
+		b.ReportMetric(f.until(b, rev, 90*time.Second).Seconds(), "start-s")
+		f.run(30 * time.Second)
+		calls, readers := f.plat.calls, 0
+		for range seconds {
+			f.run(time.Second)
+			readers += len(f.readers())
+		}
+		b.ReportMetric(float64(readers)/seconds, "readers")
+		b.ReportMetric(float64(f.plat.calls-calls)/seconds, "idle-calls/s")
+		calls = f.plat.calls
+		var worst time.Duration
+		for i := range changes {
+			worst = max(worst, f.until(b, f.plat.publish(content{Keys: []string{fmt.Sprint(i)}}), 9*time.Second))
+			f.run(time.Second)
+		}
+		b.ReportMetric(float64(f.plat.calls-calls)/changes, "calls/change")
+		b.ReportMetric(worst.Seconds(), "worst-s")
+	}
+}
+
 // BenchmarkStart tells what a common start costs when peers are known at once,
 // with the default limits and with those of a small fleet.
 func BenchmarkStart(b *testing.B) {
--- a/core/crconfig/state.go
+++ b/core/crconfig/state.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"time"
 
@@ -43,11 +44,14 @@
 	refused  []version
 	conflict crid.Revision // for which two manifests were reported last
 	list     crinstance.List
-	listed   int // live instances of this domain on the list
+	listed   int  // live instances of this domain on the list
+	voter    bool // this daemon is one of the list's voters
 	listing  listFetch
 	changes  changes // for peers with an older list
 
 	peers   []crmember.Peer // reachable ones, sorted by daemon
+	domains []crmember.Peer // those of this domain that are not known to be lost
+	sampled bool            // membership hears some peers only now and then
 	haves   map[crid.Daemon]Have
 	members int // daemons of the active list, with this one
 	until   crid.Instant
@@ -151,8 +155,9 @@
 	s.self = ev.Self
 	s.domain = ev.Domain
 	s.rng = rand.New(rand.NewPCG(ev.Seed, uint64(ev.Incarnation)))
-	s.survey()
+	s.survey(ev.Now)
 	s.watch.refilledAt = ev.Now
+	s.watch.heardAt = ev.Now
 	s.watch.credit = s.rng.Float64()
 	s.watch.aloneAfter = s.params.Grace + s.jitter(s.params.spread())
 	s.forget(ev.Now)
@@ -189,15 +194,23 @@
 
 func (s *State) setPeers(now crid.Instant, peers []crmember.Peer) {
 	s.peers = s.peers[:0:0]
+	s.domains = s.domains[:0:0]
+	s.sampled = false
 	reachable := make(map[crid.Daemon]bool, len(peers))
 	for _, p := range peers {
+		s.sampled = s.sampled || p.Sampled
 		if p.Reachable {
 			s.peers = append(s.peers, p)
 			reachable[p.Daemon] = true
 		}
+		if p.Domain == s.domain && !p.Lost() {
+			s.domains = append(s.domains, p)
+		}
 	}
-	maps.DeleteFunc(s.haves, func(d crid.Daemon, _ Have) bool { return !reachable[d] })
-	s.survey()
+	s.survey(now)
+	maps.DeleteFunc(s.haves, func(d crid.Daemon, _ Have) bool {
+		return !reachable[d] && !slices.Contains(s.watch.ranked, d)
+	})
 	s.rank(now)
 }
 
