--- a/core/crhealth/stall_test.go
+++ b/core/crhealth/stall_test.go
@@ -180,7 +180,11 @@
 		"few long": func(w *world, s stallShape) {
 			everywhere(w, longFor(0.02, s.timeout*6/10, "a1", "a2", "a3", "a4", "a5"))
 		},
+		"many long": func(w *world, s stallShape) {
+			everywhere(w, longFor(0.5, s.timeout*6/10, "a1", "a2", "a3", "a4"))
+		},
 		"one account's stall": func(w *world, _ stallShape) { everywhere(w, longFor(1, time.Hour, "a1")) },
+		"all stall":           func(w *world, _ stallShape) { everywhere(w, flapping(4*time.Second, endsWith(ResultStalled, 1))) },
 		"daemon frozen": func(w *world, _ stallShape) {
 			w.nodes["d03"].paused = true
 			woken := w.now + 1500*time.Millisecond
--- a/core/crhealth/suspect.go
+++ b/core/crhealth/suspect.go
@@ -75,6 +75,20 @@
 	return peers
 }
 
+// sharedOfLate reports whether the peers failed as much a short while ago.
+//
+// When what all targets depend on comes back, they recover one after another. A
+// daemon that still avoids one has nothing but its failures of the common outage,
+// beside peers that answer again, and would take it out just then.
+func (v *survey) sharedOfLate(target crid.Target, e Evidence) bool {
+	for span := range spans {
+		if usual, ok := usualRate(v.peers(target, span)); ok && !failsMore(e, usual) {
+			return true
+		}
+	}
+	return false
+}
+
 // suspects judges each target against its peers and returns those confirmed
 // sick, worst first.
 func (s *State) suspects(d *docket) []crid.Target {
@@ -99,6 +113,9 @@
 	r.fresh = false
 	e, peers := v.compare(target)
 	r.finding = s.params.Judge.Judge(e, peers)
+	if r.finding.Cause == CauseFailing && !s.params.Alone && v.sharedOfLate(target, e) {
+		r.finding = Finding{}
+	}
 	if r.finding.Cause == CauseNone && s.params.Stalls {
 		r.finding = v.judgeStall(target)
 	}
