--- a/core/crhealth/measure_test.go
+++ b/core/crhealth/measure_test.go
@@ -23,6 +23,7 @@
 	act    behaviour
 	poison crid.Account
 	all    bool
+	avoid  bool // entries choose by load and avoid by themselves, as in service
 }
 
 var measureCases = []measureCase{
@@ -35,6 +36,8 @@
 	{name: "two slow", sick: []crid.Target{sick, "t01"}, act: slowBy(5)},
 	{name: "all slow x20", all: true, act: slowBy(20)},
 	{name: "poison", poison: "a3"},
+	{name: "stalling", sick: []crid.Target{sick}, act: endsWith(ResultStalled, 1), avoid: true},
+	{name: "all stall", all: true, act: flapping(3*time.Second, endsWith(ResultStalled, 1)), avoid: true},
 }
 
 // shape is a service of today: a daemon beside each target, all entries.
@@ -70,6 +73,9 @@
 func (m *measured) run(p Params, s shape, c measureCase, seed uint64) {
 	w := newWorld(p, seed, s.targets, s.targets, s.floor)
 	w.perStep = s.perStep
+	if c.avoid {
+		w.avoidLocally(time.Second)
+	}
 	w.run(6 * time.Second)
 	w.poison = c.poison
 	if c.all {
--- a/core/crhealth/stall_test.go
+++ b/core/crhealth/stall_test.go
@@ -31,12 +31,15 @@
 	running []attempt
 }
 
-func newLocals(timeout time.Duration, targets []crid.Target) *locals {
-	l := &locals{timeout: timeout, loads: make(map[crid.Target]*crroute.Load)}
-	for _, t := range targets {
-		l.loads[t] = &crroute.Load{}
+// avoidLocally lets all entries choose as in service; an attempt takes so long at
+// most.
+func (w *world) avoidLocally(timeout time.Duration) {
+	for _, n := range w.nodes {
+		n.locals = &locals{timeout: timeout, loads: make(map[crid.Target]*crroute.Load)}
+		for _, t := range w.targets {
+			n.locals.loads[t] = &crroute.Load{}
+		}
 	}
-	return l
 }
 
 // choose lets a daemon's requests of one step choose their targets, evenly
@@ -121,9 +124,7 @@
 func (s stallShape) world(seed uint64) *world {
 	w := newWorld(DefaultParams(), seed, s.targets, s.targets, s.floor)
 	w.perStep = s.perStep
-	for _, n := range w.nodes {
-		n.locals = newLocals(s.timeout, w.targets)
-	}
+	w.avoidLocally(s.timeout)
 	w.run(10 * time.Second)
 	return w
 }
