Tell an arbiter when an entry's digests end for lack of traffic

A target that stalls is left to the members while the daemon beside it sends no digests, as that daemon may be frozen.

A digest now says that it may be the last for lack of traffic. A last digest that is lost leaves things as they were before.

--- a/core/crhealth/arbiter.go
+++ b/core/crhealth/arbiter.go
@@ -16,6 +16,7 @@
 	life crid.Incarnation
 	seq  uint64
 	at   crid.Instant
+	last bool // it has no traffic, and sends no digests for that reason
 	// waits are those of its newest digest.
 	waits map[crid.Target][]Wait
 }
@@ -74,6 +75,7 @@
 	}
 	known.seq = msg.Seq
 	known.at = s.now
+	known.last = msg.Last
 	d.heardAt = s.now
 	known.waits = make(map[crid.Target][]Wait)
 	for _, sample := range msg.Samples {
--- a/core/crhealth/entry.go
+++ b/core/crhealth/entry.go
@@ -129,6 +129,7 @@
 	e := s.entries[service]
 	s.seq++
 	d := Digest{Service: service, Life: s.life, Seq: s.seq, Samples: e.samples()}
+	d.Last = s.now.Add(2*s.params.DigestEvery).Sub(e.trafficAt) >= s.params.Quiet // a tick may come late
 	clear(e.pending)
 	e.sentAt = s.now
 	e.sent[s.seq%sentKept] = sentDigest{seq: s.seq, at: s.now, to: to}
--- a/core/crhealth/message.go
+++ b/core/crhealth/message.go
@@ -12,6 +12,7 @@
 	Life    crid.Incarnation `cbor:"i"` // of the sender
 	Seq     uint64           `cbor:"q"` // grows with each digest of this life
 	Samples []Sample         `cbor:"p"`
+	Last    bool             `cbor:"l,omitempty"` // for lack of traffic, until there is some
 }
 
 // MessageKind implements crevent.Message.
--- a/core/crhealth/stall.go
+++ b/core/crhealth/stall.go
@@ -140,5 +140,5 @@
 // The members find this by themselves, and the target is well when it goes on.
 func (v *survey) exitIsSilent(target crid.Target) bool {
 	known := v.docket.senders[v.state.places[target].daemon]
-	return known != nil && v.state.now.Sub(known.at) > exitSilent
+	return known != nil && !known.last && v.state.now.Sub(known.at) > exitSilent
 }
--- a/core/crhealth/stall_test.go
+++ b/core/crhealth/stall_test.go
@@ -49,6 +49,9 @@
 	for i := range w.perStep {
 		now := w.now - step + step*time.Duration(i+1)/time.Duration(w.perStep)
 		w.endAttempts(n, now)
+		if n.idle {
+			continue
+		}
 		ask := crroute.Ask{Now: n.clock(now), IntN: w.rng.IntN}
 		if target, ok := (crroute.TwoChoices[*crroute.Target]{}).Pick(pool, ask); ok {
 			w.begin(n, target.Name(), now)
@@ -119,6 +122,7 @@
 type stallShape struct {
 	shape
 	timeout time.Duration
+	idle    bool // the daemon beside the sick target has no callers of late
 }
 
 func (s stallShape) world(seed uint64) *world {
@@ -130,12 +134,13 @@
 }
 
 var stallShapes = []stallShape{
-	{shape{"six", 6, 4, 2}, time.Second},
-	{shape{"booking", 15, 10, 4}, time.Second},
-	{shape{"booking, thin", 15, 10, 1}, time.Second},
-	{shape{"ledger", 5, 3, 1}, time.Second},
-	{shape{"booking, 10 s", 15, 10, 4}, 10 * time.Second},
-	{shape{"ledger, 10 s", 5, 3, 1}, 10 * time.Second},
+	{shape{"six", 6, 4, 2}, time.Second, false},
+	{shape{"booking", 15, 10, 4}, time.Second, false},
+	{shape{"booking, thin", 15, 10, 1}, time.Second, false},
+	{shape{"ledger", 5, 3, 1}, time.Second, false},
+	{shape{"booking, 10 s", 15, 10, 4}, 10 * time.Second, false},
+	{shape{"booking, one idle", 15, 10, 4}, time.Second, true},
+	{shape{"ledger, 10 s", 5, 3, 1}, 10 * time.Second, false},
 }
 
 // A target takes requests and gives no answer. Each daemon avoids it as soon as
@@ -148,6 +153,8 @@
 			for seed := range uint64(3) {
 				g := gomega.NewWithT(t)
 				w := s.world(seed)
+				w.nodes["d03"].idle = s.idle
+				w.run(3 * time.Second)
 				w.acts[sick] = endsWith(ResultStalled, 1)
 				took := detect(w, sick)
 				g.Expect(took).To(gomega.And(gomega.BeNumerically(">", 0), gomega.BeNumerically("<=", 3*time.Second)))
--- a/core/crhealth/world_test.go
+++ b/core/crhealth/world_test.go
@@ -34,6 +34,7 @@
 	held     crid.Revision
 	inbox    []letter
 	steer    map[crid.Service]Steer
+	idle     bool    // has no callers; with locals only
 	locals   *locals // nil: targets are drawn evenly, and answers come at once
 }
 
@@ -332,9 +333,12 @@
 	return w.nodes[w.nodes[w.members[0]].state.arbiter(booking)]
 }
 
-// everywhere reports whether all daemons that run hold the target ejected.
+// everywhere reports whether all daemons with callers hold the target ejected.
 func (w *world) everywhere(t crid.Target) bool {
 	for _, n := range w.nodes {
+		if n.idle {
+			continue
+		}
 		st := n.steer[booking]
 		i := slices.IndexFunc(st.Targets, func(s TargetState) bool { return s.Target == t })
 		if i < 0 || !st.Targets[i].Ejected || !n.clock(w.now).Before(st.Until) {
