--- a/lab/crload/run.go
+++ b/lab/crload/run.go
@@ -43,7 +43,7 @@
 	Took    time.Duration // from the planned time
 	At      time.Duration // planned, after the start
 	Retry   bool          // came with Retry-After
-	Reason  string        // the body of a refusal
+	Reason  string        // the body of a refusal, or why there was no word
 }
 
 type runner struct {
@@ -171,6 +171,7 @@
 	}
 	resp, err := r.client.Do(req)
 	if err != nil {
+		told.Reason = err.Error()
 		return
 	}
 	defer resp.Body.Close()
