Tell callers whether a refusal's connection stays

Cause: a request with a body that was refused before its body was read (no key, rate used up, not ready, no target) had its connection closed after the answer, though the answer did not say so. The entry asks net/http for full duplex, so the rest of the body is read only after the handler; its end starts a read in the background, and the wait for the next request then panics inside net/http ("invalid concurrent Body.Read call"; recovered, its log discarded, connection closed). A caller that sent its next request on the connection got no word. A body that never came whole was worse: its rest would be read as a request. Change: a refusal takes what has come of the body, for 1 ms at most; where the body is still not whole, and where an answer overtakes its request's body, the answer says Connection: close. Measured: TestARefusalSaysWhetherItsConnectionStays fails before (EOF at the second request on a connection), passes after.

--- a/io/crentry/answer.go
+++ b/io/crentry/answer.go
@@ -21,6 +21,9 @@
 	defer s.opening.release()
 	defer ex.Body.Close()
 	s.tracker.Passed()
+	if !s.body.reusable() {
+		w.Header().Set("Connection", "close")
+	}
 	writeHead(w, &ex.Answer)
 	if err := e.copyBody(w, r, ex, &s.opening); err != nil {
 		s.broke(err)
--- a/io/crentry/body.go
+++ b/io/crentry/body.go
@@ -31,16 +31,24 @@
 // that nobody reads, before the connection is given up.
 const linger = 250 * time.Millisecond
 
+const (
+	moment   = time.Millisecond // that a refusal may wait for the rest of a body
+	maxTaken = 64 << 10         // bytes of a refused body that are read
+)
+
 // body is a request's body. It keeps the first bytes, so that a request can be
 // sent again after a proof that it was not run. A body beyond its limit is
 // streamed on and can not be sent twice.
 //
-// The lock is never held while the caller is waited for: a refusal has to go
-// out at once, however slowly the caller sends.
+// The lock is held no longer than a moment while the caller is waited for: a
+// refusal has to go out at once, however slowly the caller sends.
 type body struct {
-	src   io.Reader // nil: no body
-	limit int
-	guard *guard
+	src    io.Reader // nil: no body
+	limit  int
+	guard  *guard
+	rc     *http.ResponseController
+	stream bool // of its own, by HTTP/2; else the connection serves the next request too
+	asked  bool // the caller waits to be asked for it
 
 	mu      sync.Mutex
 	moved   *sync.Cond
@@ -57,7 +65,10 @@
 	b.moved = sync.NewCond(&b.mu)
 	if r.ContentLength != 0 && r.Body != nil {
 		b.src = r.Body
-		b.guard = newGuard(idle, http.NewResponseController(w).SetReadDeadline)
+		b.rc = http.NewResponseController(w)
+		b.guard = newGuard(idle, b.rc.SetReadDeadline)
+		b.stream = r.ProtoMajor > 1
+		b.asked = r.Header.Get("Expect") != ""
 	}
 	return b
 }
@@ -119,7 +130,7 @@
 // close ends a read that is still waiting for the caller. Otherwise net/http
 // would wait for the rest of the body before it serves the connection on, and a
 // caller that falls silent would hold the connection for ever.
-func (b *body) close(w http.ResponseWriter) {
+func (b *body) close() {
 	if b.src == nil {
 		return
 	}
@@ -130,8 +141,40 @@
 	b.moved.Broadcast()
 	b.mu.Unlock()
 	if !whole {
-		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(linger))
+		_ = b.rc.SetReadDeadline(time.Now().Add(linger))
+	}
+}
+
+// take reads what has come of a body that nobody else reads, so that its
+// connection can be kept. It waits no longer than a moment.
+func (b *body) take() {
+	if b.src == nil || b.stream || b.asked {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.reading || b.err != nil {
+		return
+	}
+	_ = b.rc.SetReadDeadline(time.Now().Add(moment))
+	n, err := io.Copy(io.Discard, io.LimitReader(b.src, maxTaken))
+	_ = b.rc.SetReadDeadline(time.Time{})
+	if err == nil && n < maxTaken {
+		b.err = io.EOF
+	}
+}
+
+// reusable reports whether the caller's connection can serve another request. A
+// body whose end is met only after the handler has returned makes net/http, in
+// full duplex, close the connection after the answer. The caller has to be told,
+// or its next request would meet the closed connection and get no word.
+func (b *body) reusable() bool {
+	if b.src == nil || b.stream {
+		return true
 	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return errors.Is(b.err, io.EOF)
 }
 
 type bodyReader struct {
--- a/io/crentry/caller_test.go
+++ b/io/crentry/caller_test.go
@@ -1,6 +1,7 @@
 package crentry_test
 
 import (
+	"bufio"
 	"io"
 	"net/http"
 	"runtime"
@@ -194,3 +195,28 @@
 	p.Expect(head.err).NotTo(gomega.HaveOccurred())
 	p.Expect(head.header.Get("Content-Length")).To(gomega.Equal("4"))
 }
+
+// A caller's hold is refused before its body was read. net/http then met the
+// body's end only after the handler, panicked inside, and closed the connection,
+// which had been told to stay. Whoever sent the next request on it got no word.
+func TestARefusalSaysWhetherItsConnectionStays(t *testing.T) {
+	p := newPath(t, newRecorder(t).addr())
+	const head = "POST /once HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\n"
+	for body, stays := range map[string]bool{"hold": true, "ho": false} {
+		conn := p.dial(head + body)
+		r := bufio.NewReader(conn)
+		for range 3 {
+			resp, err := http.ReadResponse(r, nil)
+			got := whole(resp, err)
+			p.Expect(got.err).NotTo(gomega.HaveOccurred(), body)
+			p.Expect(got.status).To(gomega.Equal(http.StatusUnauthorized), body)
+			p.Expect(resp.Close).To(gomega.Equal(!stays), body)
+			if !stays {
+				break
+			}
+			time.Sleep(20 * time.Millisecond) // the server waits for the next request by then
+			_, err = io.WriteString(conn, head+body)
+			p.Expect(err).NotTo(gomega.HaveOccurred())
+		}
+	}
+}
--- a/io/crentry/crentry.go
+++ b/io/crentry/crentry.go
@@ -118,14 +118,14 @@
 	// the answer, and a refusal would wait for a slow caller's upload.
 	_ = http.NewResponseController(w).EnableFullDuplex()
 	body := newBody(w, r, e.opts.Replay, e.opts.Idle)
-	defer body.close(w)
+	defer body.close()
 	if refused := e.gate(r, n); refused != nil {
-		e.refuse(w, refused)
+		e.refuse(w, body, refused)
 		return
 	}
 	req, refused := e.accept(r)
 	if refused != nil {
-		e.refuse(w, refused)
+		e.refuse(w, body, refused)
 		return
 	}
 	e.serve(w, r, req, body)
--- a/io/crentry/refusal.go
+++ b/io/crentry/refusal.go
@@ -34,7 +34,7 @@
 
 // refuse writes the refusal at once. Whole seconds are what Retry-After can
 // say; rounding down would bring callers back before anything has changed.
-func (e *Entry) refuse(w http.ResponseWriter, r *refusal) {
+func (e *Entry) refuse(w http.ResponseWriter, b *body, r *refusal) {
 	outcome := r.outcome
 	if outcome == 0 {
 		outcome = crforward.NotRun
@@ -51,7 +51,7 @@
 	if r.status == http.StatusUnauthorized {
 		h.Set("WWW-Authenticate", "Bearer")
 	}
-	if r.close {
+	if b.take(); r.close || !b.reusable() {
 		h.Set("Connection", "close")
 	}
 	w.WriteHeader(r.status)
--- a/io/crentry/serve.go
+++ b/io/crentry/serve.go
@@ -31,7 +31,7 @@
 	}
 	if s.length > 0 && s.length <= int64(e.opts.Replay) {
 		if err := b.fill(s.expired); err != nil {
-			e.refuse(w, bodyRefusal(err))
+			e.refuse(w, b, bodyRefusal(err))
 			return
 		}
 	}
@@ -50,11 +50,11 @@
 	if err := s.body.fault(); err != nil {
 		refused := bodyRefusal(err)
 		refused.outcome = s.tracker.Outcome()
-		s.entry.refuse(w, refused)
+		s.entry.refuse(w, s.body, refused)
 		return
 	}
 	if r.Context().Err() == nil {
-		s.entry.refuse(w, s.giveUp())
+		s.entry.refuse(w, s.body, s.giveUp())
 	}
 }
 
