Take callers' connections only when they can be served

Cause: a fresh daemon took connections some four to six seconds before it was ready, and refused each request with 503. Callers with several addresses, and the system's own resolver, try the next one at a refused connection, not at a 503. Weighed: 503 with Connection: close (an honest word, but each caller has to know to go elsewhere); readiness pages alone (nothing stands in front of the daemons that would read them); no listening until ready, with the address bound from the start (chosen); listening late without binding (another process may take the address, and a taken one shows late). Change: crentry.Reserve binds, the daemon listens once it has configuration, standing and tokens, and after 15 s in any case, since it may be the only daemon that a caller reaches. The ready page waits for the listening. Events 106 and 107. A daemon that loses its standing goes on listening; its refusals now close the connection, as those of a stopping daemon do.

--- a/e2e/leave_test.go
+++ b/e2e/leave_test.go
@@ -192,7 +192,8 @@
 
 	// A new version is rolled out: every daemon is stopped and started again, one
 	// after the other, while callers go on. None may notice more than an address
-	// that takes no connection, or a refusal that is true.
+	// that takes no connection, or a refusal that is true; and a daemon that can
+	// not serve yet takes no connection, so that they try another at once.
 	It("of all daemons, one after the other, cuts nothing", func() {
 		a := account("survey", 2000, 2000)
 		f := newFleet(4, 10*time.Millisecond, a)
@@ -217,6 +218,7 @@
 		AddReportEntry("all replaced after", time.Since(start).Round(100*time.Millisecond).String())
 		runs := f.Runs()
 		told := make(map[crload.Result]int)
+		reasons := make(map[string]int)
 		for _, t := range report.Told() {
 			told[t.Result]++
 			if t.Method == http.MethodPost {
@@ -224,10 +226,14 @@
 			}
 			if t.Result == crload.NotRun {
 				Expect(runs[t.ID]).To(BeZero(), t.ID)
+				reasons[t.Reason]++
 			}
 		}
 		AddReportEntry("told", told)
-		AddReportEntry("statuses", report.Lines()[0].Statuses)
+		AddReportEntry("refusals", reasons)
+		for reason := range reasons {
+			Expect(reason).NotTo(Or(ContainSubstring("no configuration yet"), ContainSubstring("cut off")))
+		}
 		Expect(told[crload.Mixed] + told[crload.Unknown]).To(BeZero())
 	})
 })
--- a/io/crdaemon/crdaemon.go
+++ b/io/crdaemon/crdaemon.go
@@ -54,6 +54,9 @@
 	// settle is how long a stopping daemon still takes new work after it has
 	// told its peers: what they have sent meanwhile is on its way.
 	settle = 300 * time.Millisecond
+	// unreadyTime is how long a daemon that can not serve takes no connections.
+	unreadyTime = 15 * time.Second
+	readyPoll   = 20 * time.Millisecond
 )
 
 // Run starts a daemon, serves until ctx ends, drains, and returns. A value on
@@ -266,9 +269,9 @@
 
 func (d *daemon) start(startCtx, ctx context.Context, platform *crplatform.Client) error {
 	var lc net.ListenConfig
-	callers, err := lc.Listen(startCtx, "tcp", d.cfg.Listen.HTTP)
+	callers, err := crentry.Reserve(d.cfg.Listen.HTTP)
 	if err != nil {
-		return fmt.Errorf("listen for callers: %w", err)
+		return err
 	}
 	admin, err := lc.Listen(startCtx, "tcp", d.cfg.Listen.Admin)
 	if err != nil {
@@ -276,7 +279,7 @@
 		return fmt.Errorf("listen for operators: %w", err)
 	}
 	d.log.Event(crlog.DaemonStarted, crlog.Fields{
-		"http": callers.Addr().String(), "peer": d.shell.peers.Addr(), "admin": admin.Addr().String(),
+		"http": d.cfg.Listen.HTTP, "peer": d.shell.peers.Addr(), "admin": admin.Addr().String(),
 	})
 	d.shell.reader = &reader{
 		ctx: ctx, port: platform, loop: d.shell.loop, clock: crclock.Now,
@@ -291,12 +294,26 @@
 		return err
 	}
 	go d.exit.Watch(ctx)
-	go d.serveCallers(callers)
+	go d.serveCallers(ctx, callers)
 	go func() { _ = d.admin.Serve(admin) }()
 	return nil
 }
 
-func (d *daemon) serveCallers(ln net.Listener) {
+// serveCallers takes connections once this daemon can serve, so that callers of a
+// fresh one try another address at once. One that can not for long takes them all
+// the same, and says why it refuses: it may be the only one that they reach.
+func (d *daemon) serveCallers(ctx context.Context, at *crentry.Reservation) {
+	if !d.awaitService(ctx) {
+		_ = at.Close()
+		return
+	}
+	ln, err := at.Listen()
+	if err != nil {
+		d.log.Event(crlog.CallersRefused, crlog.Fields{"error": err.Error()})
+		return
+	}
+	d.log.Event(crlog.CallersTaken, crlog.Fields{"service": readyWord(d.shell.checkService())})
+	d.shell.listening.Store(true)
 	if d.cert == nil {
 		_ = d.callers.Serve(ln)
 		return
@@ -305,6 +322,25 @@
 	_ = d.callers.ServeTLS(ln, "", "")
 }
 
+// awaitService returns once the daemon can serve, or has tried for long; false at
+// its stop.
+func (d *daemon) awaitService(ctx context.Context) bool {
+	long := time.NewTimer(unreadyTime)
+	defer long.Stop()
+	poll := time.NewTicker(readyPoll)
+	defer poll.Stop()
+	for d.shell.checkService() != nil {
+		select {
+		case <-ctx.Done():
+			return false
+		case <-long.C:
+			return true
+		case <-poll.C:
+		}
+	}
+	return true
+}
+
 // serve waits for the stop signal, reloading certificates meanwhile, and drains.
 func (d *daemon) serve(ctx context.Context, reload <-chan os.Signal) error {
 	for {
--- a/io/crdaemon/shell.go
+++ b/io/crdaemon/shell.go
@@ -46,6 +46,8 @@
 	ready   atomic.Bool  // the newest configuration that could be learnt is in force
 	settled atomic.Bool  // the shares of rates that are owned here are minted
 
+	listening atomic.Bool // callers can connect
+
 	// The rest is the control goroutine's.
 	config  *crconfig.State
 	account *craccount.State
@@ -168,9 +170,22 @@
 	errNoConfiguration = errors.New("no configuration yet")
 	errNoStanding      = errors.New("cut off from the fleet")
 	errNotSettled      = errors.New("no tokens are minted here yet")
+	errNotListening    = errors.New("callers can not connect yet")
 )
 
+// checkReady reports why callers can not be served here, or nil.
 func (s *shell) checkReady() error {
+	if err := s.checkService(); err != nil {
+		return err
+	}
+	if !s.listening.Load() {
+		return errNotListening
+	}
+	return nil
+}
+
+// checkService is checkReady but for the callers' connections.
+func (s *shell) checkService() error {
 	switch {
 	case s.view.Load() == nil || !s.ready.Load():
 		return errNoConfiguration
--- a/io/crentry/crentry.go
+++ b/io/crentry/crentry.go
@@ -164,10 +164,10 @@
 	now := e.opts.Clock()
 	view := e.opts.View()
 	if view == nil {
-		return nil, &refusal{status: http.StatusServiceUnavailable, reason: "no configuration yet", retry: whileStarting}
+		return nil, &refusal{status: http.StatusServiceUnavailable, reason: "no configuration yet", retry: whileStarting, close: true}
 	}
 	if !e.opts.Trusted(now) {
-		return nil, &refusal{status: http.StatusServiceUnavailable, reason: "cut off from the fleet", retry: soon}
+		return nil, &refusal{status: http.StatusServiceUnavailable, reason: "cut off from the fleet", retry: soon, close: true}
 	}
 	cred, refused := readCredential(r)
 	if refused != nil {
--- a/io/crlog/catalogue_process.go
+++ b/io/crlog/catalogue_process.go
@@ -8,6 +8,8 @@
 	DaemonStopped   = 103
 	DaemonPaused    = 104
 	DrainIncomplete = 105
+	CallersTaken    = 106
+	CallersRefused  = 107
 	PeerMessageBad  = 120
 	CertReloaded    = 130
 	CertReloadError = 131
@@ -26,7 +28,7 @@
 		{
 			DaemonReady, LevelInfo, "daemon ready",
 			"the first configuration came into force",
-			"callers are served from now on", none,
+			"callers can connect once it also has standing and tokens (106)", none,
 		},
 		{
 			DaemonDraining, LevelInfo, "draining",
@@ -48,6 +50,16 @@
 			"requests were still in flight when limits.draintime had passed",
 			"those requests were cut", "raise limits.draintime if their answers take longer by design",
 		},
+		{
+			CallersTaken, LevelInfo, "callers can connect",
+			"the daemon can serve, or could not for 15 seconds after its start; its field service says which",
+			"connections are taken from now on", "look at the ready page if service is not yes",
+		},
+		{
+			CallersRefused, LevelError, "callers can not connect",
+			"the system did not let the daemon listen at listen.http",
+			"nobody can call this daemon; it still runs what others forward to its targets", "restart it",
+		},
 		{
 			PeerMessageBad, LevelWarn, "peer message refused",
 			"a daemon sent what this version can not read",
