--- a/io/crentry/crentry.go
+++ b/io/crentry/crentry.go
@@ -118,14 +118,14 @@
 	// the answer, and a refusal would wait for a slow caller's upload.
 	_ = http.NewResponseController(w).EnableFullDuplex()
 	body := newBody(w, r, e.opts.Replay, e.opts.Idle)
-	defer body.close(w)
+	defer body.close()
 	if refused := e.gate(r, n); refused != nil {
-		e.refuse(w, refused)
+		e.refuse(w, body, refused)
 		return
 	}
 	req, refused := e.accept(r)
 	if refused != nil {
-		e.refuse(w, refused)
+		e.refuse(w, body, refused)
 		return
 	}
 	e.serve(w, r, req, body)
@@ -164,10 +164,10 @@
 	now := e.opts.Clock()
 	view := e.opts.View()
 	if view == nil {
-		return nil, &refusal{status: http.StatusServiceUnavailable, reason: "no configuration yet", retry: whileStarting}
+		return nil, &refusal{status: http.StatusServiceUnavailable, reason: "no configuration yet", retry: whileStarting, close: true}
 	}
 	if !e.opts.Trusted(now) {
-		return nil, &refusal{status: http.StatusServiceUnavailable, reason: "cut off from the fleet", retry: soon}
+		return nil, &refusal{status: http.StatusServiceUnavailable, reason: "cut off from the fleet", retry: soon, close: true}
 	}
 	cred, refused := readCredential(r)
 	if refused != nil {
