Beat slowly while nothing is under way, and answer at once

Cause: an idle daemon of 25 spends its control time on packets that wake it one by one (perf record -g: QUIC's connections a fifth to a quarter, the runtime's search for work a quarter, its monitor a sixth, the reducers a tenth), and nearly all packets are beats, five a second each way for each pair. One daemon alone costs 0.6 % of a core, so the fixed part is not what to cut.

Ruled out: slower rounds alone. Sparing beats during a handover: the end that answers would confirm a round later.

Change: at rest (standing, no list handed over here or at a voter, nobody fresh, no voter suspected) rounds come each 500 ms, beats are answered at once, and a peer that has just been answered gets no beat of its own. A voter whose evidence is older than 1.25 s is suspected, and beats go out each 200 ms again. What beats say, and what counts as evidence, is as before; a number that serves several peers counts from its first sending. A restarted daemon's first beat, which echoes nothing, is answered too.

TestFleetAtRestBeatsSlowly fails without it (4.8 beats a second and peer); TestAMomentOfSilenceAtRestIsNotLoss fails where rounds are only slow.

--- a/core/crmember/crmember.go
+++ b/core/crmember/crmember.go
@@ -62,7 +62,8 @@
 	seq       uint64
 	sent      [sentSlots]sending
 	roundAt   crid.Instant // latest round
-	nextRound crid.Instant
+	nextRound crid.Instant // where something is under way
+	nextRest  crid.Instant // where nothing is
 	beatNow   bool
 	tellAll   bool          // the next round goes to all peers
 	fullAt    crid.Revision // newest list refused for want of room
@@ -113,6 +114,7 @@
 		s.leaving = true
 	}
 	s.conclude()
+	s.answer(ev)
 	out := s.out
 	s.out = nil
 	return out
@@ -155,7 +157,7 @@
 	s.takePending()
 	s.recoverState()
 	s.settleTenure()
-	if s.cur != 0 && (s.beatNow || s.tellAll || !s.now.Before(s.nextRound)) {
+	if s.cur != 0 && s.roundDue() {
 		s.round()
 	}
 	if s.peersChanged || s.passing && s.now.Sub(s.toldAt) >= s.params.Interval {
--- a/core/crmember/params.go
+++ b/core/crmember/params.go
@@ -6,8 +6,11 @@
 // fleet: a daemon with a longer horizon than its peers believe would act on
 // standing that they hold expired.
 type Params struct {
-	// Interval is the mean time between two beats to one peer.
+	// Interval is the mean time between two beats to one peer while anything
+	// is under way.
 	Interval time.Duration
+	// Rest is the same while nothing is; zero: Interval.
+	Rest time.Duration
 	// Jitter is the share of Interval by which a beat may come early or late.
 	Jitter float64
 	// Horizon is how long evidence that a peer was there keeps counting.
@@ -46,6 +49,7 @@
 func DefaultParams() Params {
 	return Params{
 		Interval:  200 * time.Millisecond,
+		Rest:      500 * time.Millisecond,
 		Jitter:    0.1,
 		Horizon:   2 * time.Second,
 		Drift:     0.01,
@@ -63,3 +67,7 @@
 	factor := (1 + p.Drift) / (1 - p.Drift)
 	return time.Duration(float64(p.Horizon)*factor) + p.Margin
 }
+
+// rest is the mean time between two beats to one peer while nothing is under
+// way.
+func (p Params) rest() time.Duration { return max(p.Rest, p.Interval) }
--- a/core/crmember/peer.go
+++ b/core/crmember/peer.go
@@ -29,13 +29,17 @@
 	fetched    bool
 	answeredAt crid.Instant // our latest Lists to it
 	answered   bool
-	owed       bool // it sent a beat since our last round
-	reachable  bool // as last told in Peers
+	owed       bool // it sent a beat that has not been answered
+	sentSeq    uint64
+	sentAt     crid.Instant // our latest beat to it
+	repliedAt  crid.Instant // our latest answer outside of a round
+	reachable  bool         // as last told in Peers
 }
 
-// sentSlots bounds the sendings remembered. A horizon holds about ten rounds;
-// a beat whose slot was reused is no evidence, as if it were late.
-const sentSlots = 64
+// sentSlots bounds the sendings remembered. Numbers are used up no faster than
+// sentSpan and the answers to one peer allow, so that a horizon holds less than
+// a hundred; a beat whose slot was reused is no evidence, as if it were late.
+const sentSlots = 256
 
 type sending struct {
 	seq uint64
@@ -101,6 +105,7 @@
 		return true
 	}
 	if !echoed || b.Echo.Seq <= p.echoSeq {
+		p.owed = p.owed || !b.Reply // a new life has to hear of us before it can echo anything
 		return false
 	}
 	p.inc = b.Inc
