Close a session that nobody has used for a while

Change: the end that dialled closes a session without streams that was last used 90 s ago, and forgets dead sessions and old failures. 90 s because the exit's ledger belongs to the session and an entry believes its word for 60 s after the sending: closed earlier, a forward that could be told "not run" would be told "unknown". A stream keeps its session, however slow; who got the session and opens a stream too late gets an error and has sent nothing.

Ruled out: the transport's own idle timeout without keep-alives; it counts at either end, and would end sessions whose requests wait for a slow upstream.

--- a/io/crpeer/crpeer.go
+++ b/io/crpeer/crpeer.go
@@ -72,6 +72,7 @@
 	Identity *Identity
 	Registry *crwire.Registry
 	Handler  Handler
+	Idle     time.Duration // after which an unused session is closed; zero: DefaultIdle
 }
 
 // Transport owns the daemon's UDP socket and its sessions.
@@ -100,6 +101,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if opts.Idle == 0 {
+		opts.Idle = DefaultIdle
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	t := &Transport{
 		ctx:      ctx,
@@ -118,8 +122,9 @@
 		_ = udp.Close()
 		return nil, fmt.Errorf("listen for peers on %s: %w", opts.Addr, err)
 	}
-	t.wg.Add(1)
+	t.wg.Add(2)
 	go t.accept()
+	go t.sweep()
 	return t, nil
 }
 
--- a/io/crpeer/session.go
+++ b/io/crpeer/session.go
@@ -23,6 +23,7 @@
 
 	mu      sync.Mutex
 	open    int // streams that their users have not done with
+	used    time.Time
 	retired bool
 }
 
@@ -46,6 +47,7 @@
 		return nil, fmt.Errorf("%w: open stream to %s: %w", ErrUnreachable, s.peer, err)
 	}
 	s.open++
+	s.used = time.Now()
 	return stream, nil
 }
 
@@ -55,6 +57,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.open--
+	s.used = time.Now()
 	s.closeRetired()
 }
 
@@ -111,6 +114,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if s := t.sessions[peer]; s != nil && s.alive() && s.addr == addr {
+		s.touch()
 		return s, nil
 	}
 	if at, ok := t.failed[peer]; ok && time.Since(at) < redialAfter {
@@ -134,7 +138,7 @@
 	if old := t.sessions[peer]; old != nil {
 		_ = old.conn.CloseWithError(0, "replaced")
 	}
-	s := &Session{peer: peer, addr: addr, conn: conn}
+	s := &Session{peer: peer, addr: addr, conn: conn, used: time.Now()}
 	t.sessions[peer] = s
 	return s, nil
 }
