Let the sample of a large fleet last a minute

Cause: above 31 daemons each round chose eight other peers, and each one that had no session cost a handshake at either end (3.7 ms for both, CAPACITY): 15 % of a core at 5,500 daemons, and with sessions closed when unused it would be paid again and again.

Change: the eight stay for a minute, give or take a tenth.

Ruled out: an index drawn from the time alone; a change of the list, each 19 s at size, would move all eight.

TestSampledPeersAreToldOncePerInterval needs samples that come and go; it sets them to change with each round, as they did, and asserts what it did.

--- a/core/crmember/crmember.go
+++ b/core/crmember/crmember.go
@@ -64,6 +64,8 @@
 	roundAt   crid.Instant // latest round
 	nextRound crid.Instant // where something is under way
 	nextRest  crid.Instant // where nothing is
+	sampled   []crid.Daemon
+	sampledTo crid.Instant // until which the sample stays
 	beatNow   bool
 	tellAll   bool          // the next round goes to all peers
 	fullAt    crid.Revision // newest list refused for want of room
--- a/core/crmember/params.go
+++ b/core/crmember/params.go
@@ -24,6 +24,8 @@
 	// Sample is how many other daemons get a beat each round besides the
 	// voters, where there are more daemons than MaxVoters.
 	Sample int
+	// SampleFor is how long they stay the same; zero: for one round.
+	SampleFor time.Duration
 	// MaxLists bounds the lists kept at one time.
 	MaxLists int
 
@@ -56,6 +58,7 @@
 		Margin:    100 * time.Millisecond,
 		MaxVoters: 31,
 		Sample:    8,
+		SampleFor: time.Minute,
 		MaxLists:  32,
 	}
 }
--- a/core/crmember/round.go
+++ b/core/crmember/round.go
@@ -132,8 +132,7 @@
 }
 
 // chosen returns who gets a beat in this round unasked: everybody in a small
-// fleet, and once when leaving; else the voters of each held list, and a sample
-// that changes with each round.
+// fleet, and once when leaving; else the voters of each held list, and a sample.
 func (s *State) chosen() map[crid.Daemon]bool {
 	chosen := make(map[crid.Daemon]bool)
 	if len(s.order) <= s.params.MaxVoters || s.tellAll {
@@ -147,9 +146,24 @@
 			chosen[d] = true
 		}
 	}
+	for _, d := range s.sample() {
+		chosen[d] = true
+	}
+	return chosen
+}
+
+// sample returns the other daemons that get beats besides the voters. They stay
+// for a while: each peer that is new to the sample costs a handshake, and a new
+// sample in every round took a sixth of a core for them.
+func (s *State) sample() []crid.Daemon {
+	if s.now.Before(s.sampledTo) {
+		return s.sampled
+	}
+	s.sampledTo = s.now.Add(s.jittered(s.params.SampleFor))
+	s.sampled = s.sampled[:0]
 	for i := range s.params.Sample {
 		pick := s.draw(s.seq, uint64(i)+1) % uint64(len(s.order))
-		chosen[s.order[pick]] = true
+		s.sampled = append(s.sampled, s.order[pick])
 	}
-	return chosen
+	return s.sampled
 }
--- a/core/crmember/sample_test.go
+++ b/core/crmember/sample_test.go
@@ -78,8 +78,30 @@
 func TestSampledPeersAreToldOncePerInterval(t *testing.T) {
 	g := gomega.NewWithT(t)
 	w, node := voterOf(1000)
+	node.state.params.SampleFor = 0 // the samples change with each round
+	node.state.sampledTo = 0
 	secondOf(w, node)
 	told := secondOf(w, node)
 	g.Expect(told).To(gomega.HaveEach(gomega.HaveField("Passing", true)))
 	g.Expect(len(told)).To(gomega.BeNumerically("<=", time.Second/w.params.Interval))
 }
+
+// Each peer that a daemon has not beaten with lately costs a handshake. With a new
+// sample in every round they take a sixth of a core, and sessions by the thousand.
+func TestSamplesLast(t *testing.T) {
+	g := gomega.NewWithT(t)
+	w, node := voterOf(1000)
+	met := make(map[crid.Daemon]bool)
+	const seconds = 30
+	for range seconds {
+		w.packets = nil
+		secondOf(w, node)
+		for _, p := range node.state.view() {
+			if p.Sampled && p.Incarnation != 0 {
+				met[p.Daemon] = true
+			}
+		}
+	}
+	g.Expect(len(met)).To(gomega.BeNumerically("<=", 2*w.params.Sample))
+	g.Expect(met).NotTo(gomega.BeEmpty())
+}
