--- a/io/crpeer/idle_test.go
+++ b/io/crpeer/idle_test.go
@@ -1,7 +1,6 @@
 package crpeer_test
 
 import (
-	"context"
 	"fmt"
 	"testing"
 	"time"
@@ -11,7 +10,6 @@
 	"camphorroad/core/crforward"
 	"camphorroad/core/crid"
 	"camphorroad/io/crpeer"
-	"camphorroad/io/crwire"
 )
 
 // A daemon of a large fleet says a word to another peer every now and then, for
@@ -26,14 +24,7 @@
 		names = append(names, fmt.Sprintf("peer-%d", i))
 	}
 	dir := authority(t, names...)
-	reg, err := crwire.NewRegistry(nil)
-	g.Expect(err).NotTo(gomega.HaveOccurred())
-	near, err := crpeer.Listen(context.Background(), crpeer.Options{
-		Addr: "127.0.0.1:0", Identity: identity(t, dir, "near"), Registry: reg, Handler: &inbox{},
-		Idle: 500 * time.Millisecond,
-	})
-	g.Expect(err).NotTo(gomega.HaveOccurred())
-	t.Cleanup(func() { _ = near.Close() })
+	near, _ := listenIdle(t, 500*time.Millisecond, identity(t, dir, "near"))
 	addrs := make(map[crid.Daemon]string)
 	for _, name := range names[1:] {
 		far, _ := listen(t, identity(t, dir, name))
--- a/io/crpeer/peer_test.go
+++ b/io/crpeer/peer_test.go
@@ -101,12 +101,18 @@
 }
 
 func listen(t *testing.T, id *crpeer.Identity, msgs ...crevent.Message) (*crpeer.Transport, *inbox) {
+	t.Helper()
+	return listenIdle(t, 0, id, msgs...)
+}
+
+// listenIdle listens with a bound of its own on unused sessions.
+func listenIdle(t *testing.T, idle time.Duration, id *crpeer.Identity, msgs ...crevent.Message) (*crpeer.Transport, *inbox) {
 	t.Helper()
 	g := gomega.NewWithT(t)
 	reg, err := crwire.NewRegistry(msgs)
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	box := &inbox{}
-	tr, err := crpeer.Listen(context.Background(), crpeer.Options{Addr: "127.0.0.1:0", Identity: id, Registry: reg, Handler: box})
+	tr, err := crpeer.Listen(context.Background(), crpeer.Options{Addr: "127.0.0.1:0", Identity: id, Registry: reg, Handler: box, Idle: idle})
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	t.Cleanup(func() { _ = tr.Close() })
 	return tr, box
