Ask the owner first that has most tokens left

Cause: entries took owners in turn, so that one share was drained while another was full and minted in vain; with an owner lost, or one entry alone, the account's burst was the smaller for it.

Change: a granted item says what is left at the owner; an entry asks the fullest first, by the last answer and the rate since.

--- a/core/craccount/entry.go
+++ b/core/craccount/entry.go
@@ -1,6 +1,7 @@
 package craccount
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -29,6 +30,8 @@
 type source struct {
 	owner      crid.Daemon
 	askedAt    crid.Instant
+	left       int // tokens that the owner had left when it answered
+	leftAt     crid.Instant
 	want       int // asked for and not answered; zero: none
 	shortUntil crid.Instant
 }
@@ -246,8 +249,9 @@
 func (s *State) askOwners(a *account, free []int, need int, keep bool) {
 	asked := min(len(free), (need+askChunk-1)/askChunk)
 	part, rest := need/asked, need%asked
+	order := s.fullestFirst(a, free)
 	for k := range asked {
-		share := free[(a.rotate+k)%len(free)]
+		share := order[k]
 		want := part
 		if k < rest {
 			want++
@@ -264,6 +268,26 @@
 	ask.Items = append(ask.Items, AskItem{Account: a.name, Share: share, Want: want, Keep: keep})
 }
 
+// fullestFirst orders the free owners by the tokens that they may have now. In
+// turn, one share would be drained while another is full and mints in vain, and
+// what is left would be the less when an owner is lost.
+func (s *State) fullestFirst(a *account, free []int) []int {
+	rate := s.limits(a.name).Rate / float64(len(a.sources))
+	order := make([]int, 0, len(free))
+	for k := range free {
+		order = append(order, free[(a.rotate+k)%len(free)])
+	}
+	slices.SortStableFunc(order, func(x, y int) int {
+		return cmp.Compare(a.sources[y].level(s.now, rate), a.sources[x].level(s.now, rate))
+	})
+	return order
+}
+
+// level is how many tokens an owner may have, by its last answer.
+func (src *source) level(now crid.Instant, rate float64) float64 {
+	return float64(src.left) + rate*now.Sub(src.leftAt).Seconds()
+}
+
 // noteDry lets requests be refused at once, since no owner has a token.
 func (s *State) noteDry(a *account, pending int) {
 	if a.held > 0 || pending > 0 || (a.cold == 0 && s.now.Sub(a.dryAt) < dryGap) {
--- a/core/craccount/grant.go
+++ b/core/craccount/grant.go
@@ -87,6 +87,7 @@
 	}
 	src := &a.sources[item.Share]
 	src.want = 0
+	src.left, src.leftAt = item.Left, s.now
 	if !item.Short {
 		return
 	}
--- a/core/craccount/message.go
+++ b/core/craccount/message.go
@@ -39,9 +39,9 @@
 	Share   int              `cbor:"s"`
 	Inc     crid.Incarnation `cbor:"i"` // of the granting daemon
 	Grant   uint64           `cbor:"g"`
-	Taken   int              `cbor:"t"`           // tokens spent
-	Back    int              `cbor:"b"`           // tokens given up unspent
-	Spent   []Spent          `cbor:"p,omitempty"` // ages of tokens that no report told of before
+	Taken   int              `cbor:"t"` // tokens spent
+	Back    int              `cbor:"b"` // tokens given up unspent
+	Spent   []Spent          `cbor:"p"` // ages of tokens that no report told of before
 }
 
 // Grant moves tokens to the daemon that asked.
@@ -66,10 +66,11 @@
 	Share   int          `cbor:"s"`
 	ID      uint64       `cbor:"g"` // unique in the granting incarnation
 	Tokens  int          `cbor:"n"`
-	Short   bool         `cbor:"h"`           // less than was asked for
-	After   int          `cbor:"f"`           // when short: milliseconds until the next token is minted
-	Rivals  bool         `cbor:"v,omitempty"` // when short: other daemons wait, too
-	Recall  bool         `cbor:"r"`           // others are short: give back what is not needed at once
+	Short   bool         `cbor:"h"` // less than was asked for
+	After   int          `cbor:"f"` // when short: milliseconds until the next token is minted
+	Left    int          `cbor:"l"` // tokens the owner has after this
+	Rivals  bool         `cbor:"v"` // when short: other daemons wait, too
+	Recall  bool         `cbor:"r"` // others are short: give back what is not needed at once
 }
 
 // Return reports on grants without asking for more.
