--- a/core/craccount/bench_test.go
+++ b/core/craccount/bench_test.go
@@ -49,7 +49,7 @@
 		for i := range accounts {
 			name := crid.Account(fmt.Sprintf("account%05d", i))
 			a := s.open(name)
-			a.sources = make([]source, s.params.Shares)
+			a.sources, a.sourcesOK = make([]source, s.params.Shares), true
 			for share := range s.params.Shares {
 				item := GrantItem{Account: name, Share: share, ID: uint64(i*s.params.Shares + share), Tokens: 1}
 				s.takeGrant("x", Grant{To: s.inc, Seq: 1, Items: []GrantItem{item}})
