--- a/core/craccount/spill.go
+++ b/core/craccount/spill.go
@@ -81,6 +81,7 @@
 // makes the token older. Over a time without tenure the clocks can not be
 // compared: nothing before its end counts.
 func (s *State) reading(age int) time.Duration {
+	age = min(age, int(s.params.Lifetime.Milliseconds())) // no grant is older
 	passed := time.Duration(float64(age) * (1 - s.params.Drift) * float64(time.Millisecond))
 	if s.params.flaws.creditEarly {
 		passed = s.params.Lifetime
