Let nobody take a reserved address

Cause: sockets that share addresses, as Go's do, may bind beside one another until one listens. Change: the address is shared while it is bound and when it is listened on, as closing connections of a former daemon need, but not between. Measured: the test of reservations asks for the second to fail, and did not get it before.

--- a/io/crentry/reserve.go
+++ b/io/crentry/reserve.go
@@ -1,6 +1,7 @@
 package crentry
 
 import (
+	"errors"
 	"fmt"
 	"net"
 	"os"
@@ -9,7 +10,7 @@
 
 // Reservation is an address for callers that is taken but not listened on:
 // connections to it are refused by the system, so that callers try another
-// address at once.
+// address at once, and no other process can take it.
 type Reservation struct {
 	file *os.File
 	addr string
@@ -19,8 +20,7 @@
 // fewer.
 const backlog = 4096
 
-// Reserve takes a TCP address. It fails where somebody listens on
-// it; of two reservations the second fails to listen.
+// Reserve takes a TCP address. It fails where the address is in use.
 func Reserve(addr string) (*Reservation, error) {
 	a, err := net.ResolveTCPAddr("tcp", addr)
 	if err != nil {
@@ -51,8 +51,7 @@
 }
 
 func bind(fd, family int, to syscall.Sockaddr) error {
-	// Without it a daemon that was just stopped keeps its successor out.
-	if err := syscall.SetsockoptInt(fd, syscall.SOL_SOCKET, syscall.SO_REUSEADDR, 1); err != nil {
+	if err := share(fd, 1); err != nil {
 		return err
 	}
 	if family == syscall.AF_INET6 {
@@ -60,7 +59,18 @@
 			return err
 		}
 	}
-	return syscall.Bind(fd, to)
+	if err := syscall.Bind(fd, to); err != nil {
+		return err
+	}
+	return share(fd, 0)
+}
+
+// share lets the address be bound beside other sockets that let it, and do not
+// listen. Without it a daemon that was just stopped keeps its successor out by its
+// closing connections; with it while the address is only reserved, another process
+// can take it.
+func share(fd, on int) error {
+	return syscall.SetsockoptInt(fd, syscall.SOL_SOCKET, syscall.SO_REUSEADDR, on)
 }
 
 // Listen begins to take connections; the reservation is over.
@@ -71,7 +81,7 @@
 		return nil, fmt.Errorf("listen for callers on %s: %w", r.addr, err)
 	}
 	var listenErr error
-	err = raw.Control(func(fd uintptr) { listenErr = syscall.Listen(int(fd), backlog) })
+	err = raw.Control(func(fd uintptr) { listenErr = errors.Join(share(int(fd), 1), syscall.Listen(int(fd), backlog)) })
 	if err == nil {
 		err = listenErr
 	}
--- a/io/crentry/reserve_test.go
+++ b/io/crentry/reserve_test.go
@@ -28,11 +28,11 @@
 		at, err := crentry.Reserve(host + ":" + port)
 		g.Expect(err).NotTo(gomega.HaveOccurred())
 		g.Expect(dial()).To(gomega.MatchError(gomega.ContainSubstring("refused")))
+		_, err = crentry.Reserve(host + ":" + port)
+		g.Expect(err).To(gomega.MatchError(gomega.ContainSubstring("in use")))
 		ln, err := at.Listen()
 		g.Expect(err).NotTo(gomega.HaveOccurred())
 		g.Expect(dial()).To(gomega.Succeed())
-		_, err = crentry.Reserve(host + ":" + port)
-		g.Expect(err).To(gomega.MatchError(gomega.ContainSubstring("in use")))
 		g.Expect(ln.Close()).To(gomega.Succeed())
 	}
 }
