Hold once requests off a target that only sheds

Cause: an upstream that drains by itself turns holds away with 503. A once request that was turned away by its target is not tried elsewhere, so its caller is refused. Each entry learnt it by three strikes of its own, and again after each pause, at some caller's cost. Weighed: quicker strikes (an overload gives them too), the health page (it lags, and a policy may name none), sending such a request on (503 is no proof that it did not run), and holding off at the exit, which sees the answers to all entries (chosen). Change: after two shed answers with none other between them, the exit refuses once forwards as not run for 1 to 8 s; entries take another target, and avoid this one as if it had shed. Repeat requests go on, and any other answer ends it. While the shed answers are one account's, only that account is held off: an upstream may turn away one firm for reasons of its own, and others must not lose the target by it. Measured: TestHoldsAreKeptFromATargetThatOnlySheds fails before (the third hold reaches the target). Race tests of crslot, crroute and crforward pass.

--- a/io/crentry/serve.go
+++ b/io/crentry/serve.go
@@ -209,6 +209,10 @@
 			// those whose every attempt met the same daemon would be refused.
 			target.Load().Unready(now)
 			s.observe(target, OutcomeShed, took)
+		case crhop.FaultShed:
+			// As with an answer of the target itself that sheds.
+			target.Load().Shed(now)
+			s.observe(target, OutcomeShed, took)
 		default:
 			s.observe(target, OutcomeShed, took)
 		}
--- a/io/crexit/run.go
+++ b/io/crexit/run.go
@@ -13,6 +13,7 @@
 
 	"camphorroad/core/crforward"
 	"camphorroad/core/crid"
+	"camphorroad/core/crpolicy"
 	"camphorroad/core/crslot"
 	"camphorroad/io/crhop"
 )
@@ -37,6 +38,11 @@
 		return refusal("target draining", true, refusedRetry)
 	}
 	now := x.opts.Clock()
+	if left := t.holdoff.Left(f.Account, now); left > 0 && f.Class != crpolicy.ClassRepeat {
+		ex := refusal("target sheds", true, max(refusedRetry, left))
+		ex.Answer.Fault = crhop.FaultShed
+		return ex
+	}
 	deadline := now.Add(f.Left)
 	if err := ledger.Offer(f.ID, f.Class, now, deadline); err != nil {
 		return refused(err)
@@ -147,9 +153,7 @@
 		r.dropConn()
 		return ex
 	}
-	if shed(resp) {
-		r.target.queue.Load().Shed()
-	}
+	r.noteShed(resp)
 	r.observe(0, resp.StatusCode)
 	return &crhop.Exchange{
 		Answer: crhop.Answer{
@@ -193,6 +197,18 @@
 	}
 }
 
+// noteShed takes an answer as word on whether its target takes work.
+func (r *run) noteShed(resp *http.Response) {
+	if shed(resp) {
+		r.target.queue.Load().Shed()
+	}
+	if isShed(resp.StatusCode) {
+		r.target.holdoff.Shed(r.forward.Account, r.exit.opts.Clock())
+		return
+	}
+	r.target.holdoff.Answered()
+}
+
 // shed reports whether the upstream asks for less load.
 func shed(resp *http.Response) bool {
 	return isShed(resp.StatusCode) && resp.Header.Get("Retry-After") != ""
--- a/io/crhop/crhop.go
+++ b/io/crhop/crhop.go
@@ -83,6 +83,7 @@
 	FaultConnect                  // the upstream took no connection; nothing ran
 	FaultBody                     // the request's own body broke off; no evidence against the target
 	FaultUnready                  // the exit has no policy for the target yet; nothing ran
+	FaultShed                     // the target only sheds, and the exit holds work off it; nothing ran
 )
 
 // Answer is the head of what the exit answers.
