Count a window's answers without merging it, and judge in the tick's benchmark

Looking for stalls added sums of whole windows, and the benchmark of the tick had ceased to show them: evidence is compared only where some is new, which the benchmark never brought. It now marks all as new.

--- a/core/crhealth/measure_test.go
+++ b/core/crhealth/measure_test.go
@@ -137,6 +137,16 @@
 	})
 }
 
+func BenchmarkBegin(b *testing.B) {
+	r := NewRecorder()
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			r.Begin("booking-7", "survey-firm", 1).End()
+		}
+	})
+}
+
 // BenchmarkArbiterTick is a tick of the arbiter of 26 targets with 26 entries.
 func BenchmarkArbiterTick(b *testing.B) {
 	w := newWorld(DefaultParams(), 1, 26, 26, 10)
@@ -146,6 +156,9 @@
 	b.ReportAllocs()
 	for b.Loop() {
 		n.state.now = now.Add(DefaultParams().JudgeEvery)
+		for _, r := range n.state.dockets[booking].records {
+			r.fresh = true
+		}
 		n.state.judge(booking, n.state.dockets[booking])
 	}
 }
--- a/core/crhealth/recorder_test.go
+++ b/core/crhealth/recorder_test.go
@@ -22,6 +22,7 @@
 				r.Record("t1", ResultOK, time.Duration(i)*time.Millisecond, "a")
 				r.Record("t1", ResultWrong, 0, "b")
 				r.Record("t1", ResultShed, 0, "b")
+				r.Begin("t1", "b", 0).End()
 			}
 		})
 	}
@@ -52,6 +53,7 @@
 	g.Expect(sum.total()).To(gomega.Equal(tally{n: 40_000, bad: 20_000, wrong: 20_000}))
 	g.Expect(broken).To(gomega.BeFalse(), "a drain saw a bad attempt without its attempt")
 	g.Expect(r.cells).To(gomega.HaveLen(1))
+	g.Expect(r.cells["t1"].waiting.open).To(gomega.BeEmpty())
 }
 
 // BenchmarkDigestSize reports the bytes on the wire of one target in a digest.
--- a/core/crhealth/sample.go
+++ b/core/crhealth/sample.go
@@ -1,6 +1,7 @@
 package crhealth
 
 import (
+	"iter"
 	"math"
 	"time"
 
@@ -183,13 +184,33 @@
 
 // sum merges the slices of the last span.
 func (w *window) sum(now crid.Instant, span time.Duration) *counts {
+	merged := &counts{}
+	for c := range w.last(now, span) {
+		merged.merge(c)
+	}
+	return merged
+}
+
+// answers counts the answers of the last span.
+func (w *window) answers(now crid.Instant, span time.Duration) uint32 {
+	var n uint32
+	for c := range w.last(now, span) {
+		for _, k := range c.latency {
+			n += k
+		}
+	}
+	return n
+}
+
+// last ranges over the slices of the last span.
+func (w *window) last(now crid.Instant, span time.Duration) iter.Seq[*counts] {
 	newest := int64(now) / int64(sliceLength)
 	oldest := newest - int64(span/sliceLength)
-	merged := &counts{}
-	for i := range w.slices {
-		if w.index[i] > oldest && w.index[i] <= newest {
-			merged.merge(&w.slices[i])
+	return func(yield func(*counts) bool) {
+		for i := range w.slices {
+			if w.index[i] > oldest && w.index[i] <= newest && !yield(&w.slices[i]) {
+				return
+			}
 		}
 	}
-	return merged
 }
--- a/core/crhealth/stall.go
+++ b/core/crhealth/stall.go
@@ -66,8 +66,7 @@
 
 // answersOf counts the answers in a span.
 func (v *survey) answersOf(target crid.Target, span time.Duration) uint32 {
-	n, _ := v.docket.records[target].window.sum(v.state.now, span).median()
-	return n
+	return v.docket.records[target].window.answers(v.state.now, span)
 }
 
 // unanswered counts the attempts that are overdue now and those that ended badly
