--- a/core/crhealth/stall.go
+++ b/core/crhealth/stall.go
@@ -18,7 +18,7 @@
 	usualShare = 0.99
 	// exitSilent is for how long a daemon that sends digests may send none
 	// before a stall counts as its own, not as its target's.
-	exitSilent = 750 * time.Millisecond
+	exitSilent = 500 * time.Millisecond
 )
 
 // judgeStall finds a target stalled that answers nothing at all while its peers
--- a/io/crlog/catalogue_health.go
+++ b/io/crlog/catalogue_health.go
@@ -6,7 +6,7 @@
 	return []Entry{
 		{
 			crhealth.EventEjected, LevelWarn, "target ejected",
-			"the arbiter found a target wrong, failing or slow beside its peers; `detail` gives cause and hold-off",
+			"the arbiter found a target wrong, failing, slow or stalled beside its peers; `detail` gives cause and hold-off",
 			"no new work goes to the target", "nothing at once; look at the target",
 		},
 		{
