--- a/core/crhealth/recorder_test.go
+++ b/core/crhealth/recorder_test.go
@@ -22,6 +22,7 @@
 				r.Record("t1", ResultOK, time.Duration(i)*time.Millisecond, "a")
 				r.Record("t1", ResultWrong, 0, "b")
 				r.Record("t1", ResultShed, 0, "b")
+				r.Begin("t1", "b", 0).End()
 			}
 		})
 	}
@@ -53,6 +54,7 @@
 	g.Expect(broken).To(gomega.BeFalse(), "a drain saw a bad attempt without its attempt")
 	r.Record("t1", ResultOK, 0, "a") // a cell without a record for long is dropped
 	g.Expect(r.cells).To(gomega.HaveLen(1))
+	g.Expect(r.cells["t1"].waiting.open).To(gomega.BeEmpty())
 }
 
 // A target gets no requests for a minute, and its counters are dropped just as
--- a/core/crhealth/stall.go
+++ b/core/crhealth/stall.go
@@ -18,7 +18,7 @@
 	usualShare = 0.99
 	// exitSilent is for how long a daemon that sends digests may send none
 	// before a stall counts as its own, not as its target's.
-	exitSilent = 750 * time.Millisecond
+	exitSilent = 500 * time.Millisecond
 )
 
 // judgeStall finds a target stalled that answers nothing at all while its peers
@@ -66,8 +66,7 @@
 
 // answersOf counts the answers in a span.
 func (v *survey) answersOf(target crid.Target, span time.Duration) uint32 {
-	n, _ := v.docket.records[target].window.sum(v.state.now, span).median()
-	return n
+	return v.docket.records[target].window.answers(v.state.now, span)
 }
 
 // unanswered counts the attempts that are overdue now and those that ended badly
