Ask of a kept connection only what can be told of it

Cause: TestAnIdleConnectionClosedCostsNothing failed now and then (7 and 8 of 60 runs, two at a time, and once in 4 beside other suites): a 504, unknown, where 200 was wanted. Its upstream closes after each answer without saying so, and on a busy machine the next request goes out between the answer and the closing. The exit had counted a write of it (else it would have said "not run"), so that it may have been read: unknown is the true word, and the test asked for more than anybody can know. Ruled out by a trial: looking at the socket (peek) before a kept connection is used: two at a time, 60 runs each, 1 and 1 failed of 240 with and without it; the request goes out before there is anything to see. A new connection for each once request: a millisecond for each. Change: the test waits until the upstream has closed, then asks for 200 fifty times as before; and fifty more that race with the closing must be answered or told as unknown, never refused as not run, and never run twice.

--- a/io/crentry/upstream_test.go
+++ b/io/crentry/upstream_test.go
@@ -206,14 +206,28 @@
 }
 
 // An upstream closes its idle connections. A request that was about to use one
-// has not left, and must be served, not refused or called unknown.
+// has not left, and must be served, not refused or called unknown. One that goes
+// out just as the upstream closes may have been read for all that anybody can
+// tell: that one is unknown, and is not sent again.
 func TestAnIdleConnectionClosedCostsNothing(t *testing.T) {
 	up := newScript(t, says("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nfine", false))
 	p := newPath(t, up.addr())
 	for range 50 {
 		p.Expect(p.send("POST", "/once", "body").status).To(gomega.Equal(200))
+		<-up.closed
 	}
 	p.Expect(up.runs.Load()).To(gomega.BeEquivalentTo(50))
+	const racing = 50
+	answered := 0
+	for range racing {
+		got := p.send("POST", "/once", "body")
+		if got.status == http.StatusOK {
+			answered++
+			continue
+		}
+		p.Expect(got.header.Get(crentry.HeaderOutcome)).To(gomega.Equal("unknown"), "%+v", got)
+	}
+	p.Expect(up.runs.Load()).To(gomega.And(gomega.BeNumerically(">=", 50+answered), gomega.BeNumerically("<=", 50+racing)))
 }
 
 // A caller hangs up while its request runs. The upstream must learn of it soon,
