Tell a caller that closed its half of the connection the truth, not an empty 200

Cause: net/http ends a request's context when a read of the connection fails, which it does when a caller has sent its request and closes its own half, as some plain clients do. The entry took that caller for gone and wrote nothing, and net/http sent an empty "200 OK" in its name, without an outcome: a hold or a filing that may not have run looked done. The same in a short race for a body that breaks off, since the context ends a moment before the read returns: TestABodyShorterThanItsLengthIsRefused once got 200 for 400 on a busy machine. Ruled out: aborting the connection, which gives no word to those who read on; going on with the request, which would keep the upstream running for callers that are gone. Change: the entry always writes the final answer, and waits for the failed read before it asks whether the body broke off.

--- a/io/crentry/body.go
+++ b/io/crentry/body.go
@@ -92,6 +92,17 @@
 	return !b.spilled
 }
 
+// settle waits until a read that is under way has said what became of it. It is
+// for requests whose context has ended: net/http ends that a moment before a read
+// that failed returns, and who asks for the fault in between finds none.
+func (b *body) settle() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for b.reading {
+		b.moved.Wait()
+	}
+}
+
 // fault is why the caller did not bring the whole body, or nil.
 func (b *body) fault() error {
 	b.mu.Lock()
--- a/io/crentry/caller_test.go
+++ b/io/crentry/caller_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"io"
+	"net"
 	"net/http"
 	"runtime"
 	"strings"
@@ -118,6 +119,27 @@
 	p.Eventually(p.exit.InFlight).Should(gomega.BeZero())
 }
 
+// A caller has sent its request, closes its own half of the connection, as some
+// plain clients do, and reads on. The daemon takes it for gone and gives the
+// request up; if it then just left, the caller would read an empty "200 OK".
+func TestAHalfClosedCallerIsNotToldOK(t *testing.T) {
+	up := newScript(t, func(_ *script, conn net.Conn, _ *http.Request) bool {
+		_, _ = conn.Read(make([]byte, 1)) // until the exit closes
+		return false
+	})
+	p := newPath(t, up.addr())
+	for _, head := range []string{"GET / HTTP/1.1\r\n", "POST /once HTTP/1.1\r\nContent-Length: 0\r\n"} {
+		conn := p.dial(head + auth + "\r\n")
+		p.Eventually(up.runs.Load).Should(gomega.BeNumerically(">", 0))
+		p.Expect(conn.(interface{ CloseWrite() error }).CloseWrite()).To(gomega.Succeed())
+		got := readAnswer(conn)
+		p.Expect(got.err).NotTo(gomega.HaveOccurred(), head)
+		p.Expect(got.status).To(gomega.Equal(http.StatusGatewayTimeout), head)
+		p.Expect(got.header.Get(crentry.HeaderOutcome)).To(gomega.Equal("unknown"), head)
+		up.runs.Store(0)
+	}
+}
+
 // A refused upload that still goes on would keep its caller waiting if the
 // daemon read it to the end first.
 func TestARefusalDoesNotWaitForTheUpload(t *testing.T) {
--- a/io/crentry/serve.go
+++ b/io/crentry/serve.go
@@ -43,19 +43,21 @@
 	e.pass(w, r, s, ex)
 }
 
-// refuse gives the final answer of a request without an answer to pass on. A
-// body that broke off also ends the request's context, though its caller may
-// still be reading.
+// refuse gives the final answer of a request without an answer to pass on. It
+// always writes one: a caller that closed its half of the connection, or whose
+// body broke off, ends the request's context too and may still be reading; from a
+// handler that wrote nothing it would get an empty 200.
 func (s *serving) refuse(w http.ResponseWriter, r *http.Request) {
+	if r.Context().Err() != nil {
+		s.body.settle()
+	}
 	if err := s.body.fault(); err != nil {
 		refused := bodyRefusal(err)
 		refused.outcome = s.tracker.Outcome()
 		s.entry.refuse(w, s.body, refused)
 		return
 	}
-	if r.Context().Err() == nil {
-		s.entry.refuse(w, s.body, s.giveUp())
-	}
+	s.entry.refuse(w, s.body, s.giveUp())
 }
 
 func (s *serving) expired() bool { return !s.entry.opts.Clock().Before(s.deadline) }
