Refuse names that overwrite the authority's development certificate

Cause: cert dev wrote NAME.pem for any name.

Change: names are checked as policies' names are, "ca" is refused, with exit code 2 and nothing written.

--- a/command/cert/cert.go
+++ b/command/cert/cert.go
@@ -15,6 +15,7 @@
 	"math/big"
 	"os"
 	"path/filepath"
+	"regexp"
 	"time"
 
 	"camphorroad/command/factory"
@@ -53,6 +54,9 @@
 
 // Run writes the files.
 func (o *DevOptions) Run(f *factory.Factory) error {
+	if err := o.checkNames(); err != nil {
+		return err
+	}
 	if err := os.MkdirAll(o.Out, modeDir); err != nil {
 		return fmt.Errorf("certificates: %w", err)
 	}
@@ -71,6 +75,19 @@
 	return nil
 }
 
+// checkNames refuses what would overwrite the authority's files, after which no
+// daemon trusts another, or leave the directory.
+func (o *DevOptions) checkNames() error {
+	valid := regexp.MustCompile(`^[a-z0-9][a-z0-9._-]{0,62}$`)
+	for _, name := range o.Names {
+		if name == caName || !valid.MatchString(name) {
+			return fmt.Errorf("%w: %q can not name a daemon; use lower-case letters, digits, dots, dashes and "+
+				"underscores, 63 at most, and not %q, which is the authority's", factory.ErrUsage, name, caName)
+		}
+	}
+	return nil
+}
+
 type authority struct {
 	cert *x509.Certificate
 	key  *ecdsa.PrivateKey
