--- a/command/serve/serve.go
+++ b/command/serve/serve.go
@@ -10,6 +10,8 @@
 
 	"camphorroad/command/factory"
 	"camphorroad/io/crdaemon"
+	"camphorroad/io/crentry"
+	"camphorroad/io/crpeer"
 	"camphorroad/io/crsettings"
 )
 
@@ -39,6 +41,9 @@
 		return err
 	}
 	if o.Check {
+		if err := checkCertificates(o.Config, cfg.TLS); err != nil {
+			return err
+		}
 		_, err = fmt.Fprintf(f.Out, "%s: ok\n", o.Config)
 		return err
 	}
@@ -47,3 +52,19 @@
 	defer signal.Stop(reload)
 	return crdaemon.Run(ctx, cfg, f.ErrOut, reload)
 }
+
+// checkCertificates reads what the daemon would read at its start: settings that
+// name a missing file, or a key of another certificate, else pass the check and
+// the restarted daemon does not come back.
+func checkCertificates(file string, t crsettings.TLS) error {
+	if _, err := crpeer.LoadIdentity(t.Cert, t.Key, t.CA); err != nil {
+		return fmt.Errorf("%s: tls.cert, tls.key and tls.ca: %w; name readable PEM files that belong together", file, err)
+	}
+	if t.CallerCert == "" {
+		return nil
+	}
+	if _, err := crentry.LoadCertificate(t.CallerCert, t.CallerKey); err != nil {
+		return fmt.Errorf("%s: tls.callercert and tls.callerkey: %w; name readable PEM files that belong together", file, err)
+	}
+	return nil
+}
--- /dev/null
+++ b/command/serve/serve_test.go
@@ -0,0 +1,50 @@
+package serve_test
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"camphorroad/command/cert"
+	"camphorroad/command/factory"
+	"camphorroad/command/serve"
+)
+
+const settings = `name = "a"
+domain = "north"
+[listen]
+http = "127.0.0.1:21001"
+peer = "127.0.0.1:21002"
+admin = "127.0.0.1:21003"
+[platform]
+url = "http://127.0.0.1:21004"
+[tls]
+cert = "DIR/CERT.pem"
+key = "DIR/a.key"
+ca = "DIR/ca.pem"
+`
+
+// An operator checks settings that name another daemon's certificate, or a file
+// that is not there. Told that all is right, they restart the daemon, and it
+// does not come back.
+func TestCheckReadsTheCertificates(t *testing.T) {
+	for name, want := range map[string]string{"a": "", "b": "tls.cert", "missing": "tls.cert"} {
+		dir := t.TempDir()
+		var out bytes.Buffer
+		f := &factory.Factory{Out: &out, ErrOut: &out}
+		if err := cert.NewDev(dir, "a", "b").Run(f); err != nil {
+			t.Fatal(err)
+		}
+		file := filepath.Join(dir, "daemon.toml")
+		text := strings.NewReplacer("DIR", dir, "CERT", name).Replace(settings)
+		if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		err := (&serve.Options{Config: file, Check: true}).Run(t.Context(), f)
+		if (err == nil) != (want == "") || (err != nil && !strings.Contains(err.Error(), want)) {
+			t.Errorf("%s: got %v", name, err)
+		}
+	}
+}
