Name the command's own help after a wrong command line

Change: the hint names the command that the arguments reached. The test failed for a command and a noun before, and passes now: go test ./command/factory.

--- a/command/factory/parse.go
+++ b/command/factory/parse.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"os"
 	"os/signal"
@@ -33,11 +34,27 @@
 	}
 	parsed, err := parser.Parse(args)
 	if err != nil {
-		return Exit(f, fmt.Errorf("%w: %w (see %s --help)", ErrUsage, err, p.Name))
+		return Exit(f, fmt.Errorf("%w: %w (see %s --help)", ErrUsage, err, p.reached(err)))
 	}
 	return Exit(f, parsed.Run())
 }
 
+// reached is the command that the arguments named before they went wrong; its
+// help lists the flags that the program's own help leaves out.
+func (p Program) reached(err error) string {
+	var parse *kong.ParseError
+	if !errors.As(err, &parse) || parse.Context == nil {
+		return p.Name
+	}
+	name := p.Name
+	for _, step := range parse.Context.Path {
+		if step.Command != nil {
+			name += " " + step.Command.Name
+		}
+	}
+	return name
+}
+
 // RunProcess runs the command line with the process's own streams; SIGINT and
 // SIGTERM end the context.
 func (p Program) RunProcess(args []string) int {
