--- a/command/serve/serve.go
+++ b/command/serve/serve.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"fmt"
 	"os"
 	"os/signal"
@@ -41,7 +42,7 @@
 		return err
 	}
 	if o.Check {
-		if err := checkCertificates(o.Config, cfg.TLS); err != nil {
+		if err := checkCertificates(o.Config, cfg); err != nil {
 			return err
 		}
 		_, err = fmt.Fprintf(f.Out, "%s: ok\n", o.Config)
@@ -56,10 +57,14 @@
 // checkCertificates reads what the daemon would read at its start: settings that
 // name a missing file, or a key of another certificate, else pass the check and
 // the restarted daemon does not come back.
-func checkCertificates(file string, t crsettings.TLS) error {
+func checkCertificates(file string, cfg crsettings.Settings) error {
+	t := cfg.TLS
 	if _, err := crpeer.LoadIdentity(t.Cert, t.Key, t.CA); err != nil {
 		return fmt.Errorf("%s: tls.cert, tls.key and tls.ca: %w; name readable PEM files that belong together", file, err)
 	}
+	if err := checkName(file, cfg); err != nil {
+		return err
+	}
 	if t.CallerCert == "" {
 		return nil
 	}
@@ -68,3 +73,16 @@
 	}
 	return nil
 }
+
+// checkName refuses another daemon's certificate: with it the daemon starts, but
+// peers that call it refuse the session, since they expect its own name.
+func checkName(file string, cfg crsettings.Settings) error {
+	pair, err := tls.LoadX509KeyPair(cfg.TLS.Cert, cfg.TLS.Key)
+	if err != nil {
+		return fmt.Errorf("%s: tls.cert: %w", file, err)
+	}
+	if err := pair.Leaf.VerifyHostname(cfg.Name); err != nil {
+		return fmt.Errorf("%s: tls.cert is not for %q: %w; name this daemon's own certificate", file, cfg.Name, err)
+	}
+	return nil
+}
--- a/command/serve/serve_test.go
+++ b/command/serve/serve_test.go
@@ -22,15 +22,18 @@
 url = "http://127.0.0.1:21004"
 [tls]
 cert = "DIR/CERT.pem"
-key = "DIR/a.key"
+key = "DIR/KEY.key"
 ca = "DIR/ca.pem"
 `
 
 // An operator checks settings that name another daemon's certificate, or a file
 // that is not there. Told that all is right, they restart the daemon, and it
-// does not come back.
+// does not come back, or no peer talks to it.
 func TestCheckReadsTheCertificates(t *testing.T) {
-	for name, want := range map[string]string{"a": "", "b": "tls.cert", "missing": "tls.cert"} {
+	for name, want := range map[string]string{
+		"a a": "", "b a": "tls.cert", "missing a": "tls.cert", "b b": `tls.cert is not for "a"`,
+	} {
+		certFile, keyFile, _ := strings.Cut(name, " ")
 		dir := t.TempDir()
 		var out bytes.Buffer
 		f := &factory.Factory{Out: &out, ErrOut: &out}
@@ -38,7 +41,7 @@
 			t.Fatal(err)
 		}
 		file := filepath.Join(dir, "daemon.toml")
-		text := strings.NewReplacer("DIR", dir, "CERT", name).Replace(settings)
+		text := strings.NewReplacer("DIR", dir, "CERT", certFile, "KEY", keyFile).Replace(settings)
 		if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 			t.Fatal(err)
 		}
