--- a/command/serve/serve.go
+++ b/command/serve/serve.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"fmt"
 	"os"
 	"os/signal"
@@ -10,6 +11,8 @@
 
 	"camphorroad/command/factory"
 	"camphorroad/io/crdaemon"
+	"camphorroad/io/crentry"
+	"camphorroad/io/crpeer"
 	"camphorroad/io/crsettings"
 )
 
@@ -39,6 +42,9 @@
 		return err
 	}
 	if o.Check {
+		if err := checkCertificates(o.Config, cfg); err != nil {
+			return err
+		}
 		_, err = fmt.Fprintf(f.Out, "%s: ok\n", o.Config)
 		return err
 	}
@@ -47,3 +53,36 @@
 	defer signal.Stop(reload)
 	return crdaemon.Run(ctx, cfg, f.ErrOut, reload)
 }
+
+// checkCertificates reads what the daemon would read at its start: settings that
+// name a missing file, or a key of another certificate, else pass the check and
+// the restarted daemon does not come back.
+func checkCertificates(file string, cfg crsettings.Settings) error {
+	t := cfg.TLS
+	if _, err := crpeer.LoadIdentity(t.Cert, t.Key, t.CA); err != nil {
+		return fmt.Errorf("%s: tls.cert, tls.key and tls.ca: %w; name readable PEM files that belong together", file, err)
+	}
+	if err := checkName(file, cfg); err != nil {
+		return err
+	}
+	if t.CallerCert == "" {
+		return nil
+	}
+	if _, err := crentry.LoadCertificate(t.CallerCert, t.CallerKey); err != nil {
+		return fmt.Errorf("%s: tls.callercert and tls.callerkey: %w; name readable PEM files that belong together", file, err)
+	}
+	return nil
+}
+
+// checkName refuses another daemon's certificate: with it the daemon starts, but
+// peers that call it refuse the session, since they expect its own name.
+func checkName(file string, cfg crsettings.Settings) error {
+	pair, err := tls.LoadX509KeyPair(cfg.TLS.Cert, cfg.TLS.Key)
+	if err != nil {
+		return fmt.Errorf("%s: tls.cert: %w", file, err)
+	}
+	if err := pair.Leaf.VerifyHostname(cfg.Name); err != nil {
+		return fmt.Errorf("%s: tls.cert is not for %q: %w; name this daemon's own certificate", file, cfg.Name, err)
+	}
+	return nil
+}
