--- a/lab/crplatform/platform_test.go
+++ b/lab/crplatform/platform_test.go
@@ -2,11 +2,15 @@
 
 import (
 	"errors"
+	"fmt"
+	"net/http/httptest"
 	"os"
 	"path/filepath"
 	"testing"
 
+	"camphorroad/core/crid"
 	"camphorroad/core/crinstance"
+	ioplatform "camphorroad/io/crplatform"
 	"camphorroad/lab/crplatform"
 )
 
@@ -36,3 +40,29 @@
 		t.Errorf("got %+v, %v, %v", got, ok, err)
 	}
 }
+
+// A page above the limit of a platform's answer is refused by every daemon, and a
+// fleet of the planned size then never learns of a new list.
+func TestLongListIsReadWhole(t *testing.T) {
+	list := make([]crinstance.Instance, 5500)
+	for i := range list {
+		list[i] = crinstance.Instance{Daemon: crid.Daemon(fmt.Sprintf("instance-%05d", i)), Domain: "north", Addr: "127.0.0.1:7001"}
+		for n := range 9 {
+			name := crid.Target(fmt.Sprintf("target-of-instance-%05d-%d", i, n))
+			list[i].Targets = append(list[i].Targets, crinstance.Target{Name: name, Service: "booking"})
+		}
+	}
+	p := crplatform.New(0)
+	p.SetInstances(list)
+	server := httptest.NewServer(p.Handler())
+	defer server.Close()
+	client, err := ioplatform.NewClient(server.URL)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer client.Close()
+	got, err := client.Instances(t.Context())
+	if err != nil || len(got.Instances()) != len(list) {
+		t.Errorf("got %d instances, %v", len(got.Instances()), err)
+	}
+}
