--- a/command/serve/serve_test.go
+++ b/command/serve/serve_test.go
@@ -14,16 +14,9 @@
 
 const settings = `name = "a"
 domain = "north"
-[listen]
-http = "127.0.0.1:21001"
-peer = "127.0.0.1:21002"
-admin = "127.0.0.1:21003"
-[platform]
-url = "http://127.0.0.1:21004"
-[tls]
-cert = "DIR/CERT.pem"
-key = "DIR/KEY.key"
-ca = "DIR/ca.pem"
+listen = {http = "127.0.0.1:21001", peer = "127.0.0.1:21002", admin = "127.0.0.1:21003"}
+platform.url = "http://127.0.0.1:21004"
+tls = {cert = "DIR/CERT.pem", key = "DIR/KEY.key", ca = "DIR/ca.pem"}
 `
 
 // An operator checks settings that name another daemon's certificate, or a file
