Run the long tests of sick targets beside one another

Cause: the tests of stalls took the race tests of core/crhealth to 186 s on a quiet machine, one after the other on one processor. Change: the six longest tests, and the cases of two of them, run in parallel; each has a world of its own in virtual time.

--- a/core/crhealth/chaos_test.go
+++ b/core/crhealth/chaos_test.go
@@ -68,6 +68,7 @@
 // direction, hold old lists, and the arbiter moves. If two arbiters' ejections
 // added up, a service would run below its floor and callers would be refused.
 func TestFloorHoldsThroughAnything(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(rt *rapid.T) {
 		w := chaosWorld(chaosParams(), uint64(rapid.IntRange(1, 1<<20).Draw(rt, "seed")))
 		pick := func(n int) int { return rapid.IntRange(0, n-1).Draw(rt, "pick") }
--- a/core/crhealth/fault_test.go
+++ b/core/crhealth/fault_test.go
@@ -65,6 +65,7 @@
 // A target gets sick, is ejected, looks well, comes back and gets sick again.
 // With a fixed hold-off callers would hit it every few seconds for hours.
 func TestFlappingTargetIsHeldOffLongerEachTime(t *testing.T) {
+	t.Parallel()
 	g := gomega.NewWithT(t)
 	w := newWorld(DefaultParams(), 7, 5, 6, 4)
 	w.perStep = 4
@@ -121,6 +122,7 @@
 // An account's poison reaches one target only, as when its requests are bound
 // to it. All other accounts are served well there and would lose it.
 func TestPoisonOnOneTargetDoesNotEjectIt(t *testing.T) {
+	t.Parallel()
 	poisoned := func(now time.Duration, account crid.Account, rng *rand.Rand) (Result, time.Duration) {
 		if account == "a3" {
 			return ResultFailed, 0
--- a/core/crhealth/measure_test.go
+++ b/core/crhealth/measure_test.go
@@ -106,6 +106,7 @@
 // TestMeasure prints detection time (until no entry sends work to a sick target)
 // and false ejections, for the chosen way and the baselines in the same runs.
 func TestMeasure(t *testing.T) {
+	t.Parallel()
 	g := gomega.NewWithT(t)
 	fmt.Println("service\tcase\tpolicy\tfound\tmedian\tmost\tfalse ejections")
 	for _, s := range shapes {
--- a/core/crhealth/stall_test.go
+++ b/core/crhealth/stall_test.go
@@ -148,8 +148,10 @@
 // and that little was outweighed by the good answers of the seconds before:
 // callers of every daemon went on meeting it for ten seconds.
 func TestStallIsFoundThoughEachDaemonAvoidsIt(t *testing.T) {
+	t.Parallel()
 	for _, s := range stallShapes {
 		t.Run(s.name, func(t *testing.T) {
+			t.Parallel()
 			for seed := range uint64(3) {
 				g := gomega.NewWithT(t)
 				w := s.world(seed)
@@ -179,6 +181,7 @@
 // or one daemon is frozen before a target that is well. Taking targets out for
 // it would leave less capacity for the same work.
 func TestLongWaitsAreNotAlwaysAStall(t *testing.T) {
+	t.Parallel()
 	everywhere := func(w *world, act behaviour) {
 		for _, target := range w.targets {
 			w.acts[target] = act
@@ -203,6 +206,7 @@
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			for _, s := range stallShapes {
 				for seed := range uint64(1) {
 					w := s.world(seed)
