Steer only services that may have changed when peers are told

Cause: a process with the planned list spent 0.6 to 0.7 of a core, 59 % of it (perf) in crhealth's steering: each word on peers walked through all targets of all services. What a word on peers can change is a verdict's part that the floor allows, and the cold start of targets whose daemon was restarted. Ruled out: telling peers less often, which membership already does for sampled ones. Change: a word on peers looks at the services that have verdicts or targets below full weight, as each tick does; a restarted daemon's services join them. The process was not measured again.

--- a/core/crhealth/bench_test.go
+++ b/core/crhealth/bench_test.go
@@ -8,7 +8,10 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"camphorroad/core/crevent"
 	"camphorroad/core/crid"
+	"camphorroad/core/crinstance"
+	"camphorroad/core/crmember"
 )
 
 // BenchmarkBytesPerTarget measures what a target in use takes at an entry (its
@@ -56,3 +59,27 @@
 	runtime.ReadMemStats(&m)
 	return float64(m.HeapAlloc)
 }
+
+// BenchmarkPeers tells what it costs a daemon of a large fleet to hear who is
+// reachable, which it does several times a second.
+func BenchmarkPeers(b *testing.B) {
+	const daemons, each, services = 5_500, 9, 1_800
+	s := New(DefaultParams())
+	s.Step(crevent.Started{Self: "d00000", Incarnation: 1})
+	instances := make([]crinstance.Instance, daemons)
+	peers := make([]crmember.Peer, daemons)
+	for i := range daemons {
+		name := crid.Daemon(fmt.Sprintf("d%05d", i))
+		instances[i] = crinstance.Instance{Daemon: name, Domain: "north", Addr: "127.0.0.1:1"}
+		for j := range each {
+			service := crid.Service(fmt.Sprintf("s%04d", (i*each+j)%services))
+			target := crid.Target(fmt.Sprintf("t%05d-%d", i, j))
+			instances[i].Targets = append(instances[i].Targets, crinstance.Target{Name: target, Service: service})
+		}
+		peers[i] = crmember.Peer{Daemon: name, Incarnation: 1, Reachable: true}
+	}
+	s.Step(crinstance.Listed{List: crinstance.NewList(1, instances)})
+	for b.Loop() {
+		s.Step(crmember.Peers{Peers: peers})
+	}
+}
--- a/core/crhealth/crhealth.go
+++ b/core/crhealth/crhealth.go
@@ -178,6 +178,7 @@
 		if restarted[p.daemon] {
 			p.cold = true
 			p.coldSince = s.now
+			s.hot[p.service] = true
 		}
 	}
 }
--- a/core/crhealth/entry.go
+++ b/core/crhealth/entry.go
@@ -210,11 +210,12 @@
 }
 
 // steerAfter tells the traffic side what an event has changed. Weights rise and
-// verdicts end with time, so each tick looks at the services that have any; the
-// others, nearly all in a large fleet, cost nothing then.
+// verdicts end with time, and who is reachable bounds a verdict, so each tick and
+// each word on peers looks at the services that have any; the others, nearly all
+// in a large fleet, cost nothing then.
 func (s *State) steerAfter(ev crevent.Event) {
 	switch ev := ev.(type) {
-	case crevent.Tick:
+	case crevent.Tick, crmember.Peers:
 		for _, service := range sortedServices(s.hot) {
 			s.steer(service)
 		}
@@ -222,7 +223,7 @@
 		if v, ok := ev.Msg.(Verdict); ok && s.entries[v.Service] != nil {
 			s.steer(v.Service)
 		}
-	case crinstance.Listed, crmember.Peers, crconfig.InForce, crevent.Stopping:
+	case crinstance.Listed, crconfig.InForce, crevent.Stopping:
 		for _, service := range sortedServices(s.targets) {
 			s.steer(service)
 		}
