Tell operators of a list of instances that can not be used

Cause: a platform that gave the planned list in one answer of more than a megabyte was refused by every daemon, and no log said so at info: the platform answers, so it is not away, and new instances just never get work. Ruled out: telling at each read, which comes again every few seconds.

--- a/core/crconfig/list.go
+++ b/core/crconfig/list.go
@@ -21,11 +21,13 @@
 	tries     int
 	notBefore crid.Instant
 	selfAt    crid.Instant
+	told      bool // that the platform's list can not be used
 }
 
 func (l *listFetch) learn(have, r crid.Revision) {
 	if r > have && r > l.want {
 		l.want = r
+		l.told = false
 	}
 }
 
@@ -178,8 +180,21 @@
 	s.setList(now, crinstance.NewList(l.rev, slices.Clone(l.got)))
 }
 
+// listUnread tells once for each list that the platform answers, but not with a
+// list that can be used: it serves an older one, or too much at once. The platform
+// does not look away then, and nothing else would tell of instances that are
+// missing here.
+func (s *State) listUnread(fault Fault) {
+	if fault == FaultAway || s.listing.told {
+		return
+	}
+	s.listing.told = true
+	s.report(NumberListUnread, "want", rev(s.listing.want), "held", rev(s.list.Revision()))
+}
+
 func (s *State) listRead(now crid.Instant, ev ListRead) {
 	if ev.Fault != FaultNone {
+		s.listUnread(ev.Fault)
 		if s.listing.busy && s.listing.peer == "" {
 			s.listFailed(now)
 		}
--- a/core/crconfig/list_test.go
+++ b/core/crconfig/list_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"camphorroad/core/crconfig"
+	"camphorroad/core/crevent"
 	"camphorroad/core/crid"
 	"camphorroad/core/crinstance"
 )
@@ -71,3 +72,24 @@
 		t.Errorf("has %d at %d", got.Len(), got.Revision())
 	}
 }
+
+// The platform serves a list of the planned size in one answer, above what a
+// daemon takes. It does not look away; new instances just never get work, and
+// nobody knew why.
+func TestAListThatCanNotBeUsedIsToldOnce(t *testing.T) {
+	p := newPuller("a")
+	p.hear("a", crconfig.Have{List: 7})
+	for i, want := range []struct {
+		fault crconfig.Fault
+		told  bool
+	}{{crconfig.FaultAway, false}, {crconfig.FaultMissing, true}, {crconfig.FaultMissing, false}} {
+		told := false
+		for _, e := range p.Step(crconfig.ListRead{Now: p.now, Fault: want.fault}) {
+			report, ok := e.(crevent.Report)
+			told = told || ok && report.Number == crconfig.NumberListUnread
+		}
+		if told != want.told {
+			t.Errorf("read %d: told %v, want %v", i, told, want.told)
+		}
+	}
+}
