Show the bytes of control messages once

Cause: two gauges of the same bytes stood on the metrics page under two names, set up in two places; the lab read the one that no page of the operators names. Change: the documented names stay, the lab reads them. Ruled out: keeping both for old readers, of which there is none.

--- a/io/crdaemon/crdaemon.go
+++ b/io/crdaemon/crdaemon.go
@@ -187,7 +187,7 @@
 }
 
 func newPeers(
-	lc fx.Lifecycle, cfg crsettings.Settings, id *crpeer.Identity, reg *crwire.Registry, s *shell, gauges metrics.Registry,
+	lc fx.Lifecycle, cfg crsettings.Settings, id *crpeer.Identity, reg *crwire.Registry, s *shell,
 ) (*crpeer.Transport, error) {
 	t, err := crpeer.Listen(context.Background(), crpeer.Options{Addr: cfg.Listen.Peer, Identity: id, Registry: reg, Handler: s})
 	if err != nil {
@@ -195,21 +195,7 @@
 	}
 	s.peers = t
 	lc.Append(fx.StopHook(t.Close))
-	return t, gaugeTraffic(gauges, t)
-}
-
-// gaugeTraffic shows the control messages' bytes, without those of the transport.
-func gaugeTraffic(gauges metrics.Registry, t *crpeer.Transport) error {
-	return errors.Join(
-		gauges.Register("control.sent.bytes", metrics.NewFunctionalGauge(func() int64 {
-			sent, _ := t.Traffic()
-			return sent
-		})),
-		gauges.Register("control.received.bytes", metrics.NewFunctionalGauge(func() int64 {
-			_, received := t.Traffic()
-			return received
-		})),
-	)
+	return t, nil
 }
 
 func newEntry(cfg crsettings.Settings, s *shell, peers *crpeer.Transport) *crentry.Entry {
--- a/lab/crfleet/cost.go
+++ b/lab/crfleet/cost.go
@@ -41,8 +41,8 @@
 	fields := strings.Fields(string(stat[bytes.LastIndexByte(stat, ')')+1:]))
 	c.CPU = (number(fields[11]) + number(fields[12])) / clockTicks
 	c.Memory = 1024 * number(strings.Fields(valueOf(status, "VmRSS:"))[0])
-	c.Sent = number(valueOf(metrics, "camphorroad_control_sent_bytes "))
-	c.Received = number(valueOf(metrics, "camphorroad_control_received_bytes "))
+	c.Sent = number(valueOf(metrics, "camphorroad_control_sent_bytes_total "))
+	c.Received = number(valueOf(metrics, "camphorroad_control_received_bytes_total "))
 	c.Allocs = number(valueOf(metrics, "camphorroad_process_allocations_total "))
 	return c, nil
 }
