Cut the platform stand-in's pages by their bytes

Cause: the whole check at failed TestReadWhatWasPublished: the stand-in's pages had become four times as small, 500 instances, so that a list of the planned size fits an answer, and a list then took 9 calls where the test, and the daemons' share of the platform's rate, reckon with 3. Ruled out: the test's count changed to 9, which would let the daemons ask for more than they spend of their share. Change: a page ends at 2,000 instances or at 900 KB, whichever comes first; the daemons reckon with 1,300 instances a call, which is that many with nine targets each. Measured: TestReadWhatWasPublished and TestLongListIsReadWhole pass; race tests of crconfig, both crplatform and crtrace pass.

--- a/core/crconfig/params.go
+++ b/core/crconfig/params.go
@@ -73,5 +73,6 @@
 // pages is the number of platform calls that a list of the whole fleet takes.
 func (p Params) pages() float64 { return float64(1 + p.Fleet/pageInstances) }
 
-// pageInstances is the number of instances that the platform tells in a call.
-const pageInstances = 2000
+// pageInstances is the number of instances that the platform tells in a call of
+// less than a megabyte, with some nine targets each.
+const pageInstances = 1300
--- a/lab/crplatform/handler.go
+++ b/lab/crplatform/handler.go
@@ -15,7 +15,8 @@
 const (
 	maxWait   = time.Minute
 	poll      = 20 * time.Millisecond // at which a waiting watch looks for a lagging list
-	pageSize  = 500                   // instances a page, some 9 targets each, to stay below the limit
+	pageSize  = 2000                  // instances a page
+	pageBytes = 900_000               // of their JSON, to stay below the limit of an answer
 	maxUpload = 256 << 20             // bytes of a published bundle
 )
 
@@ -115,12 +116,19 @@
 	s, _ := p.visible()
 	after := crid.Daemon(r.FormValue("after"))
 	page := crplatform.Page{Rev: s.head.List}
+	bytes := 0
 	for _, in := range s.instances {
 		if in.Daemon <= after {
 			continue
 		}
-		if len(page.Instances) == pageSize {
-			page.Next = page.Instances[pageSize-1].Daemon
+		text, err := json.Marshal(in)
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusInternalServerError)
+			return
+		}
+		bytes += len(text)
+		if n := len(page.Instances); n == pageSize || (n > 0 && bytes > pageBytes) {
+			page.Next = page.Instances[n-1].Daemon
 			break
 		}
 		page.Instances = append(page.Instances, in)
