--- a/command/command.go
+++ b/command/command.go
@@ -12,6 +12,7 @@
 	"camphorroad/command/cert"
 	"camphorroad/command/events"
 	"camphorroad/command/factory"
+	"camphorroad/command/join"
 	"camphorroad/command/key"
 	"camphorroad/command/policy"
 	"camphorroad/command/serve"
@@ -21,6 +22,7 @@
 
 type tree struct {
 	Serve   serve.Options   `cmd:"" help:"Run the daemon."`
+	Join    join.Options    `cmd:"" help:"Run the daemon on the users' platform."`
 	Policy  policy.Options  `cmd:"" help:"Check and build what is published."`
 	Key     key.Options     `cmd:"" help:"Make and hash client keys."`
 	Cert    cert.Commands   `cmd:"" help:"Make certificates for development."`
--- /dev/null
+++ b/core/crjudge/crjudge.go
@@ -0,0 +1,96 @@
+// Package crjudge judges whether a target is sick, from all the answers that it
+// gives.
+//
+// A target is taken for a machine with two states, well and sick, that changes
+// between them at random. Each answer moves the probability of sickness by
+// Bayes' rule, and time without answers moves it back to what is usual. So one
+// failure of a target that has done well is already strong evidence where many
+// targets turn sick, and old evidence loses its weight by itself.
+//
+// # Usage
+//
+//	j := crjudge.New(now)
+//	j.Note(now, crjudge.Failure)
+//	if j.Sick(now) >= crjudge.Limit { ... }
+package crjudge
+
+import (
+	"math"
+	"time"
+
+	"camphorroad/core/crid"
+)
+
+const (
+	// Limit is the probability of sickness from which on a target gets no
+	// request that may run only once. A failure of a target that did well leads
+	// above it, and three successes in a row after one failure lead below.
+	Limit = 0.35
+
+	// usual is the share of targets that are sick at an ordinary moment. The
+	// users see up to a third; half of that keeps the first guess of a fresh
+	// target usable.
+	usual = 0.12
+	// turnover is the time in which a state is forgotten: gray failures of the
+	// users last five to nine seconds.
+	turnover = 8 * time.Second
+	// failsSick and failsWell are the shares of failing requests. Gray targets
+	// fail between 0.4 and 0.85 of them, sound ones 0.012.
+	failsSick = 0.7
+	failsWell = 0.015
+	// least keeps the probability from growing so small that a burst of
+	// failures would have to wear down a long good record.
+	least = 0.004
+	most  = 0.985
+)
+
+// Sign is one answer as evidence.
+type Sign uint8
+
+// The signs.
+const (
+	// Success is a whole answer that is no failure.
+	Success Sign = iota + 1
+	// Failure is an answer that tells of a fault of the target's own.
+	Failure
+	// Slow is a request that runs far longer than the target's others. It is
+	// weaker than a failure: a few requests are long by nature.
+	Slow
+)
+
+// odds is how much likelier a sick target gives the sign than a well one.
+func (s Sign) odds() float64 {
+	switch s {
+	case Success:
+		return (1 - failsSick) / (1 - failsWell)
+	case Failure:
+		return failsSick / failsWell
+	case Slow:
+		return 8
+	}
+	return 1
+}
+
+// Judge follows one target. It is not safe for concurrent use.
+type Judge struct {
+	sick float64
+	at   crid.Instant
+}
+
+// New returns a judge that knows nothing of its target yet.
+func New(now crid.Instant) *Judge { return &Judge{sick: usual, at: now} }
+
+// Sick returns the probability that the target is sick now.
+func (j *Judge) Sick(now crid.Instant) float64 {
+	age := max(now.Sub(j.at), 0)
+	keep := math.Exp(-age.Seconds() / turnover.Seconds())
+	return usual + (j.sick-usual)*keep
+}
+
+// Note takes an answer into account.
+func (j *Judge) Note(now crid.Instant, s Sign) {
+	p := j.Sick(now)
+	odds := p / (1 - p) * s.odds()
+	j.sick = min(max(odds/(1+odds), least), most)
+	j.at = max(j.at, now)
+}
--- /dev/null
+++ b/core/crplace/crplace.go
@@ -0,0 +1,294 @@
+// Package crplace chooses the target that a request is offered to.
+//
+// A [Board] holds what this daemon knows of each target: the load and the
+// judgement that its exit told last, corrected by what was sent from here since,
+// and whether its exit can be reached from here. The choice is made anew after
+// each refused offer.
+//
+// # Usage
+//
+//	board.Tell(now, target, told)
+//	choice, ok := board.Choose(now, candidates, crplace.Ask{Class: route.Class, Tried: tried, Float: rand.Float64})
+//	board.Begin(choice.Target); defer board.End(choice.Target)
+package crplace
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"camphorroad/core/crid"
+	"camphorroad/core/crjudge"
+	"camphorroad/core/crpolicy"
+)
+
+const (
+	// roomy is the part of a target's slots up to which it is as good as idle.
+	// Above it, what others send at the same moment would make requests wait.
+	roomy = 0.85
+	// draws is the number of targets compared: two or more keep the load even
+	// although all daemons see the same board, and fewer than all keep them from
+	// choosing the same target at once.
+	draws = 3
+	// speedWeight is what one more usual time of the service counts, in slots'
+	// share. A target five times as slow loses against a full one.
+	speedWeight = 0.6
+	// trialShare is the part of the idempotent requests that may try a target
+	// held to be sick, at most; the exits pace the trials of each.
+	trialShare = 0.25
+	// trialEvery is the least time between two trials of one target from here.
+	trialEvery = 700 * time.Millisecond
+	// avoidFirst and avoidMost bound the time for which a target is avoided
+	// whose exit did not answer an offer. It doubles with each silence. A cut
+	// of one path lasts some seconds, and each try costs its caller the
+	// timeout of an offer.
+	avoidFirst = 600 * time.Millisecond
+	avoidMost  = 2400 * time.Millisecond
+)
+
+// Candidate is a target of the service asked for.
+type Candidate struct {
+	Target crid.Target
+	Daemon crid.Daemon // that stands beside it
+	Domain crid.Domain
+	Slots  int
+}
+
+// Told is what an exit tells of its target.
+type Told struct {
+	Load    int // requests running and waiting
+	Slots   int
+	Sick    float64
+	Typical time.Duration // zero: not known
+	Closed  bool          // takes nothing now
+}
+
+// Ask is what a choice depends on besides the board.
+type Ask struct {
+	Class  crpolicy.Class
+	Domain crid.Domain            // of the entry
+	Tried  []crid.Target          // that refused this request already
+	Wait   bool                   // the request may wait for a slot
+	Float  func() float64         // in [0,1); safe for the caller's goroutine
+	Silent func(crid.Daemon) bool // whether nothing was heard of a daemon lately
+}
+
+// Choice is the target chosen.
+type Choice struct {
+	Candidate
+	Trial bool // the target is held to be sick, and the request is to find out
+	Last  bool // no better target is left: the exit should take it although sick
+}
+
+type state struct {
+	told    Told
+	heard   bool
+	load    int
+	silence time.Duration
+	avoid   crid.Instant
+	trial   crid.Instant
+}
+
+// Board is what one daemon knows of all targets. It is safe for concurrent use.
+type Board struct {
+	mu     sync.Mutex
+	states map[crid.Target]*state
+}
+
+// NewBoard returns a board that knows nothing.
+func NewBoard() *Board { return &Board{states: make(map[crid.Target]*state)} }
+
+// Tell notes what an exit told of its target.
+func (b *Board) Tell(t crid.Target, told Told) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.state(t)
+	s.told, s.heard, s.load = told, true, told.Load
+}
+
+// Begin counts a request sent from here since the exit told its load.
+func (b *Board) Begin(t crid.Target) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.state(t).load++
+}
+
+// End counts a request that ended.
+func (b *Board) End(t crid.Target) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.state(t)
+	s.load = max(s.load-1, 0)
+}
+
+// Answered forgets former silences of a target's exit.
+func (b *Board) Answered(t crid.Target) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.state(t)
+	s.silence, s.avoid = 0, 0
+}
+
+// Silent notes that a target's exit did not answer, and avoids it for a while.
+func (b *Board) Silent(now crid.Instant, t crid.Target) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.state(t)
+	s.silence = min(max(2*s.silence, avoidFirst), avoidMost)
+	s.avoid = now.Add(s.silence)
+}
+
+// Keep forgets all targets but the given ones.
+func (b *Board) Keep(targets map[crid.Target]bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for t := range b.states {
+		if !targets[t] {
+			delete(b.states, t)
+		}
+	}
+}
+
+func (b *Board) state(t crid.Target) *state {
+	s := b.states[t]
+	if s == nil {
+		s = &state{}
+		b.states[t] = s
+	}
+	return s
+}
+
+// view is a candidate with what is known of it.
+type view struct {
+	Candidate
+	state   *state
+	use     float64 // share of the slots taken
+	sick    float64
+	avoided bool
+	score   float64
+}
+
+// Choose picks the target to offer a request to, or reports that none is left.
+func (b *Board) Choose(now crid.Instant, all []Candidate, ask Ask) (Choice, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	views := b.views(now, all, ask)
+	if len(views) == 0 {
+		return Choice{}, false
+	}
+	if v, ok := trial(now, views, ask); ok {
+		v.state.trial = now
+		return Choice{Candidate: v.Candidate, Trial: true}, true
+	}
+	well := filter(views, func(v view) bool { return v.sick < crjudge.Limit && !v.avoided })
+	near := filter(well, func(v view) bool { return v.Domain == ask.Domain && v.use < roomy })
+	if len(near) > 0 {
+		return Choice{Candidate: best(near, ask).Candidate}, true
+	}
+	free := filter(well, func(v view) bool { return v.use < 1 })
+	if len(free) > 0 {
+		return Choice{Candidate: best(free, ask).Candidate}, true
+	}
+	if len(well) > 0 {
+		return Choice{Candidate: best(well, ask).Candidate}, true
+	}
+	return lastResort(views), true
+}
+
+func (b *Board) views(now crid.Instant, all []Candidate, ask Ask) []view {
+	out := make([]view, 0, len(all))
+	usual := b.usual(all)
+	for _, c := range all {
+		if slices.Contains(ask.Tried, c.Target) {
+			continue
+		}
+		s := b.state(c.Target)
+		if s.heard && s.told.Closed {
+			continue
+		}
+		v := view{Candidate: c, state: s, sick: s.told.Sick}
+		slots := c.Slots
+		if s.heard && s.told.Slots > 0 {
+			slots = s.told.Slots
+		}
+		v.use = float64(s.load) / float64(max(slots, 1))
+		v.avoided = now.Before(s.avoid) || (ask.Silent != nil && ask.Silent(c.Daemon))
+		v.score = v.use
+		if usual > 0 && s.told.Typical > 0 {
+			v.score += speedWeight * (float64(s.told.Typical)/float64(usual) - 1)
+		}
+		out = append(out, v)
+	}
+	return out
+}
+
+// usual is the median time of the targets' requests.
+func (b *Board) usual(all []Candidate) time.Duration {
+	times := make([]time.Duration, 0, len(all))
+	for _, c := range all {
+		if s := b.states[c.Target]; s != nil && s.told.Typical > 0 {
+			times = append(times, s.told.Typical)
+		}
+	}
+	if len(times) == 0 {
+		return 0
+	}
+	slices.Sort(times)
+	return times[len(times)/2]
+}
+
+// trial picks a target held to be sick for an idempotent request now and then:
+// only a request can tell that it has recovered, and one that can be sent again
+// loses nothing.
+func trial(now crid.Instant, views []view, ask Ask) (view, bool) {
+	if ask.Class != crpolicy.ClassRepeat || len(ask.Tried) > 0 || ask.Float() >= trialShare {
+		return view{}, false
+	}
+	sick := filter(views, func(v view) bool {
+		return v.sick >= crjudge.Limit && !v.avoided && v.use < roomy && now.Sub(v.state.trial) > trialEvery
+	})
+	if len(sick) == 0 || len(sick) == len(views) {
+		return view{}, false
+	}
+	return sick[int(ask.Float()*float64(len(sick)))], true
+}
+
+// best draws a few and takes the one with the lowest score.
+func best(views []view, ask Ask) view {
+	chosen := views[int(ask.Float()*float64(len(views)))]
+	for range draws - 1 {
+		v := views[int(ask.Float()*float64(len(views)))]
+		if v.score < chosen.score {
+			chosen = v
+		}
+	}
+	return chosen
+}
+
+func lastResort(views []view) Choice {
+	chosen := slices.MinFunc(views, func(a, b view) int {
+		switch {
+		case a.avoided != b.avoided:
+			if b.avoided {
+				return -1
+			}
+			return 1
+		case a.sick+a.use < b.sick+b.use:
+			return -1
+		case a.sick+a.use > b.sick+b.use:
+			return 1
+		}
+		return 0
+	})
+	return Choice{Candidate: chosen.Candidate, Last: true}
+}
+
+func filter(views []view, keep func(view) bool) []view {
+	out := make([]view, 0, len(views))
+	for _, v := range views {
+		if keep(v) {
+			out = append(out, v)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/core/crplan/crplan.go
@@ -0,0 +1,228 @@
+// Package crplan holds the routing plan: which request goes to which service,
+// for which client account, and within which limits.
+//
+// A [Plan] is immutable and checked as a whole when it is made, so that one that
+// is in force never has a route without a service or a key with two owners.
+//
+// # Usage
+//
+//	plan, err := crplan.New(version, routes, accounts, services, limits)
+//	route, ok := plan.Route(r.Host, r.URL.EscapedPath())
+//	account, ok := plan.Account(key)
+package crplan
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"camphorroad/core/crid"
+	"camphorroad/core/crpolicy"
+)
+
+// Share is a service's part of a route's requests.
+type Share struct {
+	Service crid.Service
+	Weight  float64 // relative to the route's other shares
+}
+
+// Route says how the requests under one prefix of a host are handled.
+type Route struct {
+	Name       crid.Route
+	Host       string
+	Prefix     string // begins and ends with a slash
+	Class      crpolicy.Class
+	Timeout    time.Duration // longest wait of a caller; zero: none but its own
+	Objective  time.Duration // time within which an answer is worth most
+	Priority   int           // 0 is the most urgent
+	MaxTargets int           // targets that one request may be sent to
+	Open       bool          // needs no key
+	Shares     []Share
+}
+
+// Pick returns the service for a point in [0,1), by the weights of the shares.
+func (r *Route) Pick(point float64) crid.Service {
+	total := 0.0
+	for _, s := range r.Shares {
+		total += s.Weight
+	}
+	at := point * total
+	for _, s := range r.Shares {
+		if at < s.Weight {
+			return s.Service
+		}
+		at -= s.Weight
+	}
+	return r.Shares[len(r.Shares)-1].Service
+}
+
+// Account is a client account and its limit over the whole fleet.
+type Account struct {
+	Name     crid.Account
+	Keys     []string
+	Ranked   bool    // Priority goes before the route's
+	Priority int     // 0 is the most urgent
+	Rate     float64 // requests a second; zero: no limit
+	Burst    float64 // requests above the rate
+}
+
+// Service is what a plan says of a service.
+type Service struct {
+	Name        crid.Service
+	HealthPath  string
+	Connections int // that one target accepts
+}
+
+// Limits bound what a caller may send.
+type Limits struct {
+	HeaderBytes   int
+	BodyBytes     int64
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
+}
+
+// Plan is one version of the configuration.
+type Plan struct {
+	version  uint64
+	hosts    map[string][]*Route // longest prefix first
+	keys     map[crpolicy.KeyHash]*Account
+	accounts map[crid.Account]*Account
+	services map[crid.Service]Service
+	limits   Limits
+}
+
+// New checks and indexes a plan. The error names the first thing that is wrong.
+func New(version uint64, routes []Route, accounts []Account, services []Service, limits Limits) (*Plan, error) {
+	p := &Plan{
+		version:  version,
+		hosts:    make(map[string][]*Route),
+		keys:     make(map[crpolicy.KeyHash]*Account),
+		accounts: make(map[crid.Account]*Account),
+		services: make(map[crid.Service]Service),
+		limits:   limits,
+	}
+	for _, s := range services {
+		p.services[s.Name] = s
+	}
+	for i := range routes {
+		if err := p.addRoute(&routes[i]); err != nil {
+			return nil, err
+		}
+	}
+	for i := range accounts {
+		if err := p.addAccount(&accounts[i]); err != nil {
+			return nil, err
+		}
+	}
+	for _, list := range p.hosts {
+		slices.SortStableFunc(list, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
+	}
+	return p, nil
+}
+
+func (p *Plan) addRoute(r *Route) error {
+	if err := p.checkRoute(r); err != nil {
+		return fmt.Errorf("route %q: %w", r.Name, err)
+	}
+	host := strings.ToLower(r.Host)
+	for _, other := range p.hosts[host] {
+		if other.Prefix == r.Prefix {
+			return fmt.Errorf("route %q: route %q has the same host and prefix", r.Name, other.Name)
+		}
+	}
+	p.hosts[host] = append(p.hosts[host], r)
+	return nil
+}
+
+func (p *Plan) checkRoute(r *Route) error {
+	switch {
+	case r.Host == "":
+		return fmt.Errorf("the host is missing")
+	case !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/"):
+		return fmt.Errorf("the prefix %q does not begin and end with a slash", r.Prefix)
+	case r.Class != crpolicy.ClassOnce && r.Class != crpolicy.ClassRepeat:
+		return fmt.Errorf("the class is missing")
+	case r.MaxTargets < 1:
+		return fmt.Errorf("the number of targets must be 1 or more, not %d", r.MaxTargets)
+	case r.Timeout < 0:
+		return fmt.Errorf("the timeout is negative")
+	case len(r.Shares) == 0:
+		return fmt.Errorf("no service is named")
+	}
+	return p.checkShares(r.Shares)
+}
+
+func (p *Plan) checkShares(shares []Share) error {
+	total := 0.0
+	for _, s := range shares {
+		if _, ok := p.services[s.Service]; !ok {
+			return fmt.Errorf("the service %q is unknown", s.Service)
+		}
+		if s.Weight < 0 {
+			return fmt.Errorf("the weight of %q is negative", s.Service)
+		}
+		total += s.Weight
+	}
+	if total <= 0 {
+		return fmt.Errorf("the weights add up to nothing")
+	}
+	return nil
+}
+
+func (p *Plan) addAccount(a *Account) error {
+	if a.Name == "" {
+		return fmt.Errorf("an account has no name")
+	}
+	if _, ok := p.accounts[a.Name]; ok {
+		return fmt.Errorf("the account %q stands twice", a.Name)
+	}
+	p.accounts[a.Name] = a
+	for _, key := range a.Keys {
+		hash := crpolicy.HashKey(key)
+		if other, ok := p.keys[hash]; ok {
+			return fmt.Errorf("the accounts %q and %q share a key", other.Name, a.Name)
+		}
+		p.keys[hash] = a
+	}
+	return nil
+}
+
+// Version is the operator's number of this plan; later plans have greater ones.
+func (p *Plan) Version() uint64 { return p.version }
+
+// Limits returns the bounds of what a caller may send.
+func (p *Plan) Limits() Limits { return p.limits }
+
+// Keyed reports whether callers have to present a key at all.
+func (p *Plan) Keyed() bool { return len(p.accounts) > 0 }
+
+// Service returns what the plan says of a service.
+func (p *Plan) Service(name crid.Service) (Service, bool) {
+	s, ok := p.services[name]
+	return s, ok
+}
+
+// Account returns the account that a key belongs to.
+func (p *Plan) Account(key string) (*Account, bool) {
+	a, ok := p.keys[crpolicy.HashKey(key)]
+	return a, ok
+}
+
+// AccountNamed returns the account of a name.
+func (p *Plan) AccountNamed(name crid.Account) (*Account, bool) {
+	a, ok := p.accounts[name]
+	return a, ok
+}
+
+// Route returns the route with the longest prefix that begins the path.
+func (p *Plan) Route(host, path string) (*Route, bool) {
+	name, _, _ := strings.Cut(host, ":")
+	for _, r := range p.hosts[strings.ToLower(name)] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r, true
+		}
+	}
+	return nil, false
+}
--- /dev/null
+++ b/core/crquota/crquota.go
@@ -0,0 +1,92 @@
+// Package crquota holds accounts to their rate over the whole fleet.
+//
+// Each account has one owner among the daemons alive, by rendezvous hashing, and
+// the owner keeps the account's bucket. The daemon that a request enters asks the
+// owner for a token. When the owner is silent the daemon uses a bucket of its
+// own, with the account's rate divided by the number of daemons, so that the sum
+// stays at the rate.
+//
+// # Usage
+//
+//	owner := crquota.Owner(account, daemons)
+//	ok, wait := meter.Take(now, account, rate, burst, 1)
+package crquota
+
+import (
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"camphorroad/core/crid"
+)
+
+// startLevel is the part of the burst that a bucket holds at first. A new owner
+// does not know what was taken from the former one: a full bucket would hand the
+// burst out twice, an empty one would refuse callers that are inside their rate.
+const startLevel = 0.5
+
+// forgetAfter is the time without requests after which a bucket is dropped. It
+// is then full as a rule, and a fresh one holds half.
+const forgetAfter = time.Minute
+
+// Owner returns the daemon that keeps the account's bucket: the one with the
+// greatest hash of both names. When a daemon goes, only its own accounts move.
+func Owner(a crid.Account, daemons []crid.Daemon) crid.Daemon {
+	var best crid.Daemon
+	var most uint64
+	for _, d := range daemons {
+		h := xxhash.Sum64String(string(a) + "\x00" + string(d))
+		if best == "" || h > most || (h == most && d < best) {
+			best, most = d, h
+		}
+	}
+	return best
+}
+
+type bucket struct {
+	tokens float64
+	at     crid.Instant
+}
+
+// Meter keeps the buckets of accounts. It is safe for concurrent use.
+type Meter struct {
+	mu      sync.Mutex
+	buckets map[crid.Account]*bucket
+	swept   crid.Instant
+}
+
+// NewMeter returns a meter without buckets.
+func NewMeter() *Meter { return &Meter{buckets: make(map[crid.Account]*bucket)} }
+
+// Take takes a token of the account, or tells how long it is until there is one.
+func (m *Meter) Take(now crid.Instant, a crid.Account, rate, burst float64) (ok bool, wait time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.sweep(now)
+	size := max(burst, 1)
+	b := m.buckets[a]
+	if b == nil {
+		b = &bucket{tokens: max(size*startLevel, 1), at: now}
+		m.buckets[a] = b
+	}
+	b.tokens = min(b.tokens+max(now.Sub(b.at).Seconds(), 0)*rate, size)
+	b.at = max(b.at, now)
+	if b.tokens >= 1 {
+		b.tokens--
+		return true, 0
+	}
+	return false, time.Duration((1 - b.tokens) / rate * float64(time.Second))
+}
+
+func (m *Meter) sweep(now crid.Instant) {
+	if now.Sub(m.swept) < forgetAfter {
+		return
+	}
+	m.swept = now
+	for a, b := range m.buckets {
+		if now.Sub(b.at) > forgetAfter {
+			delete(m.buckets, a)
+		}
+	}
+}
--- /dev/null
+++ b/io/crbeat/crbeat.go
@@ -0,0 +1,186 @@
+// Package crbeat carries the small messages between daemons, a datagram each:
+// beats, and questions for an account's tokens with their answers. A lost one is
+// made up for by the next beat, or by asking again.
+//
+// # Usage
+//
+//	c, err := crbeat.Listen(crbeat.Options{Address: "10.0.0.1:7660", Heard: heard, Grant: grant})
+//	go c.Run(ctx)
+//	c.Beat(peers, beat)
+//	ok, wait, err := c.Ask(ctx, owner, account)
+package crbeat
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"camphorroad/core/crid"
+	"camphorroad/core/crmesh"
+)
+
+const (
+	// askTimeout is how long an answer to a question may take: a round trip
+	// between domains of 3 ms, and some time for a busy processor.
+	askTimeout = 40 * time.Millisecond
+	// askTries is the number of times a question is sent.
+	askTries = 2
+	// maxDatagram bounds a message.
+	maxDatagram = 1400
+)
+
+// ErrSilent tells that a peer did not answer a question.
+var ErrSilent = errors.New("no answer")
+
+// message is what a datagram holds: one of its parts.
+type message struct {
+	Beat   *crmesh.Beat `cbor:"1,keyasint,omitempty"`
+	Ask    *ask         `cbor:"2,keyasint,omitempty"`
+	Answer *answer      `cbor:"3,keyasint,omitempty"`
+}
+
+type ask struct {
+	_       struct{} `cbor:",toarray"`
+	Number  uint64
+	Account crid.Account
+}
+
+type answer struct {
+	_      struct{} `cbor:",toarray"`
+	Number uint64
+	OK     bool
+	Wait   time.Duration
+}
+
+// Options are the settings of a channel.
+type Options struct {
+	Address string
+	Heard   func(from crid.Daemon, b crmesh.Beat)
+	Grant   func(a crid.Account) (ok bool, wait time.Duration)
+}
+
+// Channel sends and receives messages. It is safe for concurrent use.
+type Channel struct {
+	opts Options
+	conn *net.UDPConn
+	port uint16
+	mu   sync.Mutex
+	next uint64
+	open map[uint64]chan answer
+}
+
+// Listen opens a channel at an address; peers listen at the same port.
+func Listen(opts Options) (*Channel, error) {
+	addr, err := netip.ParseAddrPort(opts.Address)
+	if err != nil {
+		return nil, fmt.Errorf("listen for messages: %w", err)
+	}
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(addr))
+	if err != nil {
+		return nil, fmt.Errorf("listen for messages: %w", err)
+	}
+	return &Channel{opts: opts, conn: conn, port: addr.Port(), open: make(map[uint64]chan answer)}, nil
+}
+
+// Run receives messages until the context ends.
+func (c *Channel) Run(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, func() { _ = c.conn.Close() })
+	defer stop()
+	buf := make([]byte, maxDatagram)
+	for {
+		n, from, err := c.conn.ReadFromUDPAddrPort(buf)
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			continue // a peer's closed port shows here; it does not concern others
+		}
+		var m message
+		if cbor.Unmarshal(buf[:n], &m) == nil {
+			c.received(from, m)
+		}
+	}
+}
+
+func (c *Channel) received(from netip.AddrPort, m message) {
+	switch {
+	case m.Beat != nil:
+		c.opts.Heard(crid.Daemon(from.Addr().Unmap().String()), *m.Beat)
+	case m.Ask != nil:
+		ok, wait := c.opts.Grant(m.Ask.Account)
+		c.send(from, message{Answer: &answer{Number: m.Ask.Number, OK: ok, Wait: wait}})
+	case m.Answer != nil:
+		c.mu.Lock()
+		waiting := c.open[m.Answer.Number]
+		delete(c.open, m.Answer.Number)
+		c.mu.Unlock()
+		if waiting != nil {
+			waiting <- *m.Answer
+		}
+	}
+}
+
+// Beat sends a beat to peers.
+func (c *Channel) Beat(to []crid.Daemon, b crmesh.Beat) {
+	data, err := cbor.Marshal(message{Beat: &b})
+	if err != nil {
+		return
+	}
+	for _, d := range to {
+		if addr, err := netip.ParseAddr(string(d)); err == nil {
+			c.write(netip.AddrPortFrom(addr, c.port), data)
+		}
+	}
+}
+
+// Ask asks an account's owner for a token.
+func (c *Channel) Ask(ctx context.Context, owner crid.Daemon, a crid.Account) (ok bool, wait time.Duration, err error) {
+	addr, err := netip.ParseAddr(string(owner))
+	if err != nil {
+		return false, 0, err
+	}
+	waiting := make(chan answer, 1)
+	c.mu.Lock()
+	c.next++
+	number := c.next
+	c.open[number] = waiting
+	c.mu.Unlock()
+	defer c.forget(number)
+	for range askTries {
+		c.send(netip.AddrPortFrom(addr, c.port), message{Ask: &ask{Number: number, Account: a}})
+		timer := time.NewTimer(askTimeout)
+		select {
+		case got := <-waiting:
+			timer.Stop()
+			return got.OK, got.Wait, nil
+		case <-ctx.Done():
+			timer.Stop()
+			return false, 0, ctx.Err()
+		case <-timer.C:
+		}
+	}
+	return false, 0, ErrSilent
+}
+
+func (c *Channel) forget(number uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.open, number)
+}
+
+func (c *Channel) send(to netip.AddrPort, m message) {
+	if data, err := cbor.Marshal(m); err == nil {
+		c.write(to, data)
+	}
+}
+
+// write sends a datagram. An error means that it is lost, which any may be.
+func (c *Channel) write(to netip.AddrPort, data []byte) {
+	_, _ = c.conn.WriteToUDPAddrPort(data, to)
+}
--- /dev/null
+++ b/io/crdialect/crdialect.go
@@ -0,0 +1,52 @@
+// Package crdialect names what the daemon needs to say and to hear in the headers
+// of requests and answers, whatever the headers are called.
+//
+// A platform's adapter implements [Dialect]; entry and exit use it.
+//
+// # Usage
+//
+//	caller := dialect.Caller(r.Header)
+//	dialect.Address(header, crdialect.Facts{Wait: left, Target: target})
+//	if dialect.Answer(resp.StatusCode, resp.Header).NotRun { ... }
+package crdialect
+
+import (
+	"net/http"
+	"time"
+
+	"camphorroad/core/crid"
+)
+
+// Caller is what a caller says of its request.
+type Caller struct {
+	ID   string        // of this request; empty: none was sent
+	Wait time.Duration // for which the caller waits; zero: not told
+	Key  string        // empty: none was sent
+}
+
+// Facts are what a target is told of a request.
+type Facts struct {
+	Wait    time.Duration // for which an answer is of use
+	Target  crid.Target   // any other must refuse the request
+	Account crid.Account  // empty: none
+	From    crid.Service  // of the instance where the request came in
+}
+
+// Answer is what a target says of its answer.
+type Answer struct {
+	ID     string      // of the request that it answers
+	Sealed bool        // it is the target's own
+	NotRun bool        // the request was not run and never will be
+	Target crid.Target // that answered, where it says so
+}
+
+// Dialect reads and writes the headers of one platform.
+type Dialect interface {
+	// Caller reads what a caller said.
+	Caller(h http.Header) Caller
+	// Address writes what the target is told, and removes what a caller must
+	// not tell it, its key among that.
+	Address(h http.Header, f Facts)
+	// Answer reads what a target said.
+	Answer(status int, h http.Header) Answer
+}
--- /dev/null
+++ b/io/cregress/cregress.go
@@ -0,0 +1,315 @@
+// Package cregress is the exit: it runs requests on the target beside its daemon,
+// and is the only one that ever sends the target anything.
+//
+// Since it sees all answers of its target, it judges the target, and it can say
+// for certain what did not run.
+//
+// # Usage
+//
+//	exit := cregress.New(cregress.Options{Address: "10.0.0.1:8403", Dialect: dialect, Clock: crclock.Now})
+//	exit.Use(record, connections)
+//	reply := exit.Offer(now, offer)
+//	result := exit.Run(ctx, reply.Ticket, request)
+package cregress
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"camphorroad/core/crgate"
+	"camphorroad/core/crid"
+	"camphorroad/core/crjudge"
+	"camphorroad/core/crplace"
+	"camphorroad/core/crpolicy"
+	"camphorroad/core/crregistry"
+	"camphorroad/io/crdialect"
+	"camphorroad/io/crlink"
+	"camphorroad/io/crlog"
+	"camphorroad/io/croffer"
+)
+
+const (
+	// claimTime is how long a taken offer waits for its request: the entry
+	// sends it a round trip later.
+	claimTime = 400 * time.Millisecond
+	// trialEvery is the least time between two requests to a sick target that
+	// are to find out whether it has recovered.
+	trialEvery = 400 * time.Millisecond
+	// connectTimeout is the time to connect to the target on the same machine.
+	connectTimeout = 1000 * time.Millisecond
+	// connectionIdle is how long a connection to the target may lie unused and
+	// still carry a request. Targets close unused ones after seconds, at times
+	// without a word; what is sent then is lost.
+	connectionIdle = 1500 * time.Millisecond
+	// margin is kept of the time left, for the answer's way back.
+	margin = 12 * time.Millisecond
+	// worthwhile is the share of the usual time that must be left for a
+	// request to be started at all.
+	worthwhile = 0.8
+)
+
+// Options are the settings of an exit.
+type Options struct {
+	Service crid.Service
+	Address string // of the target
+	Dialect crdialect.Dialect
+	Clock   func() crid.Instant
+	Log     *crlog.Logger
+	Nudge   func() // tells that the target's state has changed
+}
+
+// Exit runs requests on one target. It is safe for concurrent use.
+type Exit struct {
+	opts     Options
+	gate     *crgate.Gate
+	pool     *crlink.Pool
+	target   atomic.Pointer[crregistry.Record]
+	stopping atomic.Bool
+	calls    calls
+
+	mu      sync.Mutex
+	judge   *crjudge.Judge
+	held    bool // to be sick, as last told to peers
+	trial   crid.Instant
+	next    uint64
+	tickets map[uint64]*claim
+}
+
+// claim is a taken offer.
+type claim struct {
+	offer  croffer.Offer
+	ticket *crgate.Ticket
+	at     crid.Instant
+	timer  *time.Timer
+}
+
+var _ croffer.Exit = (*Exit)(nil)
+
+// New returns an exit that takes nothing before Use.
+func New(opts Options) *Exit {
+	return &Exit{
+		opts: opts,
+		gate: crgate.New(1),
+		pool: crlink.NewPool(opts.Address, crlink.Options{
+			Connect: connectTimeout, Idle: connectionIdle, Keep: 64,
+		}),
+		judge:   crjudge.New(opts.Clock()),
+		tickets: make(map[uint64]*claim),
+	}
+}
+
+// Use takes the target's record; nil says that there is none.
+func (x *Exit) Use(r *crregistry.Record) {
+	now := x.opts.Clock()
+	old := x.target.Swap(r)
+	if r == nil || r.Leaving || x.stopping.Load() {
+		x.gate.Close()
+		if old != nil && !old.Leaving {
+			x.opts.Nudge()
+		}
+		return
+	}
+	if old == nil || old.Target != r.Target || old.Born != r.Born {
+		x.renew(now)
+	}
+	x.gate.Open()
+	x.gate.SetSlots(now, r.Slots)
+}
+
+// renew forgets what was known of a former target at this address.
+func (x *Exit) renew(now crid.Instant) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.judge = crjudge.New(now)
+	x.held = false
+}
+
+// Stop refuses all that has not been started yet.
+func (x *Exit) Stop() {
+	x.stopping.Store(true)
+	x.gate.Close()
+}
+
+// Idle reports whether nothing runs and nothing waits.
+func (x *Exit) Idle() bool { return x.gate.Idle() }
+
+// Tick refuses what has waited in vain.
+func (x *Exit) Tick() { x.gate.Sweep(x.opts.Clock()) }
+
+// Target returns the target's name, or none.
+func (x *Exit) Target() crid.Target {
+	if r := x.target.Load(); r != nil {
+		return r.Target
+	}
+	return ""
+}
+
+// Told returns what peers are told of the target.
+func (x *Exit) Told() crplace.Told {
+	x.mu.Lock()
+	sick := x.judge.Sick(x.opts.Clock())
+	x.mu.Unlock()
+	return x.told(sick)
+}
+
+func (x *Exit) told(sick float64) crplace.Told {
+	l := x.gate.Load()
+	r := x.target.Load()
+	return crplace.Told{
+		Load: l.Running + l.Waiting, Slots: l.Slots, Sick: sick, Typical: l.Typical,
+		Closed: r == nil || r.Leaving || x.stopping.Load(),
+	}
+}
+
+// Offer implements croffer.Exit.
+func (x *Exit) Offer(now crid.Instant, o croffer.Offer) croffer.Reply {
+	r := x.target.Load()
+	if r == nil || r.Target != o.Target || r.Service != o.Service {
+		return x.refuse("no such target here", 0)
+	}
+	if !x.fit(now, o) {
+		return x.refuse("sick", 0)
+	}
+	ticket, refusal := x.gate.Admit(now, crgate.Ask{Priority: o.Priority, Start: now.Add(x.patience(o))})
+	if refusal != nil {
+		return x.refuse(refusal.Reason().String(), refusal.RetryAfter())
+	}
+	return croffer.Reply{Taken: true, Ticket: x.claim(now, o, ticket), Told: x.Told()}
+}
+
+func (x *Exit) refuse(reason string, after time.Duration) croffer.Reply {
+	return croffer.Reply{Reason: reason, RetryAfter: after, Told: x.Told()}
+}
+
+// fit reports whether the target is well enough for an offer. A sick one gets
+// what may run again, now and then, and what has no other target left.
+func (x *Exit) fit(now crid.Instant, o croffer.Offer) bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.judge.Sick(now) < crjudge.Limit || o.Last {
+		return true
+	}
+	if o.Class != crpolicy.ClassRepeat || now.Sub(x.trial) < trialEvery {
+		return false
+	}
+	x.trial = now
+	return true
+}
+
+// patience is how long a request may wait for its slot. As long as it can still
+// meet its objective, it waits no longer than that allows; once that has passed,
+// as long as an answer is still of use.
+func (x *Exit) patience(o croffer.Offer) time.Duration {
+	need := time.Duration(worthwhile * float64(x.gate.Load().Typical))
+	if o.Objective > need {
+		return min(o.Objective, o.Left) - need
+	}
+	return max(o.Left-need-margin, 0)
+}
+
+func (x *Exit) claim(now crid.Instant, o croffer.Offer, t *crgate.Ticket) uint64 {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.next++
+	n := x.next
+	x.tickets[n] = &claim{offer: o, ticket: t, at: now, timer: time.AfterFunc(claimTime, func() { x.Release(n) })}
+	return n
+}
+
+func (x *Exit) take(ticket uint64) *claim {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	c := x.tickets[ticket]
+	if c == nil {
+		return nil
+	}
+	delete(x.tickets, ticket)
+	c.timer.Stop()
+	return c
+}
+
+// Release implements croffer.Exit.
+func (x *Exit) Release(ticket uint64) {
+	if c := x.take(ticket); c != nil {
+		x.gate.Cancel(x.opts.Clock(), c.ticket)
+	}
+}
+
+// Run implements croffer.Exit.
+func (x *Exit) Run(ctx context.Context, ticket uint64, r croffer.Request) croffer.Result {
+	c := x.take(ticket)
+	if c == nil {
+		return x.notSent("the offer has expired", 0)
+	}
+	select {
+	case <-c.ticket.Decided():
+	case <-ctx.Done():
+		x.gate.Cancel(x.opts.Clock(), c.ticket)
+		return x.notSent("the caller left", 0)
+	}
+	if refusal := c.ticket.Refusal(); refusal != nil {
+		return x.notSent(refusal.Reason().String(), refusal.RetryAfter())
+	}
+	target := x.target.Load()
+	if target == nil || target.Target != c.offer.Target {
+		x.gate.Cancel(x.opts.Clock(), c.ticket)
+		return x.notSent("the target has left", 0)
+	}
+	run := &run{exit: x, claim: c, request: r, target: *target}
+	return run.do(ctx)
+}
+
+func (x *Exit) notSent(reason string, after time.Duration) croffer.Result {
+	return croffer.Result{Outcome: croffer.NotSent, Reason: reason, RetryAfter: after, Told: x.Told()}
+}
+
+// note takes an answer as evidence, and tells peers when the verdict changes.
+func (x *Exit) note(now crid.Instant, s crjudge.Sign, id string) {
+	x.mu.Lock()
+	before := x.judge.Sick(now)
+	x.judge.Note(now, s)
+	after := x.judge.Sick(now)
+	changed := (after >= crjudge.Limit) != x.held
+	x.held = after >= crjudge.Limit
+	x.mu.Unlock()
+	if !changed {
+		return
+	}
+	x.opts.Log.Event(crlog.TargetJudged, crlog.Fields{
+		"target": string(x.Target()), "before": percent(before), "sick": percent(after), "request": id,
+	})
+	x.opts.Nudge()
+}
+
+// CallFailed notes that a call which the target made itself has failed. What the
+// target then answers is not its own fault.
+func (x *Exit) CallFailed() { x.calls.fail(x.opts.Clock()) }
+
+// calls remembers when a call of the target failed last.
+type calls struct{ at atomic.Int64 }
+
+func (c *calls) fail(now crid.Instant) { c.at.Store(int64(now)) }
+
+func (c *calls) failedSince(at crid.Instant) bool {
+	last := c.at.Load()
+	return last != 0 && crid.Instant(last) >= at
+}
+
+var hopByHop = []string{
+	"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length",
+}
+
+// StripConnection removes headers that concern one connection only.
+func StripConnection(h http.Header) {
+	for _, list := range h.Values("Connection") {
+		for _, name := range splitNames(list) {
+			h.Del(name)
+		}
+	}
+	for _, name := range hopByHop {
+		h.Del(name)
+	}
+}
--- /dev/null
+++ b/io/cringress/cringress.go
@@ -0,0 +1,272 @@
+// Package cringress is the entry: it takes requests of callers, finds out whose
+// they are and where they may go, and sees to it that each gets the whole answer
+// to its own request or an honest refusal.
+//
+// # Usage
+//
+//	entry := cringress.New(cringress.Options{...})
+//	entry.Use(view)
+//	http.Serve(listener, entry)
+package cringress
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"camphorroad/core/crbudget"
+	"camphorroad/core/crid"
+	"camphorroad/core/crmesh"
+	"camphorroad/core/crplace"
+	"camphorroad/core/crplan"
+	"camphorroad/io/crdialect"
+	"camphorroad/io/cregress"
+	"camphorroad/io/crlog"
+	"camphorroad/io/croffer"
+)
+
+const (
+	// waitUntold is how long a caller is waited for that tells no time, on a
+	// route without a timeout.
+	waitUntold = 30 * time.Second
+	// bodyMost bounds the body of a request that is held in memory, whatever
+	// the operator allows: a daemon has a few hundred megabytes.
+	bodyMost = 16 << 20
+)
+
+// Quota holds accounts to their rate over the whole fleet.
+type Quota interface {
+	// Take takes a token, or tells when there is one.
+	Take(ctx context.Context, a *crplan.Account) (ok bool, wait time.Duration)
+}
+
+// Options are what an entry needs.
+type Options struct {
+	Self    crid.Daemon
+	Domain  crid.Domain
+	Service crid.Service // of the instance that it stands on
+	Dialect crdialect.Dialect
+	Clock   func() crid.Instant
+	Local   *cregress.Exit
+	Peers   *croffer.Client
+	Board   *crplace.Board
+	Budget  *crbudget.Budget
+	Quota   Quota
+	Log     *crlog.Logger
+}
+
+// Entry serves callers.
+type Entry struct {
+	opts Options
+	view atomic.Pointer[crmesh.View]
+	open atomic.Int64
+}
+
+// New returns an entry that refuses all until Use.
+func New(opts Options) *Entry {
+	e := &Entry{opts: opts}
+	e.view.Store(&crmesh.View{})
+	return e
+}
+
+// Use makes a view the one that requests are handled by.
+func (e *Entry) Use(v *crmesh.View) { e.view.Store(v) }
+
+// Open is the number of requests in progress.
+func (e *Entry) Open() int64 { return e.open.Load() }
+
+// reply is the final answer to a caller.
+type reply struct {
+	status  int
+	header  http.Header
+	body    []byte
+	after   time.Duration // when to come back; zero: not told
+	reason  string        // of an answer of our own
+	own     bool          // the answer is not a target's
+	targets int           // that the request was sent to
+	offers  int
+	target  crid.Target
+}
+
+func refusal(status int, reason string, after time.Duration) reply {
+	return reply{status: status, reason: reason, after: after, own: true}
+}
+
+// ServeHTTP implements http.Handler.
+func (e *Entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	e.open.Add(1)
+	defer e.open.Add(-1)
+	started := e.opts.Clock()
+	q := &request{Entry: e, started: started, http: r, caller: e.opts.Dialect.Caller(r.Header), view: e.view.Load()}
+	answer := q.handle()
+	if r.Context().Err() != nil {
+		q.log(answer, "caller left")
+		return
+	}
+	q.log(answer, "")
+	q.write(w, answer)
+}
+
+// request is one request of a caller on its way.
+type request struct {
+	*Entry
+	started  crid.Instant
+	http     *http.Request
+	caller   crdialect.Caller
+	view     *crmesh.View
+	route    *crplan.Route
+	account  *crplan.Account // nil: none
+	service  crid.Service
+	body     []byte
+	leaves   crid.Instant // when the caller leaves
+	deadline crid.Instant // when it is answered in any case
+}
+
+// handle leads a request through its steps.
+func (q *request) handle() reply {
+	if answer, ok := q.identify(); !ok {
+		return answer
+	}
+	if answer, ok := q.readBody(); !ok {
+		return answer
+	}
+	if answer, ok := q.takeToken(); !ok {
+		return answer
+	}
+	q.opts.Budget.Request(q.started, q.service)
+	ctx, cancel := context.WithTimeout(q.http.Context(), q.deadline.Sub(q.opts.Clock()))
+	defer cancel()
+	answer := q.dispatch(ctx)
+	if q.isCall() && answer.status >= http.StatusInternalServerError {
+		q.opts.Local.CallFailed()
+	}
+	return answer
+}
+
+// identify finds the route, the account and the service.
+func (q *request) identify() (reply, bool) {
+	plan := q.view.Plan
+	if plan == nil {
+		return refusal(http.StatusServiceUnavailable, "no configuration yet", comeBack), false
+	}
+	route, ok := plan.Route(q.http.Host, q.http.URL.EscapedPath())
+	if !ok {
+		return refusal(http.StatusNotFound, "no route", 0), false
+	}
+	q.route = route
+	if account, ok := plan.Account(q.caller.Key); ok && q.caller.Key != "" {
+		q.account = account
+	}
+	if q.account == nil && plan.Keyed() && !route.Open {
+		return refusal(http.StatusUnauthorized, "unknown key", 0), false
+	}
+	q.service = route.Pick(rand.Float64())
+	q.setTimes()
+	return reply{}, true
+}
+
+func (q *request) setTimes() {
+	wait := q.caller.Wait
+	if wait <= 0 {
+		wait = waitUntold
+	}
+	q.leaves = q.started.Add(wait)
+	q.deadline = q.leaves
+	if t := q.route.Timeout; t > 0 && t < wait {
+		q.deadline = q.started.Add(t)
+	}
+}
+
+func (q *request) readBody() (reply, bool) {
+	most := int64(bodyMost)
+	if allowed := q.view.Plan.Limits().BodyBytes; allowed > 0 {
+		most = min(most, allowed)
+	}
+	if q.http.ContentLength > most {
+		return refusal(http.StatusRequestEntityTooLarge, "the body is too large", 0), false
+	}
+	body, err := io.ReadAll(io.LimitReader(q.http.Body, most+1))
+	if err != nil {
+		return refusal(http.StatusBadRequest, "the body broke off", 0), false
+	}
+	if int64(len(body)) > most {
+		return refusal(http.StatusRequestEntityTooLarge, "the body is too large", 0), false
+	}
+	q.body = body
+	return reply{}, true
+}
+
+func (q *request) takeToken() (reply, bool) {
+	if q.account == nil || q.account.Rate <= 0 {
+		return reply{}, true
+	}
+	ok, wait := q.opts.Quota.Take(q.http.Context(), q.account)
+	if !ok {
+		return refusal(http.StatusTooManyRequests, "the account's rate is used up", max(wait, comeBack)), false
+	}
+	return reply{}, true
+}
+
+// isCall reports whether the request is a call of the target on this machine:
+// these carry no key where callers have to.
+func (q *request) isCall() bool {
+	return q.account == nil && q.route != nil && q.route.Open && q.view.Plan.Keyed()
+}
+
+func (q *request) priority() int {
+	if q.account != nil && q.account.Ranked {
+		return q.account.Priority
+	}
+	return q.route.Priority
+}
+
+// write sends the answer to the caller.
+func (q *request) write(w http.ResponseWriter, a reply) {
+	h := w.Header()
+	for name, values := range a.header {
+		h[name] = values
+	}
+	if a.own {
+		h.Set("Content-Type", "text/plain; charset=utf-8")
+		a.body = []byte(a.reason + "\n")
+	}
+	if a.after > 0 {
+		h.Set("Retry-After", strconv.FormatFloat(jittered(a.after).Seconds(), 'f', 3, 64))
+	}
+	if a.status != http.StatusNoContent && a.status != http.StatusNotModified {
+		h.Set("Content-Length", strconv.Itoa(len(a.body)))
+	}
+	w.WriteHeader(a.status)
+	if q.http.Method == http.MethodHead {
+		return
+	}
+	if _, err := w.Write(a.body); err != nil && !errors.Is(err, http.ErrBodyNotAllowed) {
+		q.opts.Log.Event(crlog.CallerGone, crlog.Fields{"request": q.caller.ID, "error": err.Error()})
+	}
+}
+
+// jittered spreads a time to come back, so that callers refused together do not
+// return together.
+func jittered(d time.Duration) time.Duration {
+	return time.Duration(float64(d) * (0.75 + rand.Float64()/2))
+}
+
+func (q *request) log(a reply, end string) {
+	if a.status < http.StatusBadRequest && end == "" {
+		return
+	}
+	f := crlog.Fields{
+		"request": q.caller.ID, "status": strconv.Itoa(a.status), "reason": a.reason, "service": string(q.service),
+		"target": string(a.target), "targets": strconv.Itoa(a.targets), "offers": strconv.Itoa(a.offers),
+		"took": q.opts.Clock().Sub(q.started).Round(time.Millisecond).String(), "end": end,
+	}
+	if q.view.Plan != nil {
+		f["plan"] = strconv.FormatUint(q.view.Plan.Version(), 16)
+	}
+	q.opts.Log.Event(crlog.RequestFailed, f)
+}
--- /dev/null
+++ b/io/cringress/dispatch.go
@@ -0,0 +1,190 @@
+package cringress
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"camphorroad/core/crid"
+	"camphorroad/core/crplace"
+	"camphorroad/core/crpolicy"
+	"camphorroad/io/croffer"
+)
+
+const (
+	// offersMost bounds the offers of one request: with a third of the targets
+	// sick and unknown to be so, eight refusals in a row are rarer than one in
+	// ten thousand.
+	offersMost = 8
+	// comeBack is the least time after which a refused caller may return.
+	comeBack = 250 * time.Millisecond
+	// comeBackMost is the most: longer ones only idle what has room again.
+	comeBackMost = 1500 * time.Millisecond
+	// leastTry is the least time left that a further target is tried with.
+	leastTry = 60 * time.Millisecond
+)
+
+// dispatch offers a request to targets until one has answered it, it cannot be
+// sent on, or its time is up.
+func (q *request) dispatch(ctx context.Context) reply {
+	d := &dispatch{request: q, last: refusal(http.StatusServiceUnavailable, "no target takes it", comeBack)}
+	for d.offers < offersMost && ctx.Err() == nil {
+		if !d.next(ctx) {
+			break
+		}
+	}
+	d.last.offers, d.last.targets = d.offers, d.sent
+	return d.final(ctx)
+}
+
+// dispatch is the way of one request over targets.
+type dispatch struct {
+	*request
+	tried  []crid.Target // that it was offered to
+	offers int
+	sent   int           // targets that it was sent to
+	ran    bool          // it may have run
+	repeat bool          // the next send is a repeat
+	after  time.Duration // least time to come back that an exit told
+	last   reply         // the answer so far
+}
+
+// final is the answer when no further target is tried.
+func (d *dispatch) final(ctx context.Context) reply {
+	if d.ran || !d.last.own {
+		return d.last
+	}
+	if ctx.Err() != nil {
+		d.last.reason = "no target took it in time"
+	}
+	if d.after > 0 {
+		d.last.after = min(max(d.after, comeBack), comeBackMost)
+	}
+	return d.last
+}
+
+// next tries one target; it reports whether another one may be tried.
+func (d *dispatch) next(ctx context.Context) bool {
+	now := d.opts.Clock()
+	if d.deadline.Sub(now) < leastTry {
+		return false
+	}
+	choice, ok := d.opts.Board.Choose(now, d.view.Targets[d.service], crplace.Ask{
+		Class: d.route.Class, Domain: d.opts.Domain, Tried: d.tried, Float: rand.Float64,
+		Silent: func(id crid.Daemon) bool { return d.view.Silent[id] },
+	})
+	if !ok {
+		return false
+	}
+	price := d.price()
+	if d.repeat && !d.opts.Budget.Spend(now, d.service, d.view.Size, price) {
+		return false
+	}
+	d.offers++
+	d.tried = append(d.tried, choice.Target)
+	d.opts.Board.Begin(choice.Target)
+	defer d.opts.Board.End(choice.Target)
+	result, ok := d.try(ctx, choice)
+	if !ok {
+		if d.repeat {
+			d.opts.Budget.Refund(now, d.service, price)
+		}
+		return true
+	}
+	return d.took(ctx, choice, result)
+}
+
+// price is what a repeat may cost at most in arrivals.
+func (d *dispatch) price() float64 { return 1 }
+
+// try offers the request to a target and sends it if the exit takes it. It
+// reports false if the request did not leave this daemon.
+func (d *dispatch) try(ctx context.Context, c crplace.Choice) (croffer.Result, bool) {
+	now := d.opts.Clock()
+	o := croffer.Offer{
+		ID: d.caller.ID, Target: c.Target, Service: d.service, Class: d.route.Class, Priority: d.priority(),
+		Left: d.deadline.Sub(now), Objective: d.route.Objective - now.Sub(d.started), Trial: c.Trial, Last: c.Last,
+	}
+	if c.Daemon == d.opts.Self {
+		return d.tryLocal(ctx, o)
+	}
+	reply, grant, err := d.opts.Peers.Offer(ctx, c.Daemon, o)
+	if err != nil {
+		if ctx.Err() == nil {
+			d.opts.Board.Silent(d.opts.Clock(), c.Target)
+		}
+		return croffer.Result{}, false
+	}
+	d.opts.Board.Answered(c.Target)
+	d.heard(o, reply)
+	if grant == nil {
+		return croffer.Result{}, false
+	}
+	return grant.Run(ctx, d.outgoing()), true
+}
+
+func (d *dispatch) tryLocal(ctx context.Context, o croffer.Offer) (croffer.Result, bool) {
+	reply := d.opts.Local.Offer(d.opts.Clock(), o)
+	d.heard(o, reply)
+	if !reply.Taken {
+		return croffer.Result{}, false
+	}
+	return d.opts.Local.Run(ctx, reply.Ticket, d.outgoing()), true
+}
+
+func (d *dispatch) heard(o croffer.Offer, r croffer.Reply) {
+	if r.Reason != "no such target here" {
+		d.opts.Board.Tell(o.Target, r.Told)
+	}
+	if !r.Taken && r.RetryAfter > 0 && (d.after == 0 || r.RetryAfter < d.after) {
+		d.after = r.RetryAfter
+	}
+}
+
+func (d *dispatch) outgoing() croffer.Request {
+	r := croffer.Request{
+		ID: d.caller.ID, Method: d.http.Method, URI: d.http.URL.RequestURI(), Host: d.http.Host,
+		Header: d.http.Header, Body: d.body, From: d.opts.Service, Wait: d.leaves.Sub(d.opts.Clock()),
+	}
+	if d.account != nil {
+		r.Account = d.account.Name
+	}
+	return r
+}
+
+// took deals with what became of a request that was sent; it reports whether
+// another target may be tried.
+func (d *dispatch) took(ctx context.Context, c crplace.Choice, r croffer.Result) bool {
+	if r.Told.Slots > 0 {
+		d.opts.Board.Tell(c.Target, r.Told)
+	}
+	if r.Outcome == croffer.NotSent {
+		if r.RetryAfter > 0 && (d.after == 0 || r.RetryAfter < d.after) {
+			d.after = r.RetryAfter
+		}
+		return true
+	}
+	d.sent++
+	d.repeat = true
+	more := d.sent < d.route.MaxTargets
+	switch r.Outcome {
+	case croffer.Rejected:
+		return more
+	case croffer.Answered:
+		d.ran = true
+		d.last = reply{status: r.Status, header: http.Header(r.Header), body: r.Body, target: c.Target}
+		return more && r.Status >= http.StatusInternalServerError && d.mayRepeat()
+	case croffer.Late:
+		d.ran = true
+		d.last = refusal(http.StatusGatewayTimeout, r.Reason, 0)
+	default:
+		d.ran = true
+		d.last = refusal(http.StatusBadGateway, r.Reason, 0)
+	}
+	d.last.target = c.Target
+	return more && d.mayRepeat() && ctx.Err() == nil
+}
+
+// mayRepeat reports whether a request that may have run may run again.
+func (d *dispatch) mayRepeat() bool { return d.route.Class == crpolicy.ClassRepeat }
--- a/io/crlog/catalogue.go
+++ b/io/crlog/catalogue.go
@@ -38,7 +38,7 @@
 
 // Catalogue lists every event that the daemon can log, by number.
 func Catalogue() []Entry {
-	return slices.Concat(processEntries(), memberEntries(), accountEntries(), healthEntries(), configEntries())
+	return slices.Concat(processEntries(), memberEntries(), accountEntries(), healthEntries(), configEntries(), meshEntries())
 }
 
 // area is a range of numbers with its heading in the documentation.
@@ -54,6 +54,7 @@
 		{"Account limits, 300 to 349", 300},
 		{"Sick targets, 400 to 449", 400},
 		{"Configuration, 500 to 549", 500},
+		{"Joined by the store's records, 600 to 699", 600},
 	}
 }
 
--- /dev/null
+++ b/io/crlog/catalogue_mesh.go
@@ -0,0 +1,108 @@
+package crlog
+
+// Events of a daemon that has joined a fleet by the store's records, 600 to 699.
+const (
+	MeshStarted     = 600
+	MeshReady       = 601
+	MeshStopping    = 602
+	MeshStopped     = 603
+	MeshPaused      = 604
+	SettingsRead    = 605
+	SettingsBad     = 606
+	LogDropped      = 607
+	MeshCut         = 608
+	StoreLost       = 610
+	StoreBack       = 611
+	RecordBad       = 612
+	PlanBad         = 613
+	PlanInForce     = 614
+	TargetsChanged  = 615
+	PeerCopied      = 616
+	PeerCopyFailed  = 617
+	PeerSilent      = 620
+	PeerHeard       = 621
+	TargetJudged    = 630
+	RequestFailed   = 640
+	CallerGone      = 641
+	RequestRepeated = 642
+	OwnerSilent     = 650
+)
+
+func meshEntries() []Entry {
+	return []Entry{
+		{
+			MeshStarted, LevelInfo, "daemon joined",
+			"the process began", "it is not ready until it has a configuration and a list of targets (601)", none,
+		},
+		{MeshReady, LevelInfo, "ready for callers", "configuration and list are known", "callers are served", none},
+		{
+			MeshStopping, LevelInfo, "stopping",
+			"SIGTERM or SIGINT", "the ready page says no, and nothing new runs on the target; what runs goes on", none,
+		},
+		{MeshStopped, LevelInfo, "left", "the stop ended", none, none},
+		{
+			MeshPaused, LevelWarn, "daemon was paused",
+			"the process did not run for longer than a second", "its requests waited", "look for an overcommitted machine if it repeats",
+		},
+		{SettingsRead, LevelInfo, "settings read", "SIGHUP", "new seeds act at once, the rest at the next start", none},
+		{
+			SettingsBad, LevelError, "settings refused",
+			"SIGHUP, but the file is wrong", "the former settings stay", "mend the file and send SIGHUP again",
+		},
+		{
+			LogDropped, LevelWarn, "log lines dropped",
+			"more was logged than standard output took", "lines are missing; requests were not held up", "read standard output faster",
+		},
+		{
+			MeshCut, LevelWarn, "stop cut requests",
+			"requests were still in progress when the grace ended", "those requests were cut", none,
+		},
+		{
+			StoreLost, LevelWarn, "store lost",
+			"the store does not answer, or turns this daemon away", "what is known stays in force; newer versions come from peers", "mend the store or the network to it",
+		},
+		{StoreBack, LevelInfo, "store regained", "the store answers again", none, none},
+		{
+			RecordBad, LevelWarn, "record not usable",
+			"a record in the store lacks something or is not readable", "its target gets no work; all others do", "find its writer by the key",
+		},
+		{
+			PlanBad, LevelError, "configuration not taken",
+			"the store's configuration is wrong", "the former one stays in force whole", "read the field `error` and publish again",
+		},
+		{PlanInForce, LevelInfo, "plan in force", "a newer configuration was read", "new routes, keys and limits act", none},
+		{TargetsChanged, LevelInfo, "targets changed", "targets came, went or are leaving", none, none},
+		{
+			PeerCopied, LevelInfo, "copied from a peer",
+			"a peer held something newer while the store did not give it", none, none,
+		},
+		{
+			PeerCopyFailed, LevelWarn, "copy from a peer failed",
+			"the peer did not answer", "another one is asked", none,
+		},
+		{
+			PeerSilent, LevelWarn, "peers silent",
+			"beats of these peers did not come", "their targets are used last", "look at the network between the machines if it lasts",
+		},
+		{PeerHeard, LevelInfo, "peers heard again", "beats came again", none, none},
+		{
+			TargetJudged, LevelInfo, "target judged",
+			"answers moved the probability that the target is sick over the limit, or below it",
+			"above it, only idempotent requests try the target now and then", none,
+		},
+		{
+			RequestFailed, LevelInfo, "request not served",
+			"a request was refused, failed, or its caller left",
+			"its caller has the status and the reason named", none,
+		},
+		{CallerGone, LevelInfo, "caller gone", "the caller's connection ended before its answer was written", none, none},
+		{
+			RequestRepeated, LevelInfo, "request sent again",
+			"an idempotent request failed at a target", "it is sent to another one", none,
+		},
+		{
+			OwnerSilent, LevelWarn, "account's owner silent",
+			"the daemon that keeps an account's tokens did not answer", "the account is held to this daemon's part of its rate", none,
+		},
+	}
+}
--- /dev/null
+++ b/io/crmesh/crmesh.go
@@ -0,0 +1,152 @@
+// Package crmesh wires a daemon that joins a fleet by the store's records, and
+// runs it: entry, exit, messages between daemons, the store's followers, the
+// control loop and the operators' pages.
+//
+// # Usage
+//
+//	err := crmesh.Run(ctx, crmesh.Options{Settings: cfg, Store: store, Decoder: decoder, Dialect: dialect, Log: os.Stdout})
+package crmesh
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log"
+	"net"
+	"os"
+	"runtime/debug"
+	"strconv"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/fx"
+	"go.uber.org/fx/fxevent"
+	"golang.org/x/sync/errgroup"
+
+	"camphorroad/core/crbudget"
+	"camphorroad/core/crid"
+	"camphorroad/core/crmesh"
+	"camphorroad/core/crplace"
+	"camphorroad/io/crclock"
+	"camphorroad/io/crdialect"
+	"camphorroad/io/cregress"
+	"camphorroad/io/cringress"
+	"camphorroad/io/crlog"
+	"camphorroad/io/croffer"
+	"camphorroad/io/crsite"
+	"camphorroad/io/crwatch"
+)
+
+const (
+	// beatNear and beatFar are the times between beats to peers of the same
+	// domain and of others. Load counts most nearby, where requests go first;
+	// bytes between domains are dear, and what is urgent is sent at once.
+	beatNear = 400 * time.Millisecond
+	beatFar  = time.Second
+	// memoryShare is the part of the machine's memory that the collector aims
+	// to stay under.
+	memoryShare = 0.7
+)
+
+// Options are what a daemon is made of.
+type Options struct {
+	Settings crsite.Settings
+	Store    crwatch.Store
+	Decoder  crwatch.Decoder
+	Dialect  crdialect.Dialect
+	Log      io.Writer
+	// Reload tells that the settings file has changed; Read reads it. Both may
+	// be nil.
+	Reload <-chan os.Signal
+	Read   func() (crsite.Settings, error)
+}
+
+// Run starts a daemon, serves until ctx ends, drains, and returns.
+func Run(ctx context.Context, opts Options) error {
+	// net/http prints bytes of answers that nobody asked for to the standard
+	// logger: some account's data, outside of the numbered events.
+	log.SetOutput(io.Discard)
+	if m := opts.Settings.Limits.Memory; m > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(m) * (1 << 20)))
+	}
+	var d *daemon
+	app := fx.New(
+		fx.Supply(opts),
+		fx.Provide(
+			crlog.NewQueue, newLogger, newBoard, newExit, newPeers, newBudget, newLoop, newOwnerMeter, newFollower, newChannel, newQuota, newEntry,
+			newDaemon, metrics.NewRegistry,
+		),
+		fx.Populate(&d),
+		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
+	)
+	if err := app.Err(); err != nil {
+		return fmt.Errorf("wire the daemon: %w", err)
+	}
+	return d.run(ctx)
+}
+
+func newLogger(opts Options, q *crlog.Queue) *crlog.Logger {
+	return crlog.New(q, opts.Settings.Log, opts.Settings.Name)
+}
+
+func newBoard() *crplace.Board { return crplace.NewBoard() }
+
+func newExit(opts Options, l *crlog.Logger, loop *loop) *cregress.Exit {
+	x := cregress.New(cregress.Options{
+		Service: opts.Settings.Service, Address: opts.Settings.Target, Dialect: opts.Dialect, Clock: crclock.Now,
+		Log: l, Nudge: func() { loop.emit(crmesh.Nudge{Now: crclock.Now()}) },
+	})
+	return x
+}
+
+func newPeers(opts Options) *croffer.Client { return croffer.NewClient(opts.Settings.Listen.Ports[0]) }
+
+func newBudget(opts Options) *crbudget.Budget {
+	b := opts.Settings.Bounds
+	return crbudget.New(crbudget.Params{Ratio: b.Ratio, Slack: b.Slack, Window: b.WindowTime()})
+}
+
+func newFollower(opts Options, loop *loop, l *crlog.Logger) *crwatch.Follower {
+	return crwatch.New(crwatch.Options{Store: opts.Store, Decoder: opts.Decoder, Clock: crclock.Now, Emit: loop.emit, Log: l})
+}
+
+func newEntry(
+	opts Options, x *cregress.Exit, peers *croffer.Client, board *crplace.Board, budget *crbudget.Budget, q *quota, l *crlog.Logger,
+) *cringress.Entry {
+	s := opts.Settings
+	return cringress.New(cringress.Options{
+		Self: crid.Daemon(s.Address), Domain: s.Domain, Service: s.Service, Dialect: opts.Dialect, Clock: crclock.Now,
+		Local: x, Peers: peers, Board: board, Budget: budget, Quota: q, Log: l,
+	})
+}
+
+// seeds returns the daemons that the settings name.
+func seeds(s crsite.Settings) []crid.Daemon {
+	out := make([]crid.Daemon, 0, len(s.Seeds))
+	for _, address := range s.Seeds {
+		if host, _, err := net.SplitHostPort(address); err == nil {
+			out = append(out, crid.Daemon(host))
+		}
+	}
+	return out
+}
+
+func peerAddress(s crsite.Settings) string {
+	return net.JoinHostPort(s.Address, strconv.Itoa(s.Listen.Ports[0]))
+}
+
+func group(ctx context.Context, tasks ...func(context.Context) error) *errgroup.Group {
+	g, ctx := errgroup.WithContext(ctx)
+	for _, task := range tasks {
+		g.Go(func() error { return task(ctx) })
+	}
+	return g
+}
+
+func ignoreCancelled(err error) error {
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
--- /dev/null
+++ b/io/crmesh/loop.go
@@ -0,0 +1,212 @@
+package crmesh
+
+import (
+	"context"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"camphorroad/core/crevent"
+	"camphorroad/core/crid"
+	"camphorroad/core/crmesh"
+	"camphorroad/core/crplace"
+	"camphorroad/io/crclock"
+	"camphorroad/io/crlog"
+	"camphorroad/io/crwatch"
+)
+
+const (
+	// tickEvery is the time between ticks of the control loop.
+	tickEvery = 100 * time.Millisecond
+	// pausedAfter is the time without a tick after which the process counts as
+	// having been paused.
+	pausedAfter = time.Second
+	// eventsWaiting bounds the events that wait for the control loop.
+	eventsWaiting = 1024
+	// copyTimeout is how long fetching from a peer may take.
+	copyTimeout = 600 * time.Millisecond
+)
+
+// loop owns the control state: the only goroutine that steps the reducer.
+type loop struct {
+	state  *crmesh.State
+	events chan crevent.Event
+	view   atomic.Pointer[crmesh.View]
+	log    *crlog.Logger
+	last   *crmesh.View
+}
+
+func newLoop(opts Options, l *crlog.Logger) *loop {
+	s := opts.Settings
+	lp := &loop{
+		state: crmesh.New(crmesh.Params{
+			Self: crid.Daemon(s.Address), Domain: s.Domain, Service: s.Service, Address: s.Target, Seeds: seeds(s),
+			Beat: beatNear, Far: beatFar,
+		}),
+		events: make(chan crevent.Event, eventsWaiting),
+		log:    l,
+	}
+	lp.view.Store(&crmesh.View{Size: 1})
+	return lp
+}
+
+// emit hands an event to the control loop. Beats are dropped when it lags, since
+// the next one tells the same; all others wait.
+func (l *loop) emit(ev crevent.Event) {
+	switch ev.(type) {
+	case crmesh.Heard, crmesh.Nudge:
+		select {
+		case l.events <- ev:
+		default:
+		}
+	default:
+		l.events <- ev
+	}
+}
+
+// run steps the reducer until the context ends.
+func (l *loop) run(ctx context.Context, do func(crevent.Effect)) error {
+	ticker := time.NewTicker(tickEvery)
+	defer ticker.Stop()
+	last := crclock.Now()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case ev := <-l.events:
+			l.step(ev, do)
+		case <-ticker.C:
+			now := crclock.Now()
+			if gap := now.Sub(last); gap > pausedAfter {
+				l.log.Event(crlog.MeshPaused, crlog.Fields{"gap": gap.Round(time.Millisecond).String()})
+			}
+			last = now
+			l.step(crevent.Tick{Now: now}, do)
+		}
+	}
+}
+
+func (l *loop) step(ev crevent.Event, do func(crevent.Effect)) {
+	for _, eff := range l.state.Step(ev) {
+		do(eff)
+	}
+}
+
+// perform carries an effect out.
+func (d *daemon) perform(ctx context.Context) func(crevent.Effect) {
+	return func(eff crevent.Effect) {
+		switch eff := eff.(type) {
+		case crmesh.UseView:
+			d.use(eff.View)
+		case crmesh.SendBeat:
+			d.channel.Beat(eff.To, d.beat(eff))
+		case crmesh.Tell:
+			d.board.Tell(eff.Target, eff.Told)
+		case crmesh.Pull:
+			go d.pull(ctx, eff.From)
+		}
+	}
+}
+
+func (d *daemon) beat(eff crmesh.SendBeat) crmesh.Beat {
+	told := d.exit.Told()
+	return crmesh.Beat{
+		Incarnation: d.incarnation,
+		Target:      d.exit.Target(),
+		Load:        told.Load,
+		Slots:       told.Slots,
+		Sick:        uint8(told.Sick * 255),
+		Typical:     told.Typical.Milliseconds(),
+		Closed:      told.Closed,
+		Stopping:    eff.Stopping,
+		Version:     eff.Version,
+		Revision:    eff.Revision,
+	}
+}
+
+// pull fetches what a peer holds of the store.
+func (d *daemon) pull(ctx context.Context, from crid.Daemon) {
+	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
+	defer cancel()
+	var c crwatch.Copy
+	if err := d.peers.Fetch(ctx, from, &c); err != nil {
+		d.log.Event(crlog.PeerCopyFailed, crlog.Fields{"peer": string(from), "error": err.Error()})
+		return
+	}
+	d.log.Event(crlog.PeerCopied, crlog.Fields{
+		"peer": string(from), "rev": strconv.FormatUint(uint64(c.RecordsRevision), 10),
+	})
+	d.follower.Take(c)
+}
+
+// use gives a view to traffic.
+func (d *daemon) use(v *crmesh.View) {
+	before := d.loop.last
+	d.loop.last = v
+	d.loop.view.Store(v)
+	d.entry.Use(v)
+	if before == nil || !sameRecord(before, v) {
+		d.exit.Use(v.Own)
+	}
+	d.forget(v)
+	d.logView(before, v)
+}
+
+func sameRecord(a, b *crmesh.View) bool {
+	if a.Own == nil || b.Own == nil {
+		return a.Own == b.Own
+	}
+	return *a.Own == *b.Own
+}
+
+// forget drops what is kept of targets and daemons that are gone.
+func (d *daemon) forget(v *crmesh.View) {
+	targets := make(map[crid.Target]bool)
+	daemons := make(map[crid.Daemon]bool)
+	for _, list := range v.Targets {
+		for _, c := range list {
+			targets[c.Target] = true
+			daemons[c.Daemon] = true
+		}
+	}
+	for _, id := range v.Daemons {
+		daemons[id] = true
+	}
+	d.board.Keep(targets)
+	d.peers.Keep(daemons)
+}
+
+func (d *daemon) logView(before, v *crmesh.View) {
+	if before == nil {
+		before = &crmesh.View{}
+	}
+	if v.Plan != before.Plan {
+		d.log.Event(crlog.PlanInForce, crlog.Fields{"plan": strconv.FormatUint(v.Plan.Version(), 16)})
+	}
+	came, went := compare(before.Targets, v.Targets)
+	if came+went != "" {
+		d.log.Event(crlog.TargetsChanged, crlog.Fields{"came": came, "went": went})
+	}
+	if len(v.Silent) > len(before.Silent) {
+		d.log.Event(crlog.PeerSilent, crlog.Fields{"peers": names(v.Silent)})
+	}
+	if len(v.Silent) < len(before.Silent) {
+		d.log.Event(crlog.PeerHeard, crlog.Fields{"silent": names(v.Silent)})
+	}
+}
+
+func compare(before, after map[crid.Service][]crplace.Candidate) (came, went string) {
+	had := set(before)
+	has := set(after)
+	return names(minus(has, had)), names(minus(had, has))
+}
+
+func set(by map[crid.Service][]crplace.Candidate) map[crid.Target]bool {
+	out := make(map[crid.Target]bool)
+	for _, list := range by {
+		for _, c := range list {
+			out[c.Target] = true
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/io/croffer/server.go
@@ -0,0 +1,72 @@
+package croffer
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"camphorroad/core/crid"
+)
+
+// Paths between daemons.
+const (
+	PathOffer = "/offer"
+	PathRun   = "/run/"
+	PathCopy  = "/copy"
+)
+
+// maxBody bounds what a peer may send: a request with its body.
+const maxBody = 64 << 20
+
+// Handler serves offers of other daemons.
+func Handler(exit Exit, clock func() crid.Instant, copyOf func() any) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+PathOffer, func(w http.ResponseWriter, r *http.Request) {
+		var o Offer
+		if read(w, r, &o) {
+			write(w, exit.Offer(clock(), o))
+		}
+	})
+	mux.HandleFunc("POST "+PathRun+"{ticket}", func(w http.ResponseWriter, r *http.Request) {
+		ticket, err := strconv.ParseUint(r.PathValue("ticket"), 10, 64)
+		if err != nil {
+			http.Error(w, "no such ticket", http.StatusBadRequest)
+			return
+		}
+		var req Request
+		if !read(w, r, &req) {
+			// The request did not arrive whole: it will not run.
+			exit.Release(ticket)
+			return
+		}
+		write(w, exit.Run(r.Context(), ticket, req))
+	})
+	mux.HandleFunc("POST "+PathCopy, func(w http.ResponseWriter, _ *http.Request) { write(w, copyOf()) })
+	return mux
+}
+
+func read(w http.ResponseWriter, r *http.Request, into any) bool {
+	body, err := io.ReadAll(io.LimitReader(r.Body, maxBody))
+	if err == nil {
+		err = cbor.Unmarshal(body, into)
+	}
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return false
+	}
+	return true
+}
+
+func write(w http.ResponseWriter, v any) {
+	body, err := cbor.Marshal(v)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/cbor")
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	// A peer that has gone shows in its request's context.
+	_, _ = w.Write(body)
+}
--- /dev/null
+++ b/io/crsite/crsite.go
@@ -0,0 +1,149 @@
+// Package crsite reads the settings of a daemon that joins a fleet: the file
+// that the operator's tooling writes at each start.
+//
+// # Usage
+//
+//	cfg, err := crsite.Load(path)
+package crsite
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+
+	"camphorroad/core/crid"
+)
+
+// Defaults of bounds that the file leaves out.
+const (
+	defaultDrain  = 2000 // ms: a leaving target takes no new work after this
+	defaultGrace  = 6    // s: from SIGTERM to the kill
+	defaultRatio  = 0.2
+	defaultWindow = 10 // s
+)
+
+// Error says what is wrong with the settings, and where.
+type Error struct {
+	file, detail string
+}
+
+// Error implements error.
+func (e *Error) Error() string { return e.file + ": " + e.detail }
+
+// Settings are one daemon's settings.
+type Settings struct {
+	Name    string       `toml:"name"`
+	Address string       `toml:"address"` // of the machine, without a port
+	Domain  crid.Domain  `toml:"domain"`
+	Service crid.Service `toml:"service"` // of the target beside it
+	Target  string       `toml:"target"`  // host and port of the target
+	Seeds   []string     `toml:"seeds"`   // host and port of other daemons
+	Log     string       `toml:"log"`     // level
+	Listen  Listen       `toml:"listen"`
+	Store   Store        `toml:"store"`
+	Limits  Limits       `toml:"limits"`
+	Bounds  Bounds       `toml:"bounds"`
+}
+
+// Listen are the addresses that the daemon listens at.
+type Listen struct {
+	Caller  string `toml:"caller"`  // callers of this machine
+	Hop     string `toml:"hop"`     // not used: peers meet at the first of Ports
+	Ready   string `toml:"ready"`   // the ready page
+	Control string `toml:"control"` // where seeds are asked
+	Ports   []int  `toml:"ports"`   // first and last port between daemons
+}
+
+// Store is where records and configuration are read.
+type Store struct {
+	Address string `toml:"address"`
+}
+
+// Limits are the machine's.
+type Limits struct {
+	Memory int `toml:"memory"` // MB
+}
+
+// Bounds are what the operator promises callers.
+type Bounds struct {
+	Drain  int     `toml:"drain"`  // ms
+	Grace  float64 `toml:"grace"`  // s
+	Ratio  float64 `toml:"ratio"`  // repeats a request
+	Slack  float64 `toml:"slack"`  // repeats in a window besides
+	Window float64 `toml:"window"` // s
+}
+
+// GraceTime is the time between the order to stop and the kill.
+func (b Bounds) GraceTime() time.Duration { return time.Duration(b.Grace * float64(time.Second)) }
+
+// WindowTime is the length of the window of repeats.
+func (b Bounds) WindowTime() time.Duration { return time.Duration(b.Window * float64(time.Second)) }
+
+// Load reads and checks a settings file.
+func Load(file string) (Settings, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return Settings{}, &Error{file: file, detail: err.Error()}
+	}
+	return Parse(file, data)
+}
+
+// Parse reads and checks settings; the file's name is for errors.
+func Parse(file string, data []byte) (Settings, error) {
+	s := Settings{Log: "info", Bounds: Bounds{Drain: defaultDrain, Grace: defaultGrace, Ratio: defaultRatio, Window: defaultWindow}}
+	dec := toml.NewDecoder(bytes.NewReader(data))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(&s); err != nil {
+		return Settings{}, &Error{file: file, detail: describe(err)}
+	}
+	if err := s.check(); err != nil {
+		return Settings{}, &Error{file: file, detail: err.Error()}
+	}
+	return s, nil
+}
+
+func describe(err error) string {
+	var strict *toml.StrictMissingError
+	if errors.As(err, &strict) && len(strict.Errors) > 0 {
+		row, column := strict.Errors[0].Position()
+		return fmt.Sprintf("line %d, column %d: the key %v is unknown", row, column, strict.Errors[0].Key())
+	}
+	var decode *toml.DecodeError
+	if errors.As(err, &decode) {
+		row, column := decode.Position()
+		return fmt.Sprintf("line %d, column %d: %s", row, column, decode.Error())
+	}
+	return err.Error()
+}
+
+func (s *Settings) check() error {
+	if net.ParseIP(s.Address) == nil {
+		return fmt.Errorf("address: %q is no IP address", s.Address)
+	}
+	if s.Domain == "" {
+		return errors.New("domain: missing")
+	}
+	if s.Service == "" {
+		return errors.New("service: missing")
+	}
+	addresses := map[string]string{
+		"target": s.Target, "listen.caller": s.Listen.Caller, "listen.ready": s.Listen.Ready, "store.address": s.Store.Address,
+	}
+	for _, key := range []string{"target", "listen.caller", "listen.ready", "store.address"} {
+		if _, _, err := net.SplitHostPort(addresses[key]); err != nil {
+			return fmt.Errorf("%s: %q is no address with a port", key, addresses[key])
+		}
+	}
+	if len(s.Listen.Ports) != 2 || s.Listen.Ports[1]-s.Listen.Ports[0] < 1 {
+		return errors.New("listen.ports: the first and the last of two ports or more are wanted")
+	}
+	if s.Bounds.Grace <= 0 || s.Bounds.Window <= 0 || s.Bounds.Ratio < 0 || s.Bounds.Slack < 0 || s.Bounds.Drain <= 0 {
+		return errors.New("bounds: drain, grace and window must be positive, ratio and slack not negative")
+	}
+	return nil
+}
--- /dev/null
+++ b/io/crwatch/crwatch.go
@@ -0,0 +1,334 @@
+// Package crwatch follows a store that can be read and watched, and turns what
+// it says into events of the control side.
+//
+// One goroutine follows each [Scope]: it lists, then watches from there, and
+// lists again when the store has lost the history in between. Failures are told
+// once, and the calls are spaced so that a fleet does not overwhelm a store that
+// has just come back.
+//
+// # Usage
+//
+//	f := crwatch.New(crwatch.Options{Store: store, Decoder: decoder, Clock: crclock.Now, Emit: events.Send, Log: log})
+//	err := f.Run(ctx, crwatch.Records)
+package crwatch
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"strconv"
+	"sync"
+	"time"
+
+	"camphorroad/core/crevent"
+	"camphorroad/core/crid"
+	"camphorroad/core/crmesh"
+	"camphorroad/core/crplan"
+	"camphorroad/core/crregistry"
+	"camphorroad/io/crlog"
+)
+
+// Scope is a part of the store.
+type Scope uint8
+
+// The scopes.
+const (
+	// Records are what targets say of themselves.
+	Records Scope = iota + 1
+	// Configuration is the operator's newest plan.
+	Configuration
+)
+
+// String names the scope in logs.
+func (s Scope) String() string {
+	if s == Configuration {
+		return "configuration"
+	}
+	return "records"
+}
+
+// Item is a key with its value.
+type Item struct {
+	Key      string        `cbor:"k"`
+	Value    []byte        `cbor:"v"`
+	Revision crid.Revision `cbor:"r"`
+	Removed  bool          `cbor:"d,omitempty"`
+}
+
+// ErrCompacted tells that the store no longer has the history asked for.
+var ErrCompacted = errors.New("the store has lost this history")
+
+// Store is a store that can be read and watched.
+type Store interface {
+	// List returns all items of a scope, and the revision from which a watch
+	// tells whatever the list may lack.
+	List(ctx context.Context, scope Scope) ([]Item, crid.Revision, error)
+	// Watch returns the changes after a revision, as soon as there are any, or
+	// none after the wait; and the revision to go on from.
+	Watch(ctx context.Context, scope Scope, after crid.Revision, wait time.Duration) ([]Item, crid.Revision, error)
+}
+
+// Decoder turns values into what the project knows.
+type Decoder interface {
+	Record(i Item) (crregistry.Record, error)
+	Plan(value []byte) (*crplan.Plan, error)
+}
+
+const (
+	// watchWait is the time for which a watch waits: the longest that the store
+	// allows, as each call is paid for. A connection that has died is found by
+	// keep-alive probes.
+	watchWait = 30 * time.Second
+	// gather is the pause between two watches after changes: a rolling
+	// replacement brings several changes a second, and one call takes them all.
+	// It is a small part of the two seconds in which a change must be in force.
+	gather = 250 * time.Millisecond
+	// retryFirst and retryMost bound the pause after a failed call. The store
+	// has to be found again well within the time after its return in which
+	// daemons count as in touch, three seconds.
+	retryFirst = 100 * time.Millisecond
+	retryMost  = 800 * time.Millisecond
+	// lostAfter is the time of failures after which the store counts as away:
+	// a single reset is no outage.
+	lostAfter = 300 * time.Millisecond
+)
+
+// Options are what a follower needs.
+type Options struct {
+	Store   Store
+	Decoder Decoder
+	Clock   func() crid.Instant
+	Emit    func(crevent.Event)
+	Log     *crlog.Logger
+}
+
+// Follower follows a store. Its methods may be called from several goroutines.
+type Follower struct {
+	opts   Options
+	mu     sync.Mutex
+	values map[Scope]map[string]Item
+	at     map[Scope]crid.Revision
+}
+
+// New returns a follower.
+func New(opts Options) *Follower {
+	return &Follower{
+		opts:   opts,
+		values: map[Scope]map[string]Item{Records: {}, Configuration: {}},
+		at:     make(map[Scope]crid.Revision),
+	}
+}
+
+// Run follows a scope until the context ends.
+func (f *Follower) Run(ctx context.Context, scope Scope) error {
+	t := &track{Follower: f, scope: scope}
+	for ctx.Err() == nil {
+		if err := t.round(ctx); err != nil && ctx.Err() == nil {
+			t.failed(ctx, err)
+		}
+	}
+	return nil
+}
+
+// Copy is all that a daemon holds of the store, for a peer that cannot read it.
+type Copy struct {
+	Records         []Item        `cbor:"r"`
+	RecordsRevision crid.Revision `cbor:"n"`
+	Configuration   []Item        `cbor:"c"`
+}
+
+// Copy returns all items held.
+func (f *Follower) Copy() Copy {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	c := Copy{RecordsRevision: f.at[Records]}
+	for _, i := range f.values[Records] {
+		c.Records = append(c.Records, i)
+	}
+	for _, i := range f.values[Configuration] {
+		c.Configuration = append(c.Configuration, i)
+	}
+	return c
+}
+
+// Take takes what a peer held, where it is newer.
+func (f *Follower) Take(c Copy) {
+	now := f.opts.Clock()
+	for _, i := range c.Configuration {
+		f.plan(now, i)
+	}
+	f.mu.Lock()
+	newer := c.RecordsRevision > f.at[Records]
+	if newer {
+		f.store(Records, c.Records, c.RecordsRevision, true)
+	}
+	f.mu.Unlock()
+	if newer {
+		f.opts.Emit(crmesh.Listed{Now: now, Changes: f.changes(c.Records), Revision: c.RecordsRevision, Peer: true})
+	}
+}
+
+// store keeps raw items; whole says that they are all there are.
+func (f *Follower) store(scope Scope, items []Item, at crid.Revision, whole bool) {
+	if whole {
+		f.values[scope] = make(map[string]Item, len(items))
+	}
+	for _, i := range items {
+		if i.Removed {
+			delete(f.values[scope], i.Key)
+			continue
+		}
+		f.values[scope][i.Key] = i
+	}
+	f.at[scope] = max(f.at[scope], at)
+}
+
+func (f *Follower) changes(items []Item) []crregistry.Change {
+	out := make([]crregistry.Change, 0, len(items))
+	for _, i := range items {
+		c := crregistry.Change{Key: i.Key, Revision: i.Revision}
+		if !i.Removed {
+			r, err := f.opts.Decoder.Record(i)
+			if err != nil {
+				f.opts.Log.Event(crlog.RecordBad, crlog.Fields{"key": i.Key, "rev": revision(i.Revision), "error": err.Error()})
+			} else {
+				c.Record = &r
+			}
+		}
+		out = append(out, c)
+	}
+	return out
+}
+
+// plan decodes a configuration; one that is refused leaves the former in force.
+func (f *Follower) plan(now crid.Instant, i Item) {
+	if i.Removed {
+		return
+	}
+	p, err := f.opts.Decoder.Plan(i.Value)
+	if err != nil {
+		f.opts.Log.Event(crlog.PlanBad, crlog.Fields{"rev": revision(i.Revision), "error": err.Error()})
+		return
+	}
+	f.mu.Lock()
+	f.store(Configuration, []Item{i}, i.Revision, false)
+	f.mu.Unlock()
+	f.opts.Emit(crmesh.PlanRead{Now: now, Plan: p})
+}
+
+func revision(r crid.Revision) string { return strconv.FormatUint(uint64(r), 10) }
+
+// track follows one scope.
+type track struct {
+	*Follower
+	scope   Scope
+	listed  bool
+	after   crid.Revision
+	failing crid.Instant // since when calls fail; zero: they do not
+	told    bool         // that the store is away
+	pause   time.Duration
+}
+
+func (t *track) round(ctx context.Context) error {
+	if !t.listed {
+		return t.list(ctx)
+	}
+	items, at, err := t.opts.Store.Watch(ctx, t.scope, t.after, watchWait)
+	if errors.Is(err, ErrCompacted) {
+		t.listed = false
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	t.succeeded()
+	t.after = max(at, t.after)
+	if len(items) == 0 {
+		return nil
+	}
+	t.take(items, at, false)
+	wait(ctx, gather)
+	return nil
+}
+
+func (t *track) list(ctx context.Context) error {
+	items, at, err := t.opts.Store.List(ctx, t.scope)
+	if err != nil {
+		return err
+	}
+	t.succeeded()
+	t.listed, t.after = true, at
+	t.take(items, at, true)
+	if at == 0 {
+		// The store told no revision to watch from.
+		t.listed = false
+		wait(ctx, retryFirst)
+	}
+	return nil
+}
+
+func (t *track) take(items []Item, at crid.Revision, whole bool) {
+	now := t.opts.Clock()
+	if t.scope == Configuration {
+		for _, i := range items {
+			t.plan(now, i)
+		}
+		return
+	}
+	t.mu.Lock()
+	t.store(Records, items, at, whole)
+	t.mu.Unlock()
+	changes := t.changes(items)
+	if whole {
+		t.opts.Emit(crmesh.Listed{Now: now, Changes: changes, Revision: at})
+		return
+	}
+	t.opts.Emit(crmesh.Changed{Now: now, Changes: changes, Revision: at})
+}
+
+func (t *track) succeeded() {
+	t.failing, t.pause = 0, 0
+	if !t.told {
+		return
+	}
+	t.told = false
+	t.opts.Log.Event(crlog.StoreBack, crlog.Fields{"scope": t.scope.String()})
+	t.mark(false)
+}
+
+func (t *track) failed(ctx context.Context, err error) {
+	now := t.opts.Clock()
+	if t.failing == 0 {
+		t.failing = now
+	}
+	if !t.told && now.Sub(t.failing) >= lostAfter {
+		t.told = true
+		t.opts.Log.Event(crlog.StoreLost, crlog.Fields{"scope": t.scope.String(), "error": err.Error()})
+		t.mark(true)
+	}
+	t.pause = min(max(2*t.pause, retryFirst), retryMost)
+	wait(ctx, t.pause/2+rand.N(t.pause/2+1))
+}
+
+// mark tells the control side when the list of records is cut off from the
+// store, and when it is not any more.
+func (t *track) mark(down bool) {
+	if t.scope != Records {
+		return
+	}
+	now := t.opts.Clock()
+	if down {
+		t.opts.Emit(crmesh.StoreLost{Now: now})
+		return
+	}
+	t.opts.Emit(crmesh.StoreBack{Now: now})
+}
+
+func wait(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
