Let watches take turns, list all scopes after a lost history, and lend what the store holds back

Seen by the watch's answers in the log: records heard 410 at 4.2 s, the configuration's watch only at 6.8 s. Change: the fleet looks afresh twice a second, its daemons in turn; a 410 in one scope lists the other, too; a daemon that lacks for 0.6 s what a peer holds copies it there.

--- a/core/crmesh/crmesh.go
+++ b/core/crmesh/crmesh.go
@@ -31,9 +31,9 @@
 	// forgetPeer is the time after which a peer is dropped that no record names.
 	forgetPeer = 20 * time.Second
 	// pullAfter is how long a daemon may know of a newer plan or list at a peer
-	// before it fetches it there. The store's own word comes within milliseconds
-	// as a rule, and spares the bytes.
-	pullAfter = 350 * time.Millisecond
+	// before it fetches it there. The store's own word, gathered for half a
+	// second, comes sooner as a rule, and spares the bytes.
+	pullAfter = 600 * time.Millisecond
 	// pullEvery is the least time between two fetches.
 	pullEvery = 400 * time.Millisecond
 	// urgentEvery is the least time between two urgent beats. A target whose
@@ -186,7 +186,9 @@
 	listed   bool         // a record or a seed names it
 	domain   crid.Domain  // empty: not known
 	sent     crid.Instant // the last beat to it
-	ahead    crid.Instant // since when it is known to hold something newer; zero: it does not
+	ahead    crid.Instant // since when it is known to hold what this daemon lacks; zero: it does not
+	version  uint64       // that it held then
+	revision crid.Revision
 	isSilent bool
 }
 
@@ -316,21 +318,21 @@
 	return append(effects, s.pull(ev.Now)...)
 }
 
+// noteAhead remembers what a peer holds that this daemon lacks. What the store
+// brings in the meantime settles it.
 func (s *State) noteAhead(now crid.Instant, p *peer) {
-	if !s.behind(p) {
-		p.ahead = 0
+	if p.ahead != 0 && s.lacks(p.version, p.revision) {
 		return
 	}
-	if p.ahead == 0 {
-		p.ahead = now
+	p.ahead = 0
+	if s.lacks(p.beat.Version, p.beat.Revision) {
+		p.ahead, p.version, p.revision = now, p.beat.Version, p.beat.Revision
 	}
 }
 
-func (s *State) behind(p *peer) bool {
-	if p.beat.Version > 0 && (s.plan == nil || p.beat.Version > s.plan.Version()) {
-		return true
-	}
-	return p.beat.Revision > 0 && (!s.listed || (s.down && p.beat.Revision > s.registry.Revision()))
+func (s *State) lacks(version uint64, revision crid.Revision) bool {
+	return (version > 0 && (s.plan == nil || version > s.plan.Version())) ||
+		(revision > 0 && (!s.listed || revision > s.registry.Revision()))
 }
 
 // pull fetches from the peer that is known longest to hold something newer.
@@ -342,7 +344,7 @@
 	var oldest crid.Instant
 	for _, d := range slices.Sorted(maps.Keys(s.peers)) {
 		p := s.peers[d]
-		if p.isSilent || p.ahead == 0 || !s.behind(p) || now.Sub(p.ahead) < pullAfter {
+		if p.isSilent || p.ahead == 0 || now.Sub(p.ahead) < pullAfter || !s.lacks(p.version, p.revision) {
 			continue
 		}
 		if from == "" || p.heard > oldest {
--- a/io/crmesh/crmesh.go
+++ b/io/crmesh/crmesh.go
@@ -108,7 +108,10 @@
 }
 
 func newFollower(opts Options, loop *loop, l *crlog.Logger) *crwatch.Follower {
-	return crwatch.New(crwatch.Options{Store: opts.Store, Decoder: opts.Decoder, Clock: crclock.Now, Emit: loop.emit, Log: l})
+	return crwatch.New(crwatch.Options{
+		Store: opts.Store, Decoder: opts.Decoder, Clock: crclock.Now, Emit: loop.emit, Log: l,
+		Size: func() int { return loop.view.Load().Size },
+	})
 }
 
 func newEntry(
--- a/io/crwatch/crwatch.go
+++ b/io/crwatch/crwatch.go
@@ -75,14 +75,19 @@
 }
 
 const (
-	// watchWait is the time for which a watch waits: the longest that the store
-	// allows, as each call is paid for. A connection that has died is found by
-	// keep-alive probes.
-	watchWait = 30 * time.Second
+	// lookEvery is the time between two fresh watches of the whole fleet. A
+	// store may leave waiting watches deaf to some changes; a fresh one learns
+	// that their history is gone, and peers then learn of the change by beats.
+	// Each call is paid for, so that the daemons take turns.
+	lookEvery = 500 * time.Millisecond
+	// waitLeast and waitMost bound the time for which a watch waits; the store
+	// allows no more than the latter.
+	waitLeast = 2 * time.Second
+	waitMost  = 30 * time.Second
 	// gather is the pause between two watches after changes: a rolling
 	// replacement brings several changes a second, and one call takes them all.
-	// It is a small part of the two seconds in which a change must be in force.
-	gather = 250 * time.Millisecond
+	// It is a part of the two seconds in which a change must be in force.
+	gather = 500 * time.Millisecond
 	// retryFirst and retryMost bound the pause after a failed call. The store
 	// has to be found again well within the time after its return in which
 	// daemons count as in touch, three seconds.
@@ -99,6 +104,7 @@
 	Decoder Decoder
 	Clock   func() crid.Instant
 	Emit    func(crevent.Event)
+	Size    func() int // daemons of the fleet
 	Log     *crlog.Logger
 }
 
@@ -108,6 +114,8 @@
 	mu     sync.Mutex
 	values map[Scope]map[string]Item
 	at     map[Scope]crid.Revision
+	losses int                               // times that the store was found to have lost history
+	cancel map[Scope]context.CancelCauseFunc // of the scopes' watches
 }
 
 // New returns a follower.
@@ -116,6 +124,7 @@
 		opts:   opts,
 		values: map[Scope]map[string]Item{Records: {}, Configuration: {}},
 		at:     make(map[Scope]crid.Revision),
+		cancel: make(map[Scope]context.CancelCauseFunc),
 	}
 }
 
@@ -223,6 +232,7 @@
 	*Follower
 	scope   Scope
 	listed  bool
+	seen    int // of the losses, when it was listed
 	after   crid.Revision
 	failing crid.Instant // since when calls fail; zero: they do not
 	told    bool         // that the store is away
@@ -230,18 +240,21 @@
 }
 
 func (t *track) round(ctx context.Context) error {
-	if !t.listed {
+	if !t.upToDate() {
 		return t.list(ctx)
 	}
-	items, at, err := t.opts.Store.Watch(ctx, t.scope, t.after, watchWait)
+	items, at, err := t.watch(ctx)
 	if errors.Is(err, ErrCompacted) {
-		t.listed = false
+		t.lostHistory()
 		return nil
 	}
 	if err != nil {
 		return err
 	}
 	t.succeeded()
+	if at == 0 {
+		return nil
+	}
 	t.after = max(at, t.after)
 	if len(items) == 0 {
 		return nil
@@ -251,13 +264,51 @@
 	return nil
 }
 
+// watch waits for changes, or until another scope finds that history was lost.
+func (t *track) watch(ctx context.Context) ([]Item, crid.Revision, error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	t.mu.Lock()
+	t.cancel[t.scope] = cancel
+	t.mu.Unlock()
+	most := min(max(lookEvery*time.Duration(t.opts.Size()), waitLeast), waitMost)
+	items, at, err := t.opts.Store.Watch(ctx, t.scope, t.after, most/2+rand.N(most/2))
+	if err != nil && errors.Is(context.Cause(ctx), ErrCompacted) {
+		return nil, 0, nil
+	}
+	return items, at, err
+}
+
+// lostHistory has all scopes listed anew: the others' waiting watches may be
+// deaf to changes of the same time, and would tell of it much later.
+func (t *track) lostHistory() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.losses++
+	for scope, cancel := range t.cancel {
+		if scope != t.scope {
+			cancel(ErrCompacted)
+		}
+	}
+}
+
+// upToDate reports whether the scope was listed since history was lost last.
+func (t *track) upToDate() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.listed && t.seen == t.losses
+}
+
 func (t *track) list(ctx context.Context) error {
+	t.mu.Lock()
+	losses := t.losses
+	t.mu.Unlock()
 	items, at, err := t.opts.Store.List(ctx, t.scope)
 	if err != nil {
 		return err
 	}
 	t.succeeded()
-	t.listed, t.after = true, at
+	t.listed, t.after, t.seen = true, at, losses
 	t.take(items, at, true)
 	if at == 0 {
 		// The store told no revision to watch from.
