Draw the first watch after a change, and charge the calls of repeats to their service

Ruled out: a cut of the machine in question (its beats were back 0.5 s before), and the retries' own window. Change: the first watch after an event waits a drawn time, later ones a full turn; a call is charged by the share of repeats among what its target runs.

--- a/core/crbudget/crbudget.go
+++ b/core/crbudget/crbudget.go
@@ -65,11 +65,17 @@
 	return true
 }
 
-// Refund gives a price back: the send did not arrive anywhere.
-func (b *Budget) Refund(now crid.Instant, s crid.Service, price float64) {
+// Charge counts arrivals that repeats elsewhere lead to: a request that runs
+// again makes its calls again, and those are repeats for the service called.
+func (b *Budget) Charge(now crid.Instant, s crid.Service, price float64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.window(s).add(now, b.params.Window, 0, -price)
+	b.window(s).add(now, b.params.Window, 0, price)
+}
+
+// Refund gives a price back: the send did not arrive anywhere.
+func (b *Budget) Refund(now crid.Instant, s crid.Service, price float64) {
+	b.Charge(now, s, -price)
 }
 
 func (b *Budget) window(s crid.Service) *window {
--- a/io/cregress/cregress.go
+++ b/io/cregress/cregress.go
@@ -69,6 +69,8 @@
 	target   atomic.Pointer[crregistry.Record]
 	stopping atomic.Bool
 	calls    calls
+	running  atomic.Int64 // requests at the target
+	repeats  atomic.Int64 // of these, those that ran elsewhere before
 
 	mu      sync.Mutex
 	judge   *crjudge.Judge
@@ -288,6 +290,30 @@
 // target then answers is not its own fault.
 func (x *Exit) CallFailed() { x.calls.fail(x.opts.Clock()) }
 
+// RepeatShare is the part of the requests at the target that are repeats, and so
+// the chance that a call of the target is one.
+func (x *Exit) RepeatShare() float64 {
+	running := x.running.Load()
+	if running <= 0 {
+		return 0
+	}
+	return min(float64(x.repeats.Load())/float64(running), 1)
+}
+
+// count notes that a request is at the target, until the returned function is
+// called.
+func (x *Exit) count(repeat bool) func() {
+	x.running.Add(1)
+	if !repeat {
+		return func() { x.running.Add(-1) }
+	}
+	x.repeats.Add(1)
+	return func() {
+		x.running.Add(-1)
+		x.repeats.Add(-1)
+	}
+}
+
 // calls remembers when a call of the target failed last.
 type calls struct{ at atomic.Int64 }
 
--- a/io/cringress/cringress.go
+++ b/io/cringress/cringress.go
@@ -139,6 +139,9 @@
 		return answer
 	}
 	q.opts.Budget.Request(q.started, q.service)
+	if q.isCall() {
+		q.opts.Budget.Charge(q.started, q.service, q.opts.Local.RepeatShare())
+	}
 	ctx, cancel := context.WithTimeout(q.http.Context(), q.deadline.Sub(q.opts.Clock()))
 	defer cancel()
 	answer := q.dispatch(ctx)
--- a/io/cringress/dispatch.go
+++ b/io/cringress/dispatch.go
@@ -104,7 +104,7 @@
 	now := d.opts.Clock()
 	o := croffer.Offer{
 		ID: d.caller.ID, Target: c.Target, Service: d.service, Class: d.route.Class, Priority: d.priority(),
-		Left: d.deadline.Sub(now), Objective: d.route.Objective - now.Sub(d.started), Trial: c.Trial, Last: c.Last,
+		Left: d.deadline.Sub(now), Objective: d.route.Objective - now.Sub(d.started), Trial: c.Trial, Last: c.Last, Repeat: d.repeat,
 	}
 	if c.Daemon == d.opts.Self {
 		return d.tryLocal(ctx, o)
--- a/io/croffer/croffer.go
+++ b/io/croffer/croffer.go
@@ -34,6 +34,7 @@
 	Objective time.Duration // until an answer loses worth; zero or less: it has
 	Trial     bool          // sent to a target held to be sick, to find out
 	Last      bool          // no better target is left
+	Repeat    bool          // it was sent to another target before
 }
 
 // Reply is an exit's answer to an offer.
--- a/io/crwatch/crwatch.go
+++ b/io/crwatch/crwatch.go
@@ -82,7 +82,7 @@
 	lookEvery = 500 * time.Millisecond
 	// waitLeast and waitMost bound the time for which a watch waits; the store
 	// allows no more than the latter.
-	waitLeast = 2 * time.Second
+	waitLeast = 200 * time.Millisecond
 	waitMost  = 30 * time.Second
 	// gather is the pause between two watches after changes: a rolling
 	// replacement brings several changes a second, and one call takes them all.
@@ -234,6 +234,7 @@
 	listed  bool
 	seen    int // of the losses, when it was listed
 	after   crid.Revision
+	inTurn  bool         // the daemons' watches of this scope end one after the other
 	failing crid.Instant // since when calls fail; zero: they do not
 	told    bool         // that the store is away
 	pause   time.Duration
@@ -259,6 +260,7 @@
 	if len(items) == 0 {
 		return nil
 	}
+	t.inTurn = false
 	t.take(items, at, false)
 	wait(ctx, gather)
 	return nil
@@ -271,14 +273,24 @@
 	t.mu.Lock()
 	t.cancel[t.scope] = cancel
 	t.mu.Unlock()
-	most := min(max(lookEvery*time.Duration(t.opts.Size()), waitLeast), waitMost)
-	items, at, err := t.opts.Store.Watch(ctx, t.scope, t.after, most/2+rand.N(most/2))
+	items, at, err := t.opts.Store.Watch(ctx, t.scope, t.after, t.waitTime())
 	if err != nil && errors.Is(context.Cause(ctx), ErrCompacted) {
 		return nil, 0, nil
 	}
 	return items, at, err
 }
 
+// waitTime is how long the next watch waits. A change ends all daemons' watches
+// at one moment; the first one after it is drawn, so that they take turns again.
+func (t *track) waitTime() time.Duration {
+	turn := min(lookEvery*time.Duration(t.opts.Size()), waitMost)
+	if t.inTurn {
+		return turn
+	}
+	t.inTurn = true
+	return waitLeast + rand.N(max(turn-waitLeast, 1))
+}
+
 // lostHistory has all scopes listed anew: the others' waiting watches may be
 // deaf to changes of the same time, and would tell of it much later.
 func (t *track) lostHistory() {
@@ -308,7 +320,7 @@
 		return err
 	}
 	t.succeeded()
-	t.listed, t.after, t.seen = true, at, losses
+	t.listed, t.after, t.seen, t.inTurn = true, at, losses, false
 	t.take(items, at, true)
 	if at == 0 {
 		// The store told no revision to watch from.
