--- a/core/crplace/crplace.go
+++ b/core/crplace/crplace.go
@@ -76,8 +76,23 @@
 // Choice is the target chosen.
 type Choice struct {
 	Candidate
-	Trial bool // the target is held to be sick, and the request is to find out
-	Last  bool // no better target is left: the exit should take it although sick
+	Trial bool    // the target is held to be sick, and the request is to find out
+	Last  bool    // no better target is left: the exit should take it although sick
+	Sick  float64 // as this daemon believed
+	Use   float64 // share of the slots taken, as this daemon believed
+}
+
+// Why says in a word what kind of choice it was, for logs.
+func (c Choice) Why() string {
+	switch {
+	case c.Trial:
+		return "trial"
+	case c.Last:
+		return "last resort"
+	case c.Use < roomy:
+		return "room"
+	}
+	return "queue"
 }
 
 type state struct {
@@ -168,6 +183,10 @@
 	score   float64
 }
 
+func (v view) choice(trial, last bool) Choice {
+	return Choice{Candidate: v.Candidate, Trial: trial, Last: last, Sick: v.sick, Use: v.use}
+}
+
 // Choose picks the target to offer a request to, or reports that none is left.
 func (b *Board) Choose(now crid.Instant, all []Candidate, ask Ask) (Choice, bool) {
 	b.mu.Lock()
@@ -178,19 +197,19 @@
 	}
 	if v, ok := trial(now, views, ask); ok {
 		v.state.trial = now
-		return Choice{Candidate: v.Candidate, Trial: true}, true
+		return v.choice(true, false), true
 	}
 	well := filter(views, func(v view) bool { return v.sick < crjudge.Limit && !v.avoided })
 	near := filter(well, func(v view) bool { return v.Domain == ask.Domain && v.use < roomy })
 	if len(near) > 0 {
-		return Choice{Candidate: best(near, ask).Candidate}, true
+		return best(near, ask).choice(false, false), true
 	}
 	free := filter(well, func(v view) bool { return v.use < 1 })
 	if len(free) > 0 {
-		return Choice{Candidate: best(free, ask).Candidate}, true
+		return best(free, ask).choice(false, false), true
 	}
 	if len(well) > 0 {
-		return Choice{Candidate: best(well, ask).Candidate}, true
+		return best(well, ask).choice(false, false), true
 	}
 	return lastResort(views), true
 }
@@ -280,7 +299,7 @@
 		}
 		return 0
 	})
-	return Choice{Candidate: chosen.Candidate, Last: true}
+	return chosen.choice(false, true)
 }
 
 func filter(views []view, keep func(view) bool) []view {
--- a/core/crpolicy/crpolicy.go
+++ b/core/crpolicy/crpolicy.go
@@ -26,6 +26,17 @@
 	ClassRepeat
 )
 
+// String names the class in logs.
+func (c Class) String() string {
+	switch c {
+	case ClassOnce:
+		return "once"
+	case ClassRepeat:
+		return "repeat"
+	}
+	return "unknown"
+}
+
 // KeyHash is the SHA-256 of a client key; keys themselves are never published.
 type KeyHash [sha256.Size]byte
 
--- a/io/cringress/cringress.go
+++ b/io/cringress/cringress.go
@@ -90,7 +90,8 @@
 	own     bool          // the answer is not a target's
 	targets int           // that the request was sent to
 	offers  int
-	target  crid.Target
+	choice  crplace.Choice // of the target that gave the answer
+	told    crplace.Told   // by its exit, last
 }
 
 func refusal(status int, reason string, after time.Duration) reply {
@@ -265,11 +266,24 @@
 	}
 	f := crlog.Fields{
 		"request": q.caller.ID, "status": strconv.Itoa(a.status), "reason": a.reason, "service": string(q.service),
-		"target": string(a.target), "targets": strconv.Itoa(a.targets), "offers": strconv.Itoa(a.offers),
+		"target": string(a.choice.Target), "choice": a.choice.Why(),
+		"believed": percent(a.choice.Sick), "told": percent(a.told.Sick), "class": q.className(), "targets": strconv.Itoa(a.targets), "offers": strconv.Itoa(a.offers),
 		"took": q.opts.Clock().Sub(q.started).Round(time.Millisecond).String(), "end": end,
 	}
+	if q.account != nil {
+		f["account"] = string(q.account.Name)
+	}
 	if q.view.Plan != nil {
 		f["plan"] = strconv.FormatUint(q.view.Plan.Version(), 16)
 	}
 	q.opts.Log.Event(crlog.RequestFailed, f)
 }
+
+func (q *request) className() string {
+	if q.route == nil {
+		return ""
+	}
+	return q.route.Class.String()
+}
+
+func percent(p float64) string { return strconv.Itoa(int(p*100+0.5)) + "%" }
--- a/io/cringress/dispatch.go
+++ b/io/cringress/dispatch.go
@@ -173,7 +173,8 @@
 		return more
 	case croffer.Answered:
 		d.ran = true
-		d.last = reply{status: r.Status, header: http.Header(r.Header), body: r.Body, target: c.Target}
+		d.last = reply{status: r.Status, header: http.Header(r.Header), body: r.Body}
+		d.last.choice, d.last.told = c, r.Told
 		return more && r.Status >= http.StatusInternalServerError && d.mayRepeat()
 	case croffer.Late:
 		d.ran = true
@@ -182,7 +183,7 @@
 		d.ran = true
 		d.last = refusal(http.StatusBadGateway, r.Reason, 0)
 	}
-	d.last.target = c.Target
+	d.last.choice, d.last.told = c, r.Told
 	return more && d.mayRepeat() && ctx.Err() == nil
 }
 
