Let idempotent requests spare the well targets when these are busy

Cause: in a shortage, once-only requests ended at sick targets (one in five served), while idempotent ones, which could try these first at little cost, held slots of the well ones. Change: while all well targets are busy, an idempotent request goes to a sick one first.

--- a/core/crplace/crplace.go
+++ b/core/crplace/crplace.go
@@ -200,6 +200,9 @@
 		return v.choice(true, false), true
 	}
 	well := filter(views, func(v view) bool { return v.sick < crjudge.Limit && !v.avoided })
+	if v, ok := spared(views, well, ask); ok {
+		return v.choice(false, true), true
+	}
 	near := filter(well, func(v view) bool { return v.Domain == ask.Domain && v.use < roomy })
 	if len(near) > 0 {
 		return best(near, ask).choice(false, false), true
@@ -272,6 +275,23 @@
 	return sick[int(ask.Float()*float64(len(sick)))], true
 }
 
+// spared picks a sick target with room for an idempotent request while all well
+// ones are busy. It may succeed there, and can still go to a well one if not;
+// the slot that it leaves to a request which may run only once is worth more.
+func spared(views, well []view, ask Ask) (view, bool) {
+	if ask.Class != crpolicy.ClassRepeat || len(ask.Tried) > 0 {
+		return view{}, false
+	}
+	if slices.ContainsFunc(well, func(v view) bool { return v.use < roomy }) {
+		return view{}, false
+	}
+	sick := filter(views, func(v view) bool { return v.sick >= crjudge.Limit && !v.avoided && v.use < roomy })
+	if len(sick) == 0 {
+		return view{}, false
+	}
+	return best(sick, ask), true
+}
+
 // best draws a few and takes the one with the lowest score.
 func best(views []view, ask Ask) view {
 	chosen := views[int(ask.Float()*float64(len(views)))]
