--- a/core/crbudget/crbudget.go
+++ b/core/crbudget/crbudget.go
@@ -19,10 +19,11 @@
 	"camphorroad/core/crid"
 )
 
-// safety is the part of the fleet's bound that is used. The rest is for windows
-// that slide over a burst, and for requests that run here while the daemons'
-// idea of how many they are differs.
-const safety = 0.8
+// safety is the part of the fleet's bound that is used. The rest is for calls of
+// repeats: they are charged where they enter, as a share that is estimated, and
+// where they alone pass a daemon's part, the others do not know. With 0.8 the sum
+// passed the bound by up to 7 in 100 on days when a third of the targets fail.
+const safety = 0.6
 
 // Params are the fleet's bound.
 type Params struct {
--- /dev/null
+++ b/core/crbudget/crbudget_test.go
@@ -0,0 +1,66 @@
+package crbudget_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"camphorroad/core/crbudget"
+	"camphorroad/core/crid"
+)
+
+const start = crid.Instant(time.Hour)
+
+var params = crbudget.Params{Ratio: 0.2, Slack: 56, Window: 10 * time.Second}
+
+// All targets of a service fail everything. If each daemon sent on what it likes,
+// the targets would get twice the load just when they can bear it least.
+func TestRepeatsOfAllDaemonsStayWithinTheFleetsBound(t *testing.T) {
+	g := gomega.NewWithT(t)
+	const daemons, perSecond, seconds = 22, 5, 60
+	repeats := make([]int, seconds)
+	for range daemons {
+		b := crbudget.New(params)
+		for s := range seconds {
+			for i := range perSecond {
+				now := start.Add(time.Duration(s)*time.Second + time.Duration(i)*time.Second/perSecond)
+				b.Request(now, "booking")
+				if b.Spend(now, "booking", daemons, 1) {
+					repeats[s]++
+				}
+			}
+		}
+	}
+	for s := 10; s < seconds; s++ {
+		sum := 0
+		for _, n := range repeats[s-10 : s] {
+			sum += n
+		}
+		g.Expect(float64(sum)).To(gomega.BeNumerically("<=", params.Ratio*daemons*perSecond*10+params.Slack))
+		g.Expect(sum).To(gomega.BeNumerically(">", 100))
+	}
+}
+
+// A request that runs again makes its calls again. These count at the service
+// called, and leave less for its own repeats.
+func TestCallsOfRepeatsTakeFromTheServiceCalled(t *testing.T) {
+	g := gomega.NewWithT(t)
+	b := crbudget.New(params)
+	for range 100 {
+		b.Request(start, "ledger")
+	}
+	b.Charge(start, "ledger", 17)
+	g.Expect(b.Spend(start, "ledger", 100, 1)).To(gomega.BeFalse())
+	b.Refund(start, "ledger", 10)
+	g.Expect(b.Spend(start, "ledger", 100, 1)).To(gomega.BeTrue())
+}
+
+func TestServicesHaveBudgetsOfTheirOwn(t *testing.T) {
+	g := gomega.NewWithT(t)
+	b := crbudget.New(crbudget.Params{Ratio: 0.2, Slack: 2, Window: time.Second})
+	g.Expect(b.Spend(start, "a", 1, 1)).To(gomega.BeTrue())
+	g.Expect(b.Spend(start, "a", 1, 1)).To(gomega.BeFalse())
+	g.Expect(b.Spend(start, "b", 1, 1)).To(gomega.BeTrue())
+	g.Expect(b.Spend(start.Add(1100*time.Millisecond), "a", 1, 1)).To(gomega.BeTrue())
+}
--- /dev/null
+++ b/core/crjudge/crjudge_test.go
@@ -0,0 +1,111 @@
+package crjudge_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"camphorroad/core/crid"
+	"camphorroad/core/crjudge"
+)
+
+const start = crid.Instant(time.Hour)
+
+// A target that did well turns sick. Its first failure is not yet sure, but the
+// next request may run only once: sending it there would lose it, too.
+func TestOneFailureOfAWellTargetIsEnough(t *testing.T) {
+	g := gomega.NewWithT(t)
+	j := crjudge.New(start)
+	now := start
+	for range 200 {
+		now = now.Add(100 * time.Millisecond)
+		j.Note(now, crjudge.Success)
+	}
+	g.Expect(j.Sick(now)).To(gomega.BeNumerically("<", crjudge.Limit))
+	j.Note(now.Add(time.Second), crjudge.Failure)
+	g.Expect(j.Sick(now.Add(time.Second))).To(gomega.BeNumerically(">=", crjudge.Limit))
+}
+
+// A sound target fails one request in eighty. Were it held sick for long, callers
+// would lose good capacity.
+func TestThreeSuccessesClearAChanceFailure(t *testing.T) {
+	g := gomega.NewWithT(t)
+	j := crjudge.New(start)
+	j.Note(start, crjudge.Success)
+	j.Note(start, crjudge.Failure)
+	g.Expect(j.Sick(start)).To(gomega.BeNumerically(">=", crjudge.Limit))
+	for range 4 {
+		j.Note(start, crjudge.Success)
+	}
+	g.Expect(j.Sick(start)).To(gomega.BeNumerically("<", crjudge.Limit))
+}
+
+// Nobody sends a sick target anything. It recovers, and is wanted again: without
+// news the verdict has to fade.
+func TestAVerdictFadesWithoutNews(t *testing.T) {
+	g := gomega.NewWithT(t)
+	j := crjudge.New(start)
+	for range 5 {
+		j.Note(start, crjudge.Failure)
+	}
+	g.Expect(j.Sick(start.Add(3 * time.Second))).To(gomega.BeNumerically(">=", crjudge.Limit))
+	g.Expect(j.Sick(start.Add(20 * time.Second))).To(gomega.BeNumerically("<", crjudge.Limit))
+}
+
+// Targets turn sick for nine seconds at a time, three in ten at any moment, and
+// fail 85 of 100 requests then; sound ones fail 12 in 1,000. Of the requests that
+// may run only once, few may meet a sick target, and few sound targets may be
+// left out.
+func TestPlayedFleetIsJudgedWell(t *testing.T) {
+	g := gomega.NewWithT(t)
+	rng := rand.New(rand.NewPCG(1, 2))
+	var sent, lost, wellTime, setAside int
+	for range 20 {
+		j := crjudge.New(start)
+		sick := false
+		for at := time.Duration(0); at < 5*time.Minute; at += 150 * time.Millisecond {
+			now := start.Add(at)
+			if at%(9*time.Second) < 150*time.Millisecond {
+				sick = rng.Float64() < 0.3
+			}
+			held := j.Sick(now) >= crjudge.Limit
+			if !sick {
+				wellTime++
+				if held {
+					setAside++
+				}
+			}
+			if held && rng.Float64() < 0.6 {
+				continue // only some requests may try a target held to be sick
+			}
+			failed := rng.Float64() < 0.012 || (sick && rng.Float64() < 0.85)
+			if !held {
+				sent++
+				if failed {
+					lost++
+				}
+			}
+			if failed {
+				j.Note(now, crjudge.Failure)
+			} else {
+				j.Note(now, crjudge.Success)
+			}
+		}
+	}
+	g.Expect(float64(lost)/float64(sent)).To(gomega.BeNumerically("<", 0.04), "once-only requests lost")
+	g.Expect(float64(setAside)/float64(wellTime)).To(gomega.BeNumerically("<", 0.1), "sound targets set aside")
+}
+
+func TestPaceKnowsWhatIsSlow(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var p crjudge.Pace
+	g.Expect(p.Slow()).To(gomega.BeZero())
+	for i := range 40 {
+		p.Add(time.Duration(200+10*(i%10)) * time.Millisecond)
+	}
+	g.Expect(p.Typical()).To(gomega.BeNumerically("~", 245*time.Millisecond, 30*time.Millisecond))
+	g.Expect(p.Slow()).To(gomega.BeNumerically(">", 600*time.Millisecond))
+	g.Expect(p.Slow()).To(gomega.BeNumerically("<", 1200*time.Millisecond))
+}
--- /dev/null
+++ b/core/crmesh/crmesh_test.go
@@ -0,0 +1,197 @@
+package crmesh_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"camphorroad/core/crevent"
+	"camphorroad/core/crid"
+	"camphorroad/core/crmesh"
+	"camphorroad/core/crplan"
+	"camphorroad/core/crregistry"
+)
+
+const start = crid.Instant(time.Hour)
+
+func params() crmesh.Params {
+	return crmesh.Params{
+		Self: "10.0.0.1", Domain: "a", Service: "booking", Address: "10.0.0.1:80", Seeds: []crid.Daemon{"10.0.0.9"},
+		Beat: 400 * time.Millisecond, Far: time.Second,
+	}
+}
+
+func plan(t *testing.T, version uint64) *crplan.Plan {
+	t.Helper()
+	p, err := crplan.New(version, nil, nil, nil, crplan.Limits{})
+	gomega.NewWithT(t).Expect(err).NotTo(gomega.HaveOccurred())
+	return p
+}
+
+func listed(n int, revision crid.Revision) crmesh.Listed {
+	ev := crmesh.Listed{Now: start, Revision: revision}
+	for i := 1; i <= n; i++ {
+		domain := crid.Domain("a")
+		if i%2 == 0 {
+			domain = "b"
+		}
+		ev.Changes = append(ev.Changes, crregistry.Change{
+			Key: fmt.Sprintf("t%d", i), Revision: revision,
+			Record: &crregistry.Record{
+				Target: crid.Target(fmt.Sprintf("t%d", i)), Service: "booking", Address: fmt.Sprintf("10.0.0.%d:80", i), Domain: domain, Slots: 4,
+			},
+		})
+	}
+	return ev
+}
+
+func views(effects []crevent.Effect) []*crmesh.View {
+	var out []*crmesh.View
+	for _, e := range effects {
+		if v, ok := e.(crmesh.UseView); ok {
+			out = append(out, v.View)
+		}
+	}
+	return out
+}
+
+func pulls(effects []crevent.Effect) []crid.Daemon {
+	var out []crid.Daemon
+	for _, e := range effects {
+		if p, ok := e.(crmesh.Pull); ok {
+			out = append(out, p.From)
+		}
+	}
+	return out
+}
+
+func beats(effects []crevent.Effect) []crid.Daemon {
+	var out []crid.Daemon
+	for _, e := range effects {
+		if b, ok := e.(crmesh.SendBeat); ok {
+			out = append(out, b.To...)
+		}
+	}
+	return out
+}
+
+// A daemon that lags, or a store that answers from the past, shows an older plan
+// after a newer one is in force. A key that was withdrawn would work again.
+func TestAnOlderPlanNeverComesBack(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := crmesh.New(params())
+	g.Expect(views(s.Step(crmesh.PlanRead{Now: start, Plan: plan(t, 7)}))).To(gomega.HaveLen(1))
+	g.Expect(s.Step(crmesh.PlanRead{Now: start, Plan: plan(t, 5)})).To(gomega.BeEmpty())
+	g.Expect(s.Step(crmesh.PlanRead{Now: start, Plan: plan(t, 7)})).To(gomega.BeEmpty())
+	v := views(s.Step(crmesh.PlanRead{Now: start, Plan: plan(t, 8)}))
+	g.Expect(v[0].Plan.Version()).To(gomega.Equal(uint64(8)))
+}
+
+func TestTheListNamesPeersAndOwnTarget(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := crmesh.New(params())
+	v := views(s.Step(listed(3, 5)))[0]
+	g.Expect(v.Targets["booking"]).To(gomega.HaveLen(3))
+	g.Expect(v.Own.Target).To(gomega.Equal(crid.Target("t1")))
+	g.Expect(v.Size).To(gomega.Equal(4), "itself, two peers and the seed")
+}
+
+// The store turns this daemon away while a peer reads a newer plan there, with a
+// key withdrawn. Without the peer's copy the key would work on for as long.
+func TestWhatTheStoreDoesNotGiveIsFetchedFromAPeer(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := crmesh.New(params())
+	s.Step(crmesh.PlanRead{Now: start, Plan: plan(t, 7)})
+	s.Step(listed(3, 5))
+	s.Step(crmesh.StoreLost{Now: start})
+	newer := crmesh.Beat{Version: 9, Revision: 5}
+	g.Expect(pulls(s.Step(crmesh.Heard{Now: start, From: "10.0.0.2", Beat: newer}))).To(gomega.BeEmpty())
+	g.Expect(pulls(s.Step(crmesh.Heard{Now: start.Add(700 * time.Millisecond), From: "10.0.0.2", Beat: newer}))).
+		To(gomega.Equal([]crid.Daemon{"10.0.0.2"}))
+	g.Expect(pulls(s.Step(crevent.Tick{Now: start.Add(800 * time.Millisecond)}))).To(gomega.BeEmpty(), "not again at once")
+	g.Expect(pulls(s.Step(crevent.Tick{Now: start.Add(1200 * time.Millisecond)}))).To(gomega.HaveLen(1))
+}
+
+// Every change reaches the daemons a few milliseconds apart. Were each one that
+// hears of it first by a beat to fetch it from a peer, each change would cost a
+// copy of everything.
+func TestWhatTheStoreBringsIsNotFetched(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := crmesh.New(params())
+	s.Step(crmesh.PlanRead{Now: start, Plan: plan(t, 7)})
+	s.Step(listed(3, 5))
+	s.Step(crmesh.Heard{Now: start, From: "10.0.0.2", Beat: crmesh.Beat{Version: 9, Revision: 6}})
+	s.Step(crmesh.PlanRead{Now: start.Add(400 * time.Millisecond), Plan: plan(t, 9)})
+	s.Step(crmesh.Changed{Now: start.Add(400 * time.Millisecond), Revision: 6})
+	g.Expect(pulls(s.Step(crevent.Tick{Now: start.Add(time.Second)}))).To(gomega.BeEmpty())
+}
+
+// A peer's machine dies. Its target must not be offered requests for as long as
+// its record takes to run out.
+func TestAPeerThatIsNotHeardCountsAsSilent(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := crmesh.New(params())
+	s.Step(listed(3, 5))
+	v := views(s.Step(crmesh.Heard{Now: start, From: "10.0.0.3", Beat: crmesh.Beat{Target: "t3"}}))[0]
+	g.Expect(v.Daemons).To(gomega.Equal([]crid.Daemon{"10.0.0.1", "10.0.0.3"}))
+	g.Expect(views(s.Step(crevent.Tick{Now: start.Add(1100 * time.Millisecond)}))).To(gomega.BeEmpty())
+	v = views(s.Step(crevent.Tick{Now: start.Add(1300 * time.Millisecond)}))[0]
+	g.Expect(v.Silent).To(gomega.HaveKey(crid.Daemon("10.0.0.3")))
+	g.Expect(v.Daemons).To(gomega.Equal([]crid.Daemon{"10.0.0.1"}))
+}
+
+func TestBeatsGoOftenNearbyAndSeldomAfar(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := crmesh.New(params())
+	s.Step(listed(3, 5))
+	count := map[crid.Daemon]int{}
+	for at := time.Duration(0); at < 10*time.Second; at += 100 * time.Millisecond {
+		for _, d := range beats(s.Step(crevent.Tick{Now: start.Add(at)})) {
+			count[d]++
+		}
+	}
+	g.Expect(count["10.0.0.3"]).To(gomega.Equal(25), "same domain")
+	g.Expect(count["10.0.0.2"]).To(gomega.Equal(10), "another domain")
+}
+
+// A target turns sick between two beats. Peers have to know at once, or each of
+// them loses a request there first.
+func TestANudgeSendsABeatToAllAtOnce(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := crmesh.New(params())
+	s.Step(listed(3, 5))
+	s.Step(crevent.Tick{Now: start})
+	g.Expect(beats(s.Step(crmesh.Nudge{Now: start.Add(60 * time.Millisecond)}))).To(gomega.HaveLen(3))
+	g.Expect(beats(s.Step(crmesh.Nudge{Now: start.Add(70 * time.Millisecond)}))).To(gomega.BeEmpty())
+	g.Expect(beats(s.Step(crevent.Tick{Now: start.Add(120 * time.Millisecond)}))).To(gomega.HaveLen(3), "what was held back")
+}
+
+// A process starts while the store is away. Its seeds are all it knows; through
+// them it learns plan and list.
+func TestAFreshDaemonLearnsFromItsSeeds(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := crmesh.New(params())
+	g.Expect(beats(s.Step(crevent.Tick{Now: start}))).To(gomega.Equal([]crid.Daemon{"10.0.0.9"}))
+	s.Step(crmesh.Heard{Now: start, From: "10.0.0.9", Beat: crmesh.Beat{Version: 3, Revision: 4}})
+	g.Expect(pulls(s.Step(crevent.Tick{Now: start.Add(700 * time.Millisecond)}))).To(gomega.Equal([]crid.Daemon{"10.0.0.9"}))
+}
+
+// A daemon of a large fleet must not spend its processor on beats.
+func TestBeatsOfALargeFleetStayBounded(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := crmesh.New(params())
+	ev := crmesh.Listed{Now: start, Revision: 2}
+	for i := range 1000 {
+		ev.Changes = append(ev.Changes, crregistry.Change{Key: fmt.Sprint(i), Revision: 2, Record: &crregistry.Record{
+			Target: crid.Target(fmt.Sprint(i)), Service: "booking", Address: fmt.Sprintf("10.1.%d.%d:80", i/250, i%250+1), Domain: "a", Slots: 4,
+		}})
+	}
+	s.Step(ev)
+	n := 0
+	for at := time.Duration(0); at < 20*time.Second; at += 100 * time.Millisecond {
+		n += len(beats(s.Step(crevent.Tick{Now: start.Add(at)})))
+	}
+	g.Expect(n).To(gomega.BeNumerically("<=", 20*250+1000))
+}
--- /dev/null
+++ b/core/crplace/crplace_test.go
@@ -0,0 +1,152 @@
+package crplace_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"camphorroad/core/crid"
+	"camphorroad/core/crplace"
+	"camphorroad/core/crpolicy"
+)
+
+const start = crid.Instant(time.Hour)
+
+// fixed returns random numbers in turn.
+func fixed(numbers ...float64) func() float64 {
+	i := 0
+	return func() float64 {
+		n := numbers[i%len(numbers)]
+		i++
+		return n
+	}
+}
+
+func candidates(domains ...crid.Domain) []crplace.Candidate {
+	out := make([]crplace.Candidate, 0, len(domains))
+	for i, d := range domains {
+		out = append(out, crplace.Candidate{
+			Target: crid.Target(fmt.Sprintf("t%d", i)), Daemon: crid.Daemon(fmt.Sprintf("10.0.0.%d", i)), Domain: d, Slots: 4,
+		})
+	}
+	return out
+}
+
+func once(float func() float64, tried ...crid.Target) crplace.Ask {
+	return crplace.Ask{Class: crpolicy.ClassOnce, Domain: "a", Tried: tried, Float: float}
+}
+
+func repeat(float func() float64, tried ...crid.Target) crplace.Ask {
+	return crplace.Ask{Class: crpolicy.ClassRepeat, Domain: "a", Tried: tried, Float: float}
+}
+
+func TestTargetsOfTheDomainGoFirstWhileTheyHaveRoom(t *testing.T) {
+	g := gomega.NewWithT(t)
+	b := crplace.NewBoard()
+	all := candidates("b", "a", "b")
+	c, ok := b.Choose(start, all, once(fixed(0.1, 0.5, 0.9)))
+	g.Expect(ok).To(gomega.BeTrue())
+	g.Expect(c.Target).To(gomega.Equal(crid.Target("t1")))
+	b.Tell("t1", crplace.Told{Load: 4, Slots: 4})
+	c, _ = b.Choose(start, all, once(fixed(0.1, 0.5, 0.9)))
+	g.Expect(c.Target).NotTo(gomega.Equal(crid.Target("t1")))
+}
+
+// A target told by its exit to be sick gets no request that may run only once
+// while others are there, however idle it looks.
+func TestSickTargetsGetNothingThatMayRunOnlyOnce(t *testing.T) {
+	g := gomega.NewWithT(t)
+	b := crplace.NewBoard()
+	all := candidates("a", "a")
+	b.Tell("t0", crplace.Told{Slots: 4, Sick: 0.9})
+	b.Tell("t1", crplace.Told{Load: 6, Slots: 4})
+	for _, f := range []float64{0, 0.3, 0.6, 0.99} {
+		c, _ := b.Choose(start, all, once(fixed(f)))
+		g.Expect(c.Target).To(gomega.Equal(crid.Target("t1")))
+	}
+}
+
+// Nobody would notice that a sick target has recovered if nothing were sent to
+// it; an idempotent request can find out, now and then.
+func TestIdempotentRequestsTrySickTargetsNowAndThen(t *testing.T) {
+	g := gomega.NewWithT(t)
+	b := crplace.NewBoard()
+	all := candidates("a", "a")
+	b.Tell("t0", crplace.Told{Slots: 4, Sick: 0.9})
+	c, _ := b.Choose(start, all, repeat(fixed(0.1)))
+	g.Expect(c.Trial).To(gomega.BeTrue())
+	c, _ = b.Choose(start.Add(10*time.Millisecond), all, repeat(fixed(0.1)))
+	g.Expect(c.Trial).To(gomega.BeFalse())
+}
+
+// In a shortage the well targets are full and sick ones, failing fast, have room.
+// An idempotent request tries these first and so leaves a slot to what may run
+// only once.
+func TestIdempotentRequestsSpareBusyWellTargets(t *testing.T) {
+	g := gomega.NewWithT(t)
+	b := crplace.NewBoard()
+	all := candidates("a", "a")
+	b.Tell("t0", crplace.Told{Slots: 4, Sick: 0.9})
+	b.Tell("t1", crplace.Told{Load: 4, Slots: 4})
+	c, _ := b.Choose(start, all, repeat(fixed(0.9)))
+	g.Expect(c.Target).To(gomega.Equal(crid.Target("t0")))
+	c, _ = b.Choose(start, all, repeat(fixed(0.9), "t0"))
+	g.Expect(c.Target).To(gomega.Equal(crid.Target("t1")))
+	c, _ = b.Choose(start, all, once(fixed(0.9)))
+	g.Expect(c.Target).To(gomega.Equal(crid.Target("t1")))
+}
+
+// A path to a target's machine is cut. Each offer sent there costs its caller a
+// timeout; after the first the target is left out for a while, longer each time.
+func TestSilentExitsAreAvoidedForAWhile(t *testing.T) {
+	g := gomega.NewWithT(t)
+	b := crplace.NewBoard()
+	all := candidates("a", "b")
+	b.Silent(start, "t0")
+	c, _ := b.Choose(start.Add(500*time.Millisecond), all, once(fixed(0)))
+	g.Expect(c.Target).To(gomega.Equal(crid.Target("t1")))
+	c, _ = b.Choose(start.Add(700*time.Millisecond), all, once(fixed(0)))
+	g.Expect(c.Target).To(gomega.Equal(crid.Target("t0")))
+	b.Silent(start.Add(700*time.Millisecond), "t0")
+	c, _ = b.Choose(start.Add(1500*time.Millisecond), all, once(fixed(0)))
+	g.Expect(c.Target).To(gomega.Equal(crid.Target("t1")))
+	b.Answered("t0")
+	c, _ = b.Choose(start.Add(1500*time.Millisecond), all, once(fixed(0)))
+	g.Expect(c.Target).To(gomega.Equal(crid.Target("t0")))
+}
+
+// All targets are held sick, rightly or not. Some request has to go somewhere, or
+// the service would stay away for good.
+func TestLastResortIsTheLeastSick(t *testing.T) {
+	g := gomega.NewWithT(t)
+	b := crplace.NewBoard()
+	all := candidates("a", "a")
+	b.Tell("t0", crplace.Told{Slots: 4, Sick: 0.95})
+	b.Tell("t1", crplace.Told{Slots: 4, Sick: 0.5})
+	c, ok := b.Choose(start, all, once(fixed(0.9)))
+	g.Expect(ok).To(gomega.BeTrue())
+	g.Expect(c.Target).To(gomega.Equal(crid.Target("t1")))
+	g.Expect(c.Last).To(gomega.BeTrue())
+}
+
+func TestTriedAndClosedTargetsAreLeftOut(t *testing.T) {
+	g := gomega.NewWithT(t)
+	b := crplace.NewBoard()
+	all := candidates("a", "a")
+	b.Tell("t0", crplace.Told{Slots: 4, Closed: true})
+	_, ok := b.Choose(start, all, once(fixed(0.9), "t1"))
+	g.Expect(ok).To(gomega.BeFalse())
+}
+
+func TestSlowerTargetsGetLess(t *testing.T) {
+	g := gomega.NewWithT(t)
+	b := crplace.NewBoard()
+	all := candidates("a", "a", "a")
+	b.Tell("t0", crplace.Told{Slots: 4, Typical: 300 * time.Millisecond})
+	b.Tell("t1", crplace.Told{Slots: 4, Typical: 1500 * time.Millisecond})
+	b.Tell("t2", crplace.Told{Slots: 4, Load: 1, Typical: 300 * time.Millisecond})
+	c, _ := b.Choose(start, all, once(fixed(0.4, 0.9)))
+	g.Expect(c.Target).To(gomega.Equal(crid.Target("t2")))
+}
--- /dev/null
+++ b/core/crquota/crquota_test.go
@@ -0,0 +1,60 @@
+package crquota_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"camphorroad/core/crid"
+	"camphorroad/core/crquota"
+)
+
+const start = crid.Instant(time.Hour)
+
+// One account sends four times its rate through all daemons at once. Counted
+// over the fleet it must get its rate and no more.
+func TestAnAccountGetsItsRateAndNoMore(t *testing.T) {
+	g := gomega.NewWithT(t)
+	m := crquota.NewMeter()
+	taken := 0
+	for at := time.Duration(0); at < 20*time.Second; at += 10 * time.Millisecond {
+		if ok, _ := m.Take(start.Add(at), "survey", 25, 25); ok {
+			taken++
+		}
+	}
+	g.Expect(taken).To(gomega.BeNumerically("~", 20*25+12, 3))
+}
+
+func TestARefusalTellsWhenThereIsAToken(t *testing.T) {
+	g := gomega.NewWithT(t)
+	m := crquota.NewMeter()
+	var wait time.Duration
+	for ok := true; ok; {
+		ok, wait = m.Take(start, "survey", 10, 4)
+	}
+	g.Expect(wait).To(gomega.BeNumerically("~", 100*time.Millisecond, time.Millisecond))
+	ok, _ := m.Take(start.Add(wait), "survey", 10, 4)
+	g.Expect(ok).To(gomega.BeTrue())
+}
+
+// A machine goes. Were all accounts dealt anew, every bucket of the fleet would
+// start afresh and hand out its burst once more.
+func TestOnlyTheAccountsOfALostDaemonMove(t *testing.T) {
+	g := gomega.NewWithT(t)
+	daemons := []crid.Daemon{"10.0.0.1", "10.0.0.2", "10.0.0.3", "10.0.0.4"}
+	owners := map[crid.Daemon]int{}
+	for i := range 400 {
+		a := crid.Account(fmt.Sprintf("account-%d", i))
+		before := crquota.Owner(a, daemons)
+		after := crquota.Owner(a, daemons[:3])
+		owners[before]++
+		if before != "10.0.0.4" {
+			g.Expect(after).To(gomega.Equal(before))
+		}
+	}
+	for _, d := range daemons {
+		g.Expect(owners[d]).To(gomega.BeNumerically("~", 100, 40))
+	}
+}
--- /dev/null
+++ b/core/crregistry/crregistry_test.go
@@ -0,0 +1,114 @@
+package crregistry_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"camphorroad/core/crid"
+	"camphorroad/core/crregistry"
+)
+
+const start = crid.Instant(time.Hour)
+
+func record(target crid.Target, address string) *crregistry.Record {
+	return &crregistry.Record{Target: target, Service: "booking", Address: address, Slots: 4, Born: 1}
+}
+
+func change(revision crid.Revision, r *crregistry.Record) crregistry.Change {
+	return crregistry.Change{Key: "servers/" + string(r.Target), Revision: revision, Record: r}
+}
+
+func names(g *crregistry.Registry) []string {
+	out := []string{}
+	for _, r := range g.Records() {
+		out = append(out, string(r.Target))
+	}
+	return out
+}
+
+// A record goes while the store is well: its target leaves, and new work sent
+// there would be lost with it.
+func TestARemovedRecordIsGoneAtOnce(t *testing.T) {
+	g := gomega.NewWithT(t)
+	reg := crregistry.New()
+	reg.Replace(start, []crregistry.Change{change(2, record("a", "1:1")), change(3, record("b", "2:1"))}, 3)
+	reg.Apply(start, []crregistry.Change{{Key: "servers/a", Revision: 4}}, 4)
+	g.Expect(names(reg)).To(gomega.Equal([]string{"b"}))
+}
+
+// The store was away, and records ran out although their targets live. Dropping
+// them on its return would leave callers without targets for two seconds.
+func TestRecordsMissingAfterAnOutageAreHeldForAMoment(t *testing.T) {
+	g := gomega.NewWithT(t)
+	reg := crregistry.New()
+	reg.Replace(start, []crregistry.Change{change(2, record("a", "1:1")), change(3, record("b", "2:1"))}, 3)
+	reg.Lost()
+	reg.Returned(start.Add(5 * time.Second))
+	reg.Replace(start.Add(5*time.Second), []crregistry.Change{change(3, record("b", "2:1"))}, 9)
+	g.Expect(names(reg)).To(gomega.Equal([]string{"a", "b"}))
+	g.Expect(reg.Sweep(start.Add(6 * time.Second))).To(gomega.BeFalse())
+	g.Expect(reg.Sweep(start.Add(5*time.Second + crregistry.LapseGrace))).To(gomega.BeTrue())
+	g.Expect(names(reg)).To(gomega.Equal([]string{"b"}))
+}
+
+// A record that comes back in that time stays.
+func TestARecordThatComesBackStays(t *testing.T) {
+	g := gomega.NewWithT(t)
+	reg := crregistry.New()
+	reg.Replace(start, []crregistry.Change{change(2, record("a", "1:1"))}, 2)
+	reg.Lost()
+	reg.Returned(start.Add(5 * time.Second))
+	reg.Replace(start.Add(5*time.Second), nil, 9)
+	reg.Apply(start.Add(6*time.Second), []crregistry.Change{change(10, record("a", "1:1"))}, 10)
+	reg.Sweep(start.Add(time.Minute))
+	g.Expect(names(reg)).To(gomega.Equal([]string{"a"}))
+}
+
+// A target said that it leaves, and then went while the store was away. It did
+// not lapse: holding it would send work to a target that has ended.
+func TestALeavingRecordIsNotHeld(t *testing.T) {
+	g := gomega.NewWithT(t)
+	reg := crregistry.New()
+	leaving := record("a", "1:1")
+	leaving.Leaving = true
+	reg.Replace(start, []crregistry.Change{change(2, leaving)}, 2)
+	reg.Lost()
+	reg.Returned(start.Add(time.Second))
+	reg.Replace(start.Add(time.Second), nil, 9)
+	g.Expect(names(reg)).To(gomega.BeEmpty())
+}
+
+// An address passes to a target of another service before the old record has
+// gone. Work for the old one would reach a stranger.
+func TestAnAddressBelongsToTheLaterTarget(t *testing.T) {
+	g := gomega.NewWithT(t)
+	reg := crregistry.New()
+	other := record("b", "1:1")
+	other.Service, other.Born = "dispatch", 2
+	reg.Replace(start, []crregistry.Change{change(2, record("a", "1:1")), change(3, other)}, 3)
+	g.Expect(names(reg)).To(gomega.Equal([]string{"b"}))
+}
+
+// A peer's copy, or a page read earlier, tells of a record as it was before the
+// last change: an older word must not undo a newer one.
+func TestAnOlderWordChangesNothing(t *testing.T) {
+	g := gomega.NewWithT(t)
+	reg := crregistry.New()
+	leaving := record("a", "1:1")
+	leaving.Leaving = true
+	reg.Apply(start, []crregistry.Change{change(7, leaving)}, 7)
+	reg.Apply(start, []crregistry.Change{change(5, record("a", "1:1"))}, 7)
+	g.Expect(reg.Records()[0].Leaving).To(gomega.BeTrue())
+}
+
+// Somebody else wrote over a target's record. It names no target any more; all
+// other records hold.
+func TestAnUnreadableRecordNamesNoTarget(t *testing.T) {
+	g := gomega.NewWithT(t)
+	reg := crregistry.New()
+	reg.Replace(start, []crregistry.Change{change(2, record("a", "1:1")), change(3, record("b", "2:1"))}, 3)
+	reg.Apply(start, []crregistry.Change{{Key: "servers/a", Revision: 4}}, 4)
+	g.Expect(names(reg)).To(gomega.Equal([]string{"b"}))
+}
--- a/io/cregress/cregress.go
+++ b/io/cregress/cregress.go
@@ -69,8 +69,8 @@
 	target   atomic.Pointer[crregistry.Record]
 	stopping atomic.Bool
 	calls    calls
-	running  atomic.Int64 // requests at the target
-	repeats  atomic.Int64 // of these, those that ran elsewhere before
+	running  atomic.Int64 // idempotent requests at the target
+	repeats  atomic.Int64 // of these, those that were sent elsewhere before
 
 	mu      sync.Mutex
 	judge   *crjudge.Judge
@@ -290,8 +290,10 @@
 // target then answers is not its own fault.
 func (x *Exit) CallFailed() { x.calls.fail(x.opts.Clock()) }
 
-// RepeatShare is the part of the requests at the target that are repeats, and so
-// the chance that a call of the target is one.
+// RepeatShare is the part of the idempotent requests at the target that are
+// repeats, and so the chance that a call of the target is one. Requests that may
+// run only once are left out: if they make no calls, they would hide the repeats
+// among those that do.
 func (x *Exit) RepeatShare() float64 {
 	running := x.running.Load()
 	if running <= 0 {
@@ -300,11 +302,14 @@
 	return min(float64(x.repeats.Load())/float64(running), 1)
 }
 
-// count notes that a request is at the target, until the returned function is
+// count notes that a request is at the target until the returned function is
 // called.
-func (x *Exit) count(repeat bool) func() {
+func (x *Exit) count(o croffer.Offer) func() {
+	if o.Class != crpolicy.ClassRepeat {
+		return func() {}
+	}
 	x.running.Add(1)
-	if !repeat {
+	if !o.Repeat {
 		return func() { x.running.Add(-1) }
 	}
 	x.repeats.Add(1)
--- a/io/cregress/run.go
+++ b/io/cregress/run.go
@@ -46,7 +46,7 @@
 		return r.unreached(err)
 	}
 	wait := min(r.request.Wait-waited, left)
-	defer x.count(r.claim.offer.Repeat)()
+	defer x.count(r.claim.offer)()
 	r.watch.start(x, r.claim.offer.ID)
 	answer, err := conn.Exchange(ctx, r.encode(wait), r.mine)
 	r.watch.stop()
--- a/io/cringress/dispatch.go
+++ b/io/cringress/dispatch.go
@@ -9,6 +9,7 @@
 	"camphorroad/core/crid"
 	"camphorroad/core/crplace"
 	"camphorroad/core/crpolicy"
+	"camphorroad/io/crlog"
 	"camphorroad/io/croffer"
 )
 
@@ -81,6 +82,11 @@
 	if d.repeat && !d.opts.Budget.Spend(now, d.service, d.view.Size, price) {
 		return false
 	}
+	if d.repeat {
+		d.opts.Log.Event(crlog.RequestRepeated, crlog.Fields{
+			"request": d.caller.ID, "service": string(d.service), "target": string(choice.Target), "choice": choice.Why(), "after": d.last.reason,
+		})
+	}
 	d.offers++
 	d.tried = append(d.tried, choice.Target)
 	d.opts.Board.Begin(choice.Target)
