--- a/core/crmesh/crmesh.go
+++ b/core/crmesh/crmesh.go
@@ -335,29 +335,38 @@
 		(revision > 0 && (!s.listed || revision > s.registry.Revision()))
 }
 
-// pull fetches from the peer that is known longest to hold something newer.
+// pull fetches from a peer that holds what this daemon has lacked for a while:
+// one of the same domain if there is one, as bytes between domains are dear, and
+// of these the one heard last.
 func (s *State) pull(now crid.Instant) []crevent.Effect {
 	if s.stopping || (s.pulled != 0 && now.Sub(s.pulled) < pullEvery) {
 		return nil
 	}
 	var from crid.Daemon
-	var oldest crid.Instant
+	var best *peer
 	for _, d := range slices.Sorted(maps.Keys(s.peers)) {
 		p := s.peers[d]
 		if p.isSilent || p.ahead == 0 || now.Sub(p.ahead) < pullAfter || !s.lacks(p.version, p.revision) {
 			continue
 		}
-		if from == "" || p.heard > oldest {
-			from, oldest = d, p.heard
+		if best == nil || s.nearer(p, best) {
+			from, best = d, p
 		}
 	}
-	if from == "" {
+	if best == nil {
 		return nil
 	}
 	s.pulled = now
 	return []crevent.Effect{Pull{From: from}}
 }
 
+func (s *State) nearer(a, b *peer) bool {
+	if near := a.domain == s.params.Domain; near != (b.domain == s.params.Domain) {
+		return near
+	}
+	return a.heard > b.heard
+}
+
 func (s *State) tick(now crid.Instant) []crevent.Effect {
 	changed := s.registry.Sweep(now)
 	for d, p := range s.peers {
--- a/core/crmesh/crmesh_test.go
+++ b/core/crmesh/crmesh_test.go
@@ -114,6 +114,17 @@
 	g.Expect(pulls(s.Step(crevent.Tick{Now: start.Add(1200 * time.Millisecond)}))).To(gomega.HaveLen(1))
 }
 
+// Copies are large, and bytes between domains are dear.
+func TestACopyComesFromTheSameDomainIfItCan(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := crmesh.New(params())
+	s.Step(listed())
+	newer := crmesh.Beat{Version: 9, Revision: 5}
+	s.Step(crmesh.Heard{Now: start, From: "10.0.0.3", Beat: newer})
+	s.Step(crmesh.Heard{Now: start.Add(100 * time.Millisecond), From: "10.0.0.2", Beat: newer})
+	g.Expect(pulls(s.Step(crevent.Tick{Now: start.Add(800 * time.Millisecond)}))).To(gomega.Equal([]crid.Daemon{"10.0.0.3"}))
+}
+
 // Every change reaches the daemons a few milliseconds apart. Were each one that
 // hears of it first by a beat to fetch it from a peer, each change would cost a
 // copy of everything.
