Send what may run only once to targets that have just done well

Cause: a target of which nothing was heard for seconds may have turned sick, and a third of the targets is sick at any moment; once-only requests chose among those below the limit by load alone, and so found out at their own cost. Ruled out: a lower limit (it sets aside what is merely unheard of). Change: for a request that cannot be sent again, or not once more, the probability of sickness counts three times in the score; idempotent requests go on exploring.

--- a/core/crplace/crplace.go
+++ b/core/crplace/crplace.go
@@ -33,6 +33,12 @@
 	// speedWeight is what one more usual time of the service counts, in slots'
 	// share. A target five times as slow loses against a full one.
 	speedWeight = 0.6
+	// sickWeight is what the probability of sickness counts, in slots' share, for
+	// a request that cannot be sent again: one in ten is as bad as three tenths
+	// of the slots taken. A target that has just done well then goes before one
+	// of which nothing was heard for seconds; idempotent requests, which can be
+	// sent again, find out about the latter.
+	sickWeight = 3.0
 	// trialShare is the part of the idempotent requests that may try a target
 	// held to be sick, at most; the exits pace the trials of each.
 	trialShare = 0.25
@@ -237,6 +243,9 @@
 		v.use = float64(s.load) / float64(max(slots, 1))
 		v.avoided = now.Before(s.avoid) || (ask.Silent != nil && ask.Silent(c.Daemon))
 		v.score = v.use
+		if ask.Class == crpolicy.ClassOnce || len(ask.Tried) > 0 {
+			v.score += sickWeight * v.sick
+		}
 		if usual > 0 && s.told.Typical > 0 {
 			v.score += speedWeight * (float64(s.told.Typical)/float64(usual) - 1)
 		}
--- a/core/crplace/crplace_test.go
+++ b/core/crplace/crplace_test.go
@@ -140,6 +140,21 @@
 	g.Expect(ok).To(gomega.BeFalse())
 }
 
+// Nothing was heard of one target for seconds: it may have turned sick. A request
+// that may run only once goes to the one that has just done well, though it is
+// busier; an idempotent one finds out about the other.
+func TestOnceOnlyRequestsPreferWhatHasJustDoneWell(t *testing.T) {
+	g := gomega.NewWithT(t)
+	b := crplace.NewBoard()
+	all := candidates("a", "a")
+	b.Tell("t0", crplace.Told{Slots: 4, Sick: 0.12})
+	b.Tell("t1", crplace.Told{Load: 1, Slots: 4, Sick: 0.01})
+	c, _ := b.Choose(start, all, once(fixed(0.1, 0.9)))
+	g.Expect(c.Target).To(gomega.Equal(crid.Target("t1")))
+	c, _ = b.Choose(start, all, repeat(fixed(0.9, 0.1)))
+	g.Expect(c.Target).To(gomega.Equal(crid.Target("t0")))
+}
+
 func TestSlowerTargetsGetLess(t *testing.T) {
 	g := gomega.NewWithT(t)
 	b := crplace.NewBoard()
