Beat seldom to far peers of a large fleet unless they offer; drop what nothing used

Change: a far peer that made no offer for 10 s hears every 25 ms times the fleet's size (1 s up to 40 machines, as before), and urgent beats reach it only in small fleets. Targets that have just started come after others.

--- a/core/crmesh/crmesh.go
+++ b/core/crmesh/crmesh.go
@@ -39,6 +39,17 @@
 	// urgentEvery is the least time between two urgent beats. A target whose
 	// judgement trembles would else cost a beat to every peer an answer.
 	urgentEvery = 50 * time.Millisecond
+	// idlePerPeer is the least time between beats, for each peer of the fleet, to
+	// peers elsewhere that offered nothing lately. Each daemon would else send
+	// all others a beat a second: at 300 machines that was nine tenths of all
+	// bytes between domains. What such a peer does not hear, an offer tells it.
+	idlePerPeer = 25 * time.Millisecond
+	// askedFor is how long a peer that made an offer counts as interested.
+	askedFor = 10 * time.Second
+	// crowd is the number of peers above which urgent beats go only to the own
+	// domain and to interested peers. Verdicts change 20 times a second in a
+	// fleet of 300.
+	crowd = 40
 	// perPeer is the least time between beats for each peer, so that a daemon
 	// of a large fleet sends no more than 250 a second.
 	perPeer = 4 * time.Millisecond
@@ -111,6 +122,11 @@
 		From crid.Daemon
 		Beat Beat
 	}
+	// Asked tells that a peer has offered a request.
+	Asked struct {
+		Now  crid.Instant
+		From crid.Daemon
+	}
 	// Nudge asks for a beat to all peers now: the target's state has changed.
 	Nudge struct{ Now crid.Instant }
 )
@@ -133,6 +149,9 @@
 // At implements crevent.Event.
 func (e Heard) At() crid.Instant { return e.Now }
 
+// At implements crevent.Event.
+func (e Asked) At() crid.Instant { return e.Now }
+
 // At implements crevent.Event.
 func (e Nudge) At() crid.Instant { return e.Now }
 
@@ -186,6 +205,7 @@
 	listed   bool         // a record or a seed names it
 	domain   crid.Domain  // empty: not known
 	sent     crid.Instant // the last beat to it
+	asked    crid.Instant // its last offer; zero: none
 	ahead    crid.Instant // since when it is known to hold what this daemon lacks; zero: it does not
 	version  uint64       // that it held then
 	revision crid.Revision
@@ -235,6 +255,10 @@
 		s.registry.Returned(ev.Now)
 	case Heard:
 		return s.hear(ev)
+	case Asked:
+		if p := s.peers[ev.From]; p != nil {
+			p.asked = ev.Now
+		}
 	case Nudge:
 		s.nudged = true
 		return s.beats(ev.Now)
@@ -393,17 +417,36 @@
 	if p.heard == 0 {
 		return false
 	}
-	return now.Sub(p.heard) > silentBeats*s.interval(p)
+	return now.Sub(p.heard) > silentBeats*s.idle(p)
 }
 
-func (s *State) interval(p *peer) time.Duration {
-	least := perPeer * time.Duration(len(s.peers))
-	if p.domain == s.params.Domain {
-		return max(s.params.Beat, least)
+func (s *State) near(p *peer) bool { return p.domain == s.params.Domain }
+
+// interested reports whether a peer wants to know of this daemon's target.
+func (s *State) interested(now crid.Instant, p *peer) bool {
+	return s.near(p) || (p.asked != 0 && now.Sub(p.asked) < askedFor)
+}
+
+// interval is the time between beats to a peer.
+func (s *State) interval(now crid.Instant, p *peer) time.Duration {
+	if !s.near(p) && s.interested(now, p) {
+		return max(s.params.Far, s.least())
+	}
+	return s.idle(p)
+}
+
+// idle is the time between beats to a peer that offered nothing lately, and so
+// the longest between those that it sends.
+func (s *State) idle(p *peer) time.Duration {
+	if s.near(p) {
+		return max(s.params.Beat, s.least())
 	}
-	return max(s.params.Far, least)
+	return max(s.params.Far, s.least(), idlePerPeer*time.Duration(len(s.peers)))
 }
 
+// least keeps a daemon of a large fleet from spending its processor on beats.
+func (s *State) least() time.Duration { return perPeer * time.Duration(len(s.peers)) }
+
 // beats returns the beats that are due, or all of them after a nudge.
 func (s *State) beats(now crid.Instant) []crevent.Effect {
 	urgent := s.nudged && now.Sub(s.urged) >= urgentEvery
@@ -412,7 +455,8 @@
 	}
 	due := make([]crid.Daemon, 0, len(s.peers))
 	for d, p := range s.peers {
-		if urgent || p.sent == 0 || now.Sub(p.sent) >= s.interval(p) {
+		told := urgent && (len(s.peers) <= crowd || s.interested(now, p))
+		if told || p.sent == 0 || now.Sub(p.sent) >= s.interval(now, p) {
 			due = append(due, d)
 		}
 	}
@@ -453,7 +497,7 @@
 			continue
 		}
 		v.Targets[r.Service] = append(v.Targets[r.Service], crplace.Candidate{
-			Target: r.Target, Daemon: DaemonOf(r.Address), Domain: r.Domain, Slots: r.Slots,
+			Target: r.Target, Daemon: DaemonOf(r.Address), Domain: r.Domain, Slots: r.Slots, Cold: r.Warmup > 0,
 		})
 	}
 	for _, d := range slices.Sorted(maps.Keys(s.peers)) {
--- a/core/crmesh/crmesh_test.go
+++ b/core/crmesh/crmesh_test.go
@@ -189,17 +189,48 @@
 	g.Expect(pulls(s.Step(crevent.Tick{Now: start.Add(700 * time.Millisecond)}))).To(gomega.Equal([]crid.Daemon{"10.0.0.9"}))
 }
 
-// A daemon of a large fleet must not spend its processor on beats.
-func TestBeatsOfALargeFleetStayBounded(t *testing.T) {
-	g := gomega.NewWithT(t)
-	s := crmesh.New(params())
+func large(n int) crmesh.Listed {
 	ev := crmesh.Listed{Now: start, Revision: 2}
-	for i := range 1000 {
+	for i := range n {
+		domain := crid.Domain("a")
+		if i%4 != 0 {
+			domain = "b"
+		}
 		ev.Changes = append(ev.Changes, crregistry.Change{Key: fmt.Sprint(i), Revision: 2, Record: &crregistry.Record{
-			Target: crid.Target(fmt.Sprint(i)), Service: "booking", Address: fmt.Sprintf("10.1.%d.%d:80", i/250, i%250+1), Domain: "a", Slots: 4,
+			Target: crid.Target(fmt.Sprint(i)), Service: "booking", Address: fmt.Sprintf("10.1.%d.%d:80", i/250, i%250+1), Domain: domain, Slots: 4,
 		}})
 	}
-	s.Step(ev)
+	return ev
+}
+
+// Beats of each daemon to all others grow with the square of the fleet, and bytes
+// between domains are dear. In a large one, only who offers requests hears often.
+func TestFarPeersOfALargeFleetHearOftenOnlyIfTheyOffer(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := crmesh.New(params())
+	s.Step(large(300))
+	const asks, rests = "10.1.0.2", "10.1.0.3"
+	count := map[crid.Daemon]int{}
+	for at := time.Duration(0); at < 30*time.Second; at += 100 * time.Millisecond {
+		now := start.Add(at)
+		s.Step(crmesh.Asked{Now: now, From: asks})
+		for _, d := range beats(s.Step(crevent.Tick{Now: now})) {
+			count[d]++
+		}
+	}
+	g.Expect(count[asks]).To(gomega.BeNumerically(">=", 23))
+	g.Expect(count[rests]).To(gomega.BeNumerically("<=", 5))
+	g.Expect(count[rests]).To(gomega.BeNumerically(">=", 4), "it must not count this daemon as silent")
+	urgent := beats(s.Step(crmesh.Nudge{Now: start.Add(30050 * time.Millisecond)}))
+	g.Expect(urgent).To(gomega.ContainElement(crid.Daemon(asks)))
+	g.Expect(urgent).NotTo(gomega.ContainElement(crid.Daemon(rests)))
+}
+
+// A daemon of a large fleet must not spend its processor on beats.
+func TestBeatsOfALargeFleetStayBounded(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := crmesh.New(params())
+	s.Step(large(1000))
 	n := 0
 	for at := time.Duration(0); at < 20*time.Second; at += 100 * time.Millisecond {
 		n += len(beats(s.Step(crevent.Tick{Now: start.Add(at)})))
--- a/core/crplace/crplace.go
+++ b/core/crplace/crplace.go
@@ -33,6 +33,10 @@
 	// speedWeight is what one more usual time of the service counts, in slots'
 	// share. A target five times as slow loses against a full one.
 	speedWeight = 0.6
+	// coldWeight is what a target counts that has just started, in slots' share:
+	// it takes twice as long for some seconds, so that half of its slots are as
+	// good as taken.
+	coldWeight = 0.5
 	// sickWeight is what the probability of sickness counts, in slots' share, for
 	// a request that cannot be sent again: one in ten is as bad as three tenths
 	// of the slots taken. A target that has just done well then goes before one
@@ -58,6 +62,7 @@
 	Daemon crid.Daemon // that stands beside it
 	Domain crid.Domain
 	Slots  int
+	Cold   bool // started a moment ago, and still slow
 }
 
 // Told is what an exit tells of its target.
@@ -75,7 +80,6 @@
 	Class  crpolicy.Class
 	Domain crid.Domain            // of the entry
 	Tried  []crid.Target          // that refused this request already
-	Wait   bool                   // the request may wait for a slot
 	Float  func() float64         // in [0,1); safe for the caller's goroutine
 	Silent func(crid.Daemon) bool // whether nothing was heard of a daemon lately
 }
@@ -243,6 +247,9 @@
 		v.use = float64(s.load) / float64(max(slots, 1))
 		v.avoided = now.Before(s.avoid) || (ask.Silent != nil && ask.Silent(c.Daemon))
 		v.score = v.use
+		if c.Cold {
+			v.score += coldWeight
+		}
 		if ask.Class == crpolicy.ClassOnce || len(ask.Tried) > 0 {
 			v.score += sickWeight * v.sick
 		}
--- a/core/crplace/crplace_test.go
+++ b/core/crplace/crplace_test.go
@@ -155,6 +155,20 @@
 	g.Expect(c.Target).To(gomega.Equal(crid.Target("t0")))
 }
 
+// A target has just started and takes twice as long. It gets requests, so that it
+// warms up, but the others go first while they have room.
+func TestColdTargetsGetLess(t *testing.T) {
+	g := gomega.NewWithT(t)
+	b := crplace.NewBoard()
+	all := candidates("a", "a")
+	all[0].Cold = true
+	c, _ := b.Choose(start, all, once(fixed(0.1, 0.9)))
+	g.Expect(c.Target).To(gomega.Equal(crid.Target("t1")))
+	b.Tell("t1", crplace.Told{Load: 3, Slots: 4})
+	c, _ = b.Choose(start, all, once(fixed(0.1, 0.9)))
+	g.Expect(c.Target).To(gomega.Equal(crid.Target("t0")))
+}
+
 func TestSlowerTargetsGetLess(t *testing.T) {
 	g := gomega.NewWithT(t)
 	b := crplace.NewBoard()
--- a/core/crregistry/crregistry.go
+++ b/core/crregistry/crregistry.go
@@ -49,8 +49,7 @@
 type held struct {
 	record   Record
 	revision crid.Revision
-	since    crid.Instant // of this incarnation's first record here
-	lapsing  bool         // missing after an outage
+	lapsing  bool // missing after an outage
 }
 
 // Registry is the list of targets. It is not safe for concurrent use.
@@ -116,11 +115,7 @@
 		g.remove(now, c.Key)
 		return
 	}
-	next := &held{record: *c.Record, revision: c.Revision, since: now}
-	if old != nil && old.record.Born == c.Record.Born && old.record.Address == c.Record.Address {
-		next.since = old.since
-	}
-	g.records[c.Key] = next
+	g.records[c.Key] = &held{record: *c.Record, revision: c.Revision}
 }
 
 func (g *Registry) remove(now crid.Instant, key string) {
--- a/io/crbeat/crbeat.go
+++ b/io/crbeat/crbeat.go
@@ -95,7 +95,7 @@
 	buf := make([]byte, maxDatagram)
 	for {
 		n, from, err := c.conn.ReadFromUDPAddrPort(buf)
-		if errors.Is(err, net.ErrClosed) {
+		if errors.Is(err, net.ErrClosed) || ctx.Err() != nil {
 			return nil
 		}
 		if err != nil {
--- a/io/crdialect/crdialect.go
+++ b/io/crdialect/crdialect.go
@@ -34,10 +34,9 @@
 
 // Answer is what a target says of its answer.
 type Answer struct {
-	ID     string      // of the request that it answers
-	Sealed bool        // it is the target's own
-	NotRun bool        // the request was not run and never will be
-	Target crid.Target // that answered, where it says so
+	ID     string // of the request that it answers
+	Sealed bool   // it is the target's own
+	NotRun bool   // the request was not run and never will be
 }
 
 // Dialect reads and writes the headers of one platform.
--- a/io/cregress/cregress.go
+++ b/io/cregress/cregress.go
@@ -58,7 +58,8 @@
 	Dialect crdialect.Dialect
 	Clock   func() crid.Instant
 	Log     *crlog.Logger
-	Nudge   func() // tells that the target's state has changed
+	Nudge   func()                 // tells that the target's state has changed
+	Asked   func(from crid.Daemon) // tells that a daemon has offered a request
 }
 
 // Exit runs requests on one target. It is safe for concurrent use.
@@ -168,6 +169,7 @@
 
 // Offer implements croffer.Exit.
 func (x *Exit) Offer(now crid.Instant, o croffer.Offer) croffer.Reply {
+	x.opts.Asked(o.From)
 	r := x.target.Load()
 	if r == nil || r.Target != o.Target || r.Service != o.Service {
 		return x.refuse("no such target here", 0)
--- a/io/cringress/dispatch.go
+++ b/io/cringress/dispatch.go
@@ -23,6 +23,8 @@
 	comeBack = 250 * time.Millisecond
 	// comeBackMost is the most: longer ones only idle what has room again.
 	comeBackMost = 1500 * time.Millisecond
+	// repeatPrice is what a repeat takes from the budget: one arrival.
+	repeatPrice = 1
 	// leastTry is the least time left that a further target is tried with.
 	leastTry = 60 * time.Millisecond
 )
@@ -79,8 +81,7 @@
 	if !ok {
 		return false
 	}
-	price := d.price()
-	if d.repeat && !d.opts.Budget.Spend(now, d.service, d.view.Size, price) {
+	if d.repeat && !d.opts.Budget.Spend(now, d.service, d.view.Size, repeatPrice) {
 		return false
 	}
 	if d.repeat {
@@ -96,23 +97,20 @@
 	result, ok := d.try(ctx, choice)
 	if !ok {
 		if d.repeat {
-			d.opts.Budget.Refund(now, d.service, price)
+			d.opts.Budget.Refund(now, d.service, repeatPrice)
 		}
 		return true
 	}
 	return d.took(ctx, choice, result)
 }
 
-// price is what a repeat may cost at most in arrivals.
-func (d *dispatch) price() float64 { return 1 }
-
 // try offers the request to a target and sends it if the exit takes it. It
 // reports false if the request did not leave this daemon.
 func (d *dispatch) try(ctx context.Context, c crplace.Choice) (croffer.Result, bool) {
 	now := d.opts.Clock()
 	o := croffer.Offer{
-		ID: d.caller.ID, Target: c.Target, Service: d.service, Class: d.route.Class, Priority: d.priority(),
-		Left: d.deadline.Sub(now), Objective: d.route.Objective - now.Sub(d.started), Trial: c.Trial, Last: c.Last, Repeat: d.repeat,
+		ID: d.caller.ID, From: d.opts.Self, Target: c.Target, Service: d.service, Class: d.route.Class, Priority: d.priority(),
+		Left: d.deadline.Sub(now), Objective: d.route.Objective - now.Sub(d.started), Last: c.Last, Repeat: d.repeat,
 	}
 	if c.Daemon == d.opts.Self {
 		return d.tryLocal(ctx, o)
--- a/io/crlog/catalogue_mesh.go
+++ b/io/crlog/catalogue_mesh.go
@@ -44,7 +44,7 @@
 			MeshPaused, LevelWarn, "daemon was paused",
 			"the process did not run for longer than a second", "its requests waited", "look for an overcommitted machine if it repeats",
 		},
-		{SettingsRead, LevelInfo, "settings read", "SIGHUP", "new seeds act at once, the rest at the next start", none},
+		{SettingsRead, LevelInfo, "settings read", "SIGHUP", "the file was checked; what changed acts at the next start", none},
 		{
 			SettingsBad, LevelError, "settings refused",
 			"SIGHUP, but the file is wrong", "the former settings stay", "mend the file and send SIGHUP again",
--- a/io/crmesh/loop.go
+++ b/io/crmesh/loop.go
@@ -50,11 +50,11 @@
 	return lp
 }
 
-// emit hands an event to the control loop. Beats are dropped when it lags, since
-// the next one tells the same; all others wait.
+// emit hands an event to the control loop. Beats and what only leads to beats are
+// dropped when it lags, since the next one tells the same; all others wait.
 func (l *loop) emit(ev crevent.Event) {
 	switch ev.(type) {
-	case crmesh.Heard, crmesh.Nudge:
+	case crmesh.Heard, crmesh.Nudge, crmesh.Asked:
 		select {
 		case l.events <- ev:
 		default:
--- a/io/croffer/croffer.go
+++ b/io/croffer/croffer.go
@@ -26,13 +26,13 @@
 type Offer struct {
 	_         struct{} `cbor:",toarray"`
 	ID        string   // of the request, for logs
+	From      crid.Daemon
 	Target    crid.Target
 	Service   crid.Service
 	Class     crpolicy.Class
 	Priority  int
 	Left      time.Duration // until the caller is answered in any case
 	Objective time.Duration // until an answer loses worth; zero or less: it has
-	Trial     bool          // sent to a target held to be sick, to find out
 	Last      bool          // no better target is left
 	Repeat    bool          // it was sent to another target before
 }
--- a/io/crsite/crsite.go
+++ b/io/crsite/crsite.go
@@ -53,7 +53,6 @@
 // Listen are the addresses that the daemon listens at.
 type Listen struct {
 	Caller  string `toml:"caller"`  // callers of this machine
-	Hop     string `toml:"hop"`     // not used: peers meet at the first of Ports
 	Ready   string `toml:"ready"`   // the ready page
 	Control string `toml:"control"` // where seeds are asked
 	Ports   []int  `toml:"ports"`   // first and last port between daemons
--- /dev/null
+++ b/io/crsite/crsite_test.go
@@ -0,0 +1,65 @@
+package crsite_test
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"camphorroad/io/crsite"
+)
+
+const good = `
+name = "side-1"
+address = "10.1.0.5"
+domain = "a"
+service = "s1"
+target = "10.1.0.5:8403"
+seeds = ["10.1.0.6:8407"]
+
+[listen]
+caller = "10.1.0.5:8402"
+ready = "10.1.0.5:8406"
+control = ""
+ports = [7660, 7675]
+
+[store]
+address = "10.200.1.7:8408"
+
+[limits]
+memory = 284
+
+[bounds]
+grace = 6
+slack = 56
+`
+
+func TestSettingsAreReadWithDefaults(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s, err := crsite.Parse("boot.toml", []byte(good))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(s.Listen.Ports).To(gomega.Equal([]int{7660, 7675}))
+	g.Expect(s.Bounds.GraceTime()).To(gomega.Equal(6 * time.Second))
+	g.Expect(s.Bounds.WindowTime()).To(gomega.Equal(10 * time.Second))
+	g.Expect(s.Bounds.Ratio).To(gomega.Equal(0.2))
+}
+
+func TestWrongSettingsAreNamed(t *testing.T) {
+	for name, c := range map[string]struct{ old, new, want string }{
+		"syntax":      {`domain = "a"`, `domain = `, "line 4"},
+		"unknown key": {`domain = "a"`, `zone = "a"`, "zone"},
+		"type":        {`memory = 284`, `memory = "much"`, "line 19"},
+		"address":     {`address = "10.1.0.5"`, `address = "here"`, "address"},
+		"no service":  {`service = "s1"`, `service = ""`, "service: missing"},
+		"no port":     {`caller = "10.1.0.5:8402"`, `caller = "10.1.0.5"`, "listen.caller"},
+		"one port":    {`[7660, 7675]`, `[7660]`, "listen.ports"},
+		"no grace":    {`grace = 6`, `grace = 0`, "bounds"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			_, err := crsite.Parse("boot.toml", []byte(strings.Replace(good, c.old, c.new, 1)))
+			g.Expect(err).To(gomega.MatchError(gomega.And(gomega.ContainSubstring("boot.toml"), gomega.ContainSubstring(c.want))))
+		})
+	}
+}
