--- a/io/crmesh/daemon.go
+++ b/io/crmesh/daemon.go
@@ -138,6 +138,9 @@
 // pagesAddress is where operators read state and metrics.
 func (d *daemon) pagesAddress() string {
 	s := d.opts.Settings
+	if s.Listen.Pages != "" {
+		return s.Listen.Pages
+	}
 	return net.JoinHostPort(s.Address, strconv.Itoa(s.Listen.Ports[0]+1))
 }
 
--- a/io/crsite/crsite.go
+++ b/io/crsite/crsite.go
@@ -55,6 +55,7 @@
 	Caller  string `toml:"caller"`  // callers of this machine
 	Ready   string `toml:"ready"`   // the ready page
 	Control string `toml:"control"` // where seeds are asked
+	Pages   string `toml:"pages"`   // state and metrics; empty: at the second of Ports
 	Ports   []int  `toml:"ports"`   // first and last port between daemons
 }
 
