--- /dev/null
+++ b/core/crmesh/event.go
@@ -0,0 +1,143 @@
+package crmesh
+
+import (
+	"time"
+
+	"camphorroad/core/crid"
+	"camphorroad/core/crplace"
+	"camphorroad/core/crplan"
+	"camphorroad/core/crregistry"
+)
+
+// Beat is what a daemon tells its peers.
+type Beat struct {
+	_           struct{} `cbor:",toarray"`
+	Incarnation uint64
+	Target      crid.Target // empty: its target is not known
+	Load        int         // requests running and waiting
+	Slots       int
+	Sick        uint8 // probability, of 255
+	Typical     int64 // milliseconds of a request; zero: not known
+	Closed      bool  // its target takes nothing now
+	Stopping    bool  // the daemon is about to end
+	Version     uint64
+	Revision    crid.Revision
+}
+
+// Told is the beat as the board wants it.
+func (b Beat) Told() crplace.Told {
+	return crplace.Told{
+		Load:    b.Load,
+		Slots:   b.Slots,
+		Sick:    float64(b.Sick) / 255,
+		Typical: time.Duration(b.Typical) * time.Millisecond,
+		Closed:  b.Closed || b.Stopping,
+	}
+}
+
+// Events.
+type (
+	// PlanRead is a plan read from the store or fetched from a peer.
+	PlanRead struct {
+		Now  crid.Instant
+		Plan *crplan.Plan
+	}
+	// Listed is the whole list of records, read at a revision.
+	Listed struct {
+		Now      crid.Instant
+		Changes  []crregistry.Change
+		Revision crid.Revision
+		Peer     bool // fetched from a peer
+	}
+	// Changed are changes of the list that follow on the last revision.
+	Changed struct {
+		Now      crid.Instant
+		Changes  []crregistry.Change
+		Revision crid.Revision
+	}
+	// StoreLost tells that the store cannot be read.
+	StoreLost struct{ Now crid.Instant }
+	// StoreBack tells that the store can be read again.
+	StoreBack struct{ Now crid.Instant }
+	// Heard is a beat of a peer.
+	Heard struct {
+		Now  crid.Instant
+		From crid.Daemon
+		Beat Beat
+	}
+	// Asked tells that a peer has offered a request.
+	Asked struct {
+		Now  crid.Instant
+		From crid.Daemon
+	}
+	// Nudge asks for a beat to all peers now: the target's state has changed.
+	Nudge struct{ Now crid.Instant }
+)
+
+// At implements crevent.Event.
+func (e PlanRead) At() crid.Instant { return e.Now }
+
+// At implements crevent.Event.
+func (e Listed) At() crid.Instant { return e.Now }
+
+// At implements crevent.Event.
+func (e Changed) At() crid.Instant { return e.Now }
+
+// At implements crevent.Event.
+func (e StoreLost) At() crid.Instant { return e.Now }
+
+// At implements crevent.Event.
+func (e StoreBack) At() crid.Instant { return e.Now }
+
+// At implements crevent.Event.
+func (e Heard) At() crid.Instant { return e.Now }
+
+// At implements crevent.Event.
+func (e Asked) At() crid.Instant { return e.Now }
+
+// At implements crevent.Event.
+func (e Nudge) At() crid.Instant { return e.Now }
+
+// Effects.
+type (
+	// UseView gives traffic a new view.
+	UseView struct{ View *View }
+	// SendBeat sends a beat to peers; the shell fills in the target's state.
+	SendBeat struct {
+		To       []crid.Daemon
+		Stopping bool
+		Version  uint64
+		Revision crid.Revision
+	}
+	// Tell passes a peer's word on its target to the board.
+	Tell struct {
+		Target crid.Target
+		Told   crplace.Told
+	}
+	// Pull fetches plan and list from a peer.
+	Pull struct{ From crid.Daemon }
+)
+
+// EffectName implements crevent.Effect.
+func (UseView) EffectName() string { return "view" }
+
+// EffectName implements crevent.Effect.
+func (SendBeat) EffectName() string { return "beat" }
+
+// EffectName implements crevent.Effect.
+func (Tell) EffectName() string { return "tell" }
+
+// EffectName implements crevent.Effect.
+func (Pull) EffectName() string { return "pull" }
+
+// View is what traffic reads. It is immutable.
+type View struct {
+	Plan     *crplan.Plan // nil: none yet
+	Listed   bool         // a list of targets is known
+	Targets  map[crid.Service][]crplace.Candidate
+	Own      *crregistry.Record // the record of this daemon's target; nil: none
+	Daemons  []crid.Daemon      // this one and the peers that are alive
+	Size     int                // daemons of the fleet, alive or not
+	Silent   map[crid.Daemon]bool
+	Stopping bool
+}
--- /dev/null
+++ b/core/crmesh/peer.go
@@ -0,0 +1,140 @@
+package crmesh
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"camphorroad/core/crevent"
+	"camphorroad/core/crid"
+)
+
+// peer is what a daemon knows of another one.
+type peer struct {
+	heard    crid.Instant // zero: never
+	beat     Beat
+	listed   bool         // a record or a seed names it
+	domain   crid.Domain  // empty: not known
+	sent     crid.Instant // the last beat to it
+	asked    crid.Instant // its last offer; zero: none
+	ahead    crid.Instant // since when it is known to hold what this daemon lacks; zero: it does not
+	version  uint64       // that it held then
+	revision crid.Revision
+	isSilent bool
+}
+
+// noteAhead remembers what a peer holds that this daemon lacks. What the store
+// brings in the meantime settles it.
+func (s *State) noteAhead(now crid.Instant, p *peer) {
+	if p.ahead != 0 && s.lacks(p.version, p.revision) {
+		return
+	}
+	p.ahead = 0
+	if s.lacks(p.beat.Version, p.beat.Revision) {
+		p.ahead, p.version, p.revision = now, p.beat.Version, p.beat.Revision
+	}
+}
+
+func (s *State) lacks(version uint64, revision crid.Revision) bool {
+	return (version > 0 && (s.plan == nil || version > s.plan.Version())) ||
+		(revision > 0 && (!s.listed || revision > s.registry.Revision()))
+}
+
+// pull fetches from a peer that holds what this daemon has lacked for a while:
+// one of the same domain if there is one, as bytes between domains are dear, and
+// of these the one heard last.
+func (s *State) pull(now crid.Instant) []crevent.Effect {
+	if s.stopping || (s.pulled != 0 && now.Sub(s.pulled) < pullEvery) {
+		return nil
+	}
+	var from crid.Daemon
+	var best *peer
+	for _, d := range slices.Sorted(maps.Keys(s.peers)) {
+		p := s.peers[d]
+		if p.isSilent || p.ahead == 0 || now.Sub(p.ahead) < pullAfter || !s.lacks(p.version, p.revision) {
+			continue
+		}
+		if best == nil || s.nearer(p, best) {
+			from, best = d, p
+		}
+	}
+	if best == nil {
+		return nil
+	}
+	s.pulled = now
+	return []crevent.Effect{Pull{From: from}}
+}
+
+func (s *State) nearer(a, b *peer) bool {
+	if near := a.domain == s.params.Domain; near != (b.domain == s.params.Domain) {
+		return near
+	}
+	return a.heard > b.heard
+}
+
+// silent reports whether a peer that was heard before is not heard any more. One
+// never heard may just have started; its exit will tell.
+func (s *State) silent(now crid.Instant, p *peer) bool {
+	if p.heard == 0 {
+		return false
+	}
+	return now.Sub(p.heard) > silentBeats*s.idle(p)
+}
+
+func (s *State) near(p *peer) bool { return p.domain == s.params.Domain }
+
+// interested reports whether a peer wants to know of this daemon's target.
+func (s *State) interested(now crid.Instant, p *peer) bool {
+	return s.near(p) || (p.asked != 0 && now.Sub(p.asked) < askedFor)
+}
+
+// interval is the time between beats to a peer.
+func (s *State) interval(now crid.Instant, p *peer) time.Duration {
+	if !s.near(p) && s.interested(now, p) {
+		return max(s.params.Far, s.least())
+	}
+	return s.idle(p)
+}
+
+// idle is the time between beats to a peer that offered nothing lately, and so
+// the longest between those that it sends.
+func (s *State) idle(p *peer) time.Duration {
+	if s.near(p) {
+		return max(s.params.Beat, s.least())
+	}
+	return max(s.params.Far, s.least(), idlePerPeer*time.Duration(len(s.peers)))
+}
+
+// least keeps a daemon of a large fleet from spending its processor on beats.
+func (s *State) least() time.Duration { return perPeer * time.Duration(len(s.peers)) }
+
+// beats returns the beats that are due, or all of them after a nudge.
+func (s *State) beats(now crid.Instant) []crevent.Effect {
+	urgent := s.nudged && now.Sub(s.urged) >= urgentEvery
+	if urgent {
+		s.nudged, s.urged = false, now
+	}
+	due := make([]crid.Daemon, 0, len(s.peers))
+	for d, p := range s.peers {
+		told := urgent && (len(s.peers) <= crowd || s.interested(now, p))
+		if told || p.sent == 0 || now.Sub(p.sent) >= s.interval(now, p) {
+			due = append(due, d)
+		}
+	}
+	slices.Sort(due)
+	return s.beatsTo(due, now)
+}
+
+func (s *State) beatsTo(to []crid.Daemon, now crid.Instant) []crevent.Effect {
+	if len(to) == 0 {
+		return nil
+	}
+	for _, d := range to {
+		s.peers[d].sent = now
+	}
+	b := SendBeat{To: to, Stopping: s.stopping, Revision: s.registry.Revision()}
+	if s.plan != nil {
+		b.Version = s.plan.Version()
+	}
+	return []crevent.Effect{b}
+}
