Hold records missing after an outage for less than a leaving target serves

The target left 9 ms after the store's return; two daemons took it for one of those whose record ran out in the outage, and held it for 2.2 s. Ruled out: a lost or late change (both logged the removal's effect at 2.2 s sharp), and the exit, whose own daemon was one of the two. Change: the time is the bound for leaving targets less 400 ms, 2.2 s at most. Live targets renew within two seconds; one that takes the longest is missed for 0.4 s.

--- a/core/crmesh/crmesh.go
+++ b/core/crmesh/crmesh.go
@@ -64,6 +64,7 @@
 	Seeds   []crid.Daemon
 	Beat    time.Duration // between beats to peers of the same domain
 	Far     time.Duration // between beats to peers elsewhere
+	Lapse   time.Duration // for which a record missing after an outage is held
 }
 
 // State is what a daemon believes.
@@ -82,7 +83,7 @@
 
 // New returns the state of a daemon that knows nothing but its seeds.
 func New(p Params) *State {
-	s := &State{params: p, registry: crregistry.New(), peers: make(map[crid.Daemon]*peer)}
+	s := &State{params: p, registry: crregistry.New(p.Lapse), peers: make(map[crid.Daemon]*peer)}
 	for _, d := range p.Seeds {
 		if d != p.Self {
 			s.peers[d] = &peer{listed: true}
--- a/core/crregistry/crregistry.go
+++ b/core/crregistry/crregistry.go
@@ -7,7 +7,7 @@
 //
 // # Usage
 //
-//	reg := crregistry.New()
+//	reg := crregistry.New(1700 * time.Millisecond)
 //	reg.Replace(now, changes, revision)
 //	reg.Apply(now, changes, revision)
 //	for _, r := range reg.Records() { ... }
@@ -22,11 +22,6 @@
 	"camphorroad/core/crid"
 )
 
-// LapseGrace is how long a record that went missing in an outage is held after
-// the store's return. Live targets renew their records within two seconds of it;
-// the rest is for the way of the change to the daemon.
-const LapseGrace = 2200 * time.Millisecond
-
 // Record is what a target says of itself in the store.
 type Record struct {
 	Target  crid.Target
@@ -54,14 +49,18 @@
 
 // Registry is the list of targets. It is not safe for concurrent use.
 type Registry struct {
+	lapse    time.Duration // for which a record missing after an outage is held
 	records  map[string]*held
 	revision crid.Revision
 	down     bool
 	returned crid.Instant // when the store last came back; zero: it was never away
 }
 
-// New returns an empty registry.
-func New() *Registry { return &Registry{records: make(map[string]*held)} }
+// New returns an empty registry. Lapse is how long a record that went missing in
+// an outage is held after the store's return.
+func New(lapse time.Duration) *Registry {
+	return &Registry{lapse: lapse, records: make(map[string]*held)}
+}
 
 // Revision is the store's revision that the registry stands at.
 func (g *Registry) Revision() crid.Revision { return g.revision }
@@ -80,7 +79,7 @@
 
 // unsure reports whether a missing record may belong to a live target.
 func (g *Registry) unsure(now crid.Instant) bool {
-	return g.down || (g.returned != 0 && now.Sub(g.returned) < LapseGrace)
+	return g.down || (g.returned != 0 && now.Sub(g.returned) < g.lapse)
 }
 
 // Replace takes a whole list, read at a revision.
--- a/core/crregistry/crregistry_test.go
+++ b/core/crregistry/crregistry_test.go
@@ -10,7 +10,10 @@
 	"camphorroad/core/crregistry"
 )
 
-const start = crid.Instant(time.Hour)
+const (
+	start = crid.Instant(time.Hour)
+	lapse = 1700 * time.Millisecond
+)
 
 func record(target crid.Target, address string) *crregistry.Record {
 	return &crregistry.Record{Target: target, Service: "booking", Address: address, Slots: 4, Born: 1}
@@ -32,7 +35,7 @@
 // there would be lost with it.
 func TestARemovedRecordIsGoneAtOnce(t *testing.T) {
 	g := gomega.NewWithT(t)
-	reg := crregistry.New()
+	reg := crregistry.New(lapse)
 	reg.Replace(start, []crregistry.Change{change(2, record("a", "1:1")), change(3, record("b", "2:1"))}, 3)
 	reg.Apply(start, []crregistry.Change{{Key: "servers/a", Revision: 4}}, 4)
 	g.Expect(names(reg)).To(gomega.Equal([]string{"b"}))
@@ -42,21 +45,21 @@
 // them on its return would leave callers without targets for two seconds.
 func TestRecordsMissingAfterAnOutageAreHeldForAMoment(t *testing.T) {
 	g := gomega.NewWithT(t)
-	reg := crregistry.New()
+	reg := crregistry.New(lapse)
 	reg.Replace(start, []crregistry.Change{change(2, record("a", "1:1")), change(3, record("b", "2:1"))}, 3)
 	reg.Lost()
 	reg.Returned(start.Add(5 * time.Second))
 	reg.Replace(start.Add(5*time.Second), []crregistry.Change{change(3, record("b", "2:1"))}, 9)
 	g.Expect(names(reg)).To(gomega.Equal([]string{"a", "b"}))
 	g.Expect(reg.Sweep(start.Add(6 * time.Second))).To(gomega.BeFalse())
-	g.Expect(reg.Sweep(start.Add(5*time.Second + crregistry.LapseGrace))).To(gomega.BeTrue())
+	g.Expect(reg.Sweep(start.Add(5*time.Second + lapse))).To(gomega.BeTrue())
 	g.Expect(names(reg)).To(gomega.Equal([]string{"b"}))
 }
 
 // A record that comes back in that time stays.
 func TestARecordThatComesBackStays(t *testing.T) {
 	g := gomega.NewWithT(t)
-	reg := crregistry.New()
+	reg := crregistry.New(lapse)
 	reg.Replace(start, []crregistry.Change{change(2, record("a", "1:1"))}, 2)
 	reg.Lost()
 	reg.Returned(start.Add(5 * time.Second))
@@ -70,7 +73,7 @@
 // not lapse: holding it would send work to a target that has ended.
 func TestALeavingRecordIsNotHeld(t *testing.T) {
 	g := gomega.NewWithT(t)
-	reg := crregistry.New()
+	reg := crregistry.New(lapse)
 	leaving := record("a", "1:1")
 	leaving.Leaving = true
 	reg.Replace(start, []crregistry.Change{change(2, leaving)}, 2)
@@ -84,7 +87,7 @@
 // gone. Work for the old one would reach a stranger.
 func TestAnAddressBelongsToTheLaterTarget(t *testing.T) {
 	g := gomega.NewWithT(t)
-	reg := crregistry.New()
+	reg := crregistry.New(lapse)
 	other := record("b", "1:1")
 	other.Service, other.Born = "dispatch", 2
 	reg.Replace(start, []crregistry.Change{change(2, record("a", "1:1")), change(3, other)}, 3)
@@ -95,7 +98,7 @@
 // last change: an older word must not undo a newer one.
 func TestAnOlderWordChangesNothing(t *testing.T) {
 	g := gomega.NewWithT(t)
-	reg := crregistry.New()
+	reg := crregistry.New(lapse)
 	leaving := record("a", "1:1")
 	leaving.Leaving = true
 	reg.Apply(start, []crregistry.Change{change(7, leaving)}, 7)
@@ -107,7 +110,7 @@
 // other records hold.
 func TestAnUnreadableRecordNamesNoTarget(t *testing.T) {
 	g := gomega.NewWithT(t)
-	reg := crregistry.New()
+	reg := crregistry.New(lapse)
 	reg.Replace(start, []crregistry.Change{change(2, record("a", "1:1")), change(3, record("b", "2:1"))}, 3)
 	reg.Apply(start, []crregistry.Change{{Key: "servers/a", Revision: 4}}, 4)
 	g.Expect(names(reg)).To(gomega.Equal([]string{"b"}))
--- a/io/crsite/crsite.go
+++ b/io/crsite/crsite.go
@@ -81,6 +81,22 @@
 // GraceTime is the time between the order to stop and the kill.
 func (b Bounds) GraceTime() time.Duration { return time.Duration(b.Grace * float64(time.Second)) }
 
+const (
+	// lapseMost is how long live targets may take to renew the records that ran
+	// out while the store was away: two seconds, and the way to the daemon.
+	lapseMost = 2200 * time.Millisecond
+	// leaveMargin is kept of the time in which a leaving target has to be left,
+	// for requests on their way.
+	leaveMargin = 400 * time.Millisecond
+)
+
+// LapseTime is how long a record that went missing while the store was away is
+// held after its return. A target that left in just that moment looks the same,
+// and has to be left in time; held longer, it would get work after it has ended.
+func (b Bounds) LapseTime() time.Duration {
+	return min(lapseMost, time.Duration(b.Drain)*time.Millisecond-leaveMargin)
+}
+
 // WindowTime is the length of the window of repeats.
 func (b Bounds) WindowTime() time.Duration { return time.Duration(b.Window * float64(time.Second)) }
 
--- a/io/crsite/crsite_test.go
+++ b/io/crsite/crsite_test.go
@@ -45,6 +45,17 @@
 	g.Expect(s.Bounds.Ratio).To(gomega.Equal(0.2))
 }
 
+// A target leaves just as the store comes back. Its record is missing like those
+// that ran out, and must be dropped before the target may end.
+func TestALapsedRecordIsHeldForLessThanALeavingTargetServes(t *testing.T) {
+	g := gomega.NewWithT(t)
+	for _, drain := range []int{1000, 2000, 2500, 9000} {
+		held := crsite.Bounds{Drain: drain}.LapseTime()
+		g.Expect(held).To(gomega.BeNumerically("<=", time.Duration(drain)*time.Millisecond-300*time.Millisecond))
+		g.Expect(held).To(gomega.BeNumerically("<=", 2200*time.Millisecond))
+	}
+}
+
 func TestWrongSettingsAreNamed(t *testing.T) {
 	for name, c := range map[string]struct{ old, new, want string }{
 		"syntax":      {`domain = "a"`, `domain = `, "line 4"},
