Call one piece where the new packages wrote a thing twice

Cause: a last reading of the change. A percentage for logs stood in entry and exit, splitting a header's list in exit and connections, the plan's version as text three times, the least time to come back twice; the control loop kept the last view beside the one it publishes. Change: crlog.Percent, crlink.SplitList, Plan.Label, dispatch.room, and a swap of the published view. Behaviour as before: the first view without a record no longer closes a gate that takes nothing anyway, as it has no target. Left: the same shape of constant blocks and imports; plan fields that nothing reads yet (health path, connections). The whole check was not run on this commit.

--- a/core/crplan/crplan.go
+++ b/core/crplan/crplan.go
@@ -15,6 +15,7 @@
 	"cmp"
 	"fmt"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -192,6 +193,9 @@
 // Version is the operator's number of this plan; later plans have greater ones.
 func (p *Plan) Version() uint64 { return p.version }
 
+// Label is the version as operators write it, hexadecimal.
+func (p *Plan) Label() string { return strconv.FormatUint(p.version, 16) }
+
 // Limits returns the bounds of what a caller may send.
 func (p *Plan) Limits() Limits { return p.limits }
 
--- a/io/cregress/cregress.go
+++ b/io/cregress/cregress.go
@@ -283,7 +283,7 @@
 		return
 	}
 	x.opts.Log.Event(crlog.TargetJudged, crlog.Fields{
-		"target": string(x.Target()), "before": percent(before), "sick": percent(after), "request": id,
+		"target": string(x.Target()), "before": crlog.Percent(before), "sick": crlog.Percent(after), "request": id,
 	})
 	x.opts.Nudge()
 }
@@ -338,7 +338,7 @@
 // StripConnection removes headers that concern one connection only.
 func StripConnection(h http.Header) {
 	for _, list := range h.Values("Connection") {
-		for _, name := range splitNames(list) {
+		for _, name := range crlink.SplitList(list) {
 			h.Del(name)
 		}
 	}
--- a/io/cregress/run.go
+++ b/io/cregress/run.go
@@ -5,7 +5,6 @@
 	"errors"
 	"net/http"
 	"strconv"
-	"strings"
 	"sync"
 	"time"
 
@@ -196,13 +195,3 @@
 	defer w.mu.Unlock()
 	return w.said
 }
-
-func percent(p float64) string { return strconv.Itoa(int(p*100+0.5)) + "%" }
-
-func splitNames(list string) []string {
-	parts := strings.Split(list, ",")
-	for i, p := range parts {
-		parts[i] = strings.TrimSpace(p)
-	}
-	return parts
-}
--- a/io/cringress/cringress.go
+++ b/io/cringress/cringress.go
@@ -280,14 +280,14 @@
 	f := crlog.Fields{
 		"request": q.caller.ID, "status": strconv.Itoa(a.status), "reason": a.reason, "service": string(q.service),
 		"target": string(a.choice.Target), "choice": a.choice.Why(),
-		"believed": percent(a.choice.Sick), "told": percent(a.told.Sick), "class": q.class().String(), "refusals": a.refusals, "targets": strconv.Itoa(a.targets), "offers": strconv.Itoa(a.offers),
+		"believed": crlog.Percent(a.choice.Sick), "told": crlog.Percent(a.told.Sick), "class": q.class().String(), "refusals": a.refusals, "targets": strconv.Itoa(a.targets), "offers": strconv.Itoa(a.offers),
 		"took": q.opts.Clock().Sub(q.started).Round(time.Millisecond).String(), "end": end,
 	}
 	if q.account != nil {
 		f["account"] = string(q.account.Name)
 	}
 	if q.view.Plan != nil {
-		f["plan"] = strconv.FormatUint(q.view.Plan.Version(), 16)
+		f["plan"] = q.view.Plan.Label()
 	}
 	q.opts.Log.Event(crlog.RequestFailed, f)
 }
@@ -299,5 +299,3 @@
 	}
 	return q.route.Class
 }
-
-func percent(p float64) string { return strconv.Itoa(int(p*100+0.5)) + "%" }
--- a/io/cringress/dispatch.go
+++ b/io/cringress/dispatch.go
@@ -157,9 +157,7 @@
 	}
 	if !r.Taken {
 		d.note(r.Reason)
-	}
-	if !r.Taken && r.RetryAfter > 0 && (d.after == 0 || r.RetryAfter < d.after) {
-		d.after = r.RetryAfter
+		d.room(r.RetryAfter)
 	}
 }
 
@@ -171,6 +169,13 @@
 	d.why[reason]++
 }
 
+// room notes when an exit expects to have room; zero: it does not say.
+func (d *dispatch) room(after time.Duration) {
+	if after > 0 && (d.after == 0 || after < d.after) {
+		d.after = after
+	}
+}
+
 // told lists the reasons noted, for logs.
 func (d *dispatch) told() string {
 	var parts []string
@@ -210,9 +215,7 @@
 		d.note(r.Reason)
 	}
 	if r.Outcome == croffer.NotSent {
-		if r.RetryAfter > 0 && (d.after == 0 || r.RetryAfter < d.after) {
-			d.after = r.RetryAfter
-		}
+		d.room(r.RetryAfter)
 		return true
 	}
 	d.sent++
--- a/io/crlink/crlink.go
+++ b/io/crlink/crlink.go
@@ -23,6 +23,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -313,7 +314,7 @@
 
 // keepAlive reads how long the peer keeps an unused connection.
 func keepAlive(h http.Header) time.Duration {
-	for _, part := range splitList(h.Get("Keep-Alive")) {
+	for _, part := range SplitList(h.Get("Keep-Alive")) {
 		var seconds int
 		if _, err := fmt.Sscanf(part, "timeout=%d", &seconds); err == nil && seconds > 0 {
 			return time.Duration(seconds) * time.Second
@@ -322,10 +323,11 @@
 	return 0
 }
 
-func splitList(s string) []string {
-	var out []string
-	for part := range bytes.SplitSeq([]byte(s), []byte(",")) {
-		out = append(out, string(bytes.TrimSpace(part)))
+// SplitList splits the value of a header that holds a list with commas.
+func SplitList(s string) []string {
+	parts := strings.Split(s, ",")
+	for i, p := range parts {
+		parts[i] = strings.TrimSpace(p)
 	}
-	return out
+	return parts
 }
--- a/io/crlog/crlog.go
+++ b/io/crlog/crlog.go
@@ -11,6 +11,7 @@
 import (
 	"fmt"
 	"io"
+	"strconv"
 
 	"github.com/sirupsen/logrus"
 )
@@ -18,6 +19,9 @@
 // Fields are an event's details. A client key must never be among them.
 type Fields map[string]string
 
+// Percent writes a probability as it stands in the fields of events.
+func Percent(p float64) string { return strconv.Itoa(int(p*100+0.5)) + "%" }
+
 // Logger writes events of the catalogue. It is safe for concurrent use.
 type Logger struct {
 	entry *logrus.Entry
--- a/io/crmesh/daemon.go
+++ b/io/crmesh/daemon.go
@@ -253,7 +253,7 @@
 		Daemons: v.Daemons, Silent: slices.Sorted(maps.Keys(v.Silent)), Targets: v.Targets, Own: d.exit.Told(), Open: d.entry.Open(),
 	}
 	if v.Plan != nil {
-		out.Plan = strconv.FormatUint(v.Plan.Version(), 16)
+		out.Plan = v.Plan.Label()
 	}
 	return out, nil
 }
--- a/io/crmesh/loop.go
+++ b/io/crmesh/loop.go
@@ -33,7 +33,6 @@
 	events chan crevent.Event
 	view   atomic.Pointer[crmesh.View]
 	log    *crlog.Logger
-	last   *crmesh.View
 }
 
 func newLoop(opts Options, l *crlog.Logger) *loop {
@@ -141,11 +140,9 @@
 
 // use gives a view to traffic.
 func (d *daemon) use(v *crmesh.View) {
-	before := d.loop.last
-	d.loop.last = v
-	d.loop.view.Store(v)
+	before := d.loop.view.Swap(v)
 	d.entry.Use(v)
-	if before == nil || !sameRecord(before, v) {
+	if !sameRecord(before, v) {
 		d.exit.Use(v.Own)
 	}
 	d.forget(v)
@@ -177,11 +174,8 @@
 }
 
 func (d *daemon) logView(before, v *crmesh.View) {
-	if before == nil {
-		before = &crmesh.View{}
-	}
 	if v.Plan != before.Plan {
-		d.log.Event(crlog.PlanInForce, crlog.Fields{"plan": strconv.FormatUint(v.Plan.Version(), 16)})
+		d.log.Event(crlog.PlanInForce, crlog.Fields{"plan": v.Plan.Label()})
 	}
 	came, went := compare(before.Targets, v.Targets)
 	if came+went != "" {
