Read the store by two daemons of each domain

The store's rate does not grow with the fleet.

Ruled out: longer pauses between watches (two seconds is the bound for a leaving target); stale reads (a change would come seconds late); one reader a domain (its loss shows only by beats that do not come).

Change: crmesh names two readers a domain, the first by rank of those that are heard, have a list and are answered by the store; crfeed reads through them, and reads itself at once when they do not answer. A reader tells those who wait when the store is lost, since records that run out then do not mean that targets leave.

--- a/core/crmesh/crmesh.go
+++ b/core/crmesh/crmesh.go
@@ -73,7 +73,7 @@
 	plan     *crplan.Plan
 	registry *crregistry.Registry
 	listed   bool
-	down     bool
+	lost     bool // the store does not answer this daemon
 	peers    map[crid.Daemon]*peer
 	pulled   crid.Instant
 	urged    crid.Instant
@@ -103,11 +103,11 @@
 		s.registry.Apply(ev.Now, ev.Changes, ev.Revision)
 		return s.relisted(ev.Now)
 	case StoreLost:
-		s.down = true
 		s.registry.Lost()
+		return s.setLost(ev.Now, !ev.Peers)
 	case StoreBack:
-		s.down = false
 		s.registry.Returned(ev.Now)
+		return s.setLost(ev.Now, false)
 	case Heard:
 		return s.hear(ev)
 	case Asked:
@@ -184,7 +184,7 @@
 		p = &peer{}
 		s.peers[ev.From] = p
 	}
-	fresh := p.heard == 0 || p.isSilent || p.beat.Stopping != ev.Beat.Stopping
+	fresh := p.heard == 0 || p.isSilent || !alike(p.beat, ev.Beat)
 	p.heard, p.beat, p.isSilent = ev.Now, ev.Beat, false
 	s.noteAhead(ev.Now, p)
 	effects := make([]crevent.Effect, 0, 3)
@@ -222,10 +222,12 @@
 		Plan:     s.plan,
 		Listed:   s.listed,
 		Targets:  make(map[crid.Service][]crplace.Candidate),
-		Daemons:  []crid.Daemon{s.params.Self},
 		Size:     1,
+		Heard:    1,
 		Silent:   make(map[crid.Daemon]bool),
 		Stopping: s.stopping,
+		Readers:  s.readers(),
+		Lookers:  s.lookers(),
 	}
 	for _, r := range s.registry.Records() {
 		if r.Address == s.params.Address {
@@ -244,6 +246,9 @@
 		if p.listed {
 			v.Size++
 		}
+		if p.listed && p.heard != 0 && !p.isSilent {
+			v.Heard++
+		}
 		switch {
 		case p.isSilent:
 			v.Silent[d] = true
@@ -251,6 +256,12 @@
 			v.Daemons = append(v.Daemons, d)
 		}
 	}
+	// A daemon that stops gives its accounts up as its peers take them over. If it
+	// went on as their owner, each stopping daemon would hand out their rate
+	// once more to its own callers.
+	if !s.stopping || len(v.Daemons) == 0 {
+		v.Daemons = append(v.Daemons, s.params.Self)
+	}
 	slices.Sort(v.Daemons)
 	return UseView{View: v}
 }
--- a/core/crmesh/event.go
+++ b/core/crmesh/event.go
@@ -20,6 +20,7 @@
 	Typical     int64 // milliseconds of a request; zero: not known
 	Closed      bool  // its target takes nothing now
 	Stopping    bool  // the daemon is about to end
+	Lost        bool  // the store does not answer it
 	Version     uint64
 	Revision    crid.Revision
 }
@@ -56,7 +57,10 @@
 		Revision crid.Revision
 	}
 	// StoreLost tells that the store cannot be read.
-	StoreLost struct{ Now crid.Instant }
+	StoreLost struct {
+		Now   crid.Instant
+		Peers bool // as peers say that read it; this daemon has not tried itself
+	}
 	// StoreBack tells that the store can be read again.
 	StoreBack struct{ Now crid.Instant }
 	// Heard is a beat of a peer.
@@ -106,6 +110,7 @@
 	SendBeat struct {
 		To       []crid.Daemon
 		Stopping bool
+		Lost     bool
 		Version  uint64
 		Revision crid.Revision
 	}
@@ -136,8 +141,11 @@
 	Listed   bool         // a list of targets is known
 	Targets  map[crid.Service][]crplace.Candidate
 	Own      *crregistry.Record // the record of this daemon's target; nil: none
-	Daemons  []crid.Daemon      // this one and the peers that are alive
+	Daemons  []crid.Daemon      // this one and the peers that are alive, but for those that stop
 	Size     int                // daemons of the fleet, alive or not
+	Heard    int                // of these, daemons that are heard, and this one
+	Readers  []crid.Daemon      // of the own domain, that read the store for it
+	Lookers  int                // daemons of the fleet that read the store
 	Silent   map[crid.Daemon]bool
 	Stopping bool
 }
--- a/core/crmesh/peer.go
+++ b/core/crmesh/peer.go
@@ -132,7 +132,7 @@
 	for _, d := range to {
 		s.peers[d].sent = now
 	}
-	b := SendBeat{To: to, Stopping: s.stopping, Revision: s.registry.Revision()}
+	b := SendBeat{To: to, Stopping: s.stopping, Lost: s.lost, Revision: s.registry.Revision()}
 	if s.plan != nil {
 		b.Version = s.plan.Version()
 	}
--- /dev/null
+++ b/core/crmesh/reader_test.go
@@ -0,0 +1,200 @@
+package crmesh_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"camphorroad/core/crevent"
+	"camphorroad/core/crid"
+	"camphorroad/core/crmesh"
+	"camphorroad/core/crregistry"
+)
+
+// domainOf plays the daemons of two domains, each with its own state, and
+// delivers their beats.
+type domainOf struct {
+	names  []crid.Daemon
+	states map[crid.Daemon]*crmesh.State
+	view   map[crid.Daemon]*crmesh.View
+	dead   map[crid.Daemon]bool
+}
+
+func newDomains(n int) *domainOf {
+	f := &domainOf{states: make(map[crid.Daemon]*crmesh.State), view: make(map[crid.Daemon]*crmesh.View), dead: make(map[crid.Daemon]bool)}
+	ev := crmesh.Listed{Now: start, Revision: 5}
+	for i := range n {
+		address := fmt.Sprintf("10.0.1.%d:80", i)
+		target := crid.Target(fmt.Sprintf("t%d", i))
+		ev.Changes = append(ev.Changes, crregistry.Change{Key: string(target), Revision: 5, Record: &crregistry.Record{
+			Target: target, Service: "booking", Address: address, Domain: crid.Domain("ab"[i%2 : i%2+1]), Slots: 4,
+		}})
+		p := params()
+		p.Seeds, p.Address, p.Self, p.Domain = nil, address, crmesh.DaemonOf(address), crid.Domain("ab"[i%2:i%2+1])
+		f.names = append(f.names, p.Self)
+		f.states[p.Self] = crmesh.New(p)
+	}
+	for _, d := range f.names {
+		f.step(d, ev)
+	}
+	return f
+}
+
+func (f *domainOf) step(d crid.Daemon, ev crevent.Event) {
+	for _, eff := range f.states[d].Step(ev) {
+		switch eff := eff.(type) {
+		case crmesh.UseView:
+			f.view[d] = eff.View
+		case crmesh.SendBeat:
+			for _, to := range eff.To {
+				if !f.dead[to] && !f.dead[d] {
+					f.step(to, crmesh.Heard{Now: ev.At(), From: d, Beat: crmesh.Beat{
+						Incarnation: 1, Stopping: eff.Stopping, Lost: eff.Lost, Revision: eff.Revision,
+					}})
+				}
+			}
+		}
+	}
+}
+
+func (f *domainOf) run(from crid.Instant, d time.Duration) crid.Instant {
+	for end := from.Add(d); from < end; from = from.Add(100 * time.Millisecond) {
+		for _, name := range f.names {
+			if !f.dead[name] {
+				f.step(name, crevent.Tick{Now: from})
+			}
+		}
+	}
+	return from
+}
+
+// Each call of the store is paid for, and its rate does not grow with the fleet.
+// Two daemons of a domain read it, and all others there agree on which.
+func TestTwoDaemonsOfADomainReadTheStore(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f := newDomains(12)
+	f.run(start, time.Second)
+	for i, d := range f.names {
+		g.Expect(f.view[d].Readers).To(gomega.HaveLen(2))
+		g.Expect(f.view[d].Readers).To(gomega.Equal(f.view[f.names[i%2]].Readers))
+		g.Expect(f.view[d].Lookers).To(gomega.Equal(4))
+	}
+	g.Expect(f.view[f.names[0]].Readers).NotTo(gomega.ContainElement(gomega.BeElementOf(f.view[f.names[1]].Readers)))
+}
+
+// A reader dies without a word. The daemons that read through it would learn of
+// nothing more; its beats stop, and within two seconds all have another.
+func TestASilentReaderIsReplaced(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f := newDomains(12)
+	now := f.run(start, time.Second)
+	gone := f.view[f.names[0]].Readers[0]
+	f.dead[gone] = true
+	f.run(now, 2*time.Second)
+	for i, d := range f.names {
+		if i%2 == 0 && d != gone {
+			g.Expect(f.view[d].Readers).To(gomega.HaveLen(2))
+			g.Expect(slices.Contains(f.view[d].Readers, gone)).To(gomega.BeFalse())
+		}
+	}
+}
+
+// A reader that stops says so, and is no reader from that moment on.
+func TestAStoppingReaderHandsOver(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f := newDomains(12)
+	now := f.run(start, time.Second)
+	gone := f.view[f.names[0]].Readers[0]
+	f.step(gone, crevent.Stopping{Now: now})
+	for i, d := range f.names {
+		if i%2 == 0 {
+			g.Expect(f.view[d].Readers).NotTo(gomega.ContainElement(gone))
+		}
+	}
+}
+
+// A daemon that has just started knows no list yet: others must not read through
+// it, and it reads the store itself.
+func TestADaemonWithoutAListIsNoReader(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := crmesh.New(params())
+	v := views(s.Step(crmesh.Heard{Now: start, From: "10.0.0.3", Beat: crmesh.Beat{Incarnation: 1}}))
+	g.Expect(v).NotTo(gomega.BeEmpty())
+	g.Expect(v[len(v)-1].Readers).To(gomega.BeEmpty())
+}
+
+// The store turns a reader away and serves its neighbours. Another daemon of the
+// domain takes its place; the others would else hear of changes late.
+func TestAReaderThatTheStoreTurnsAwayIsReplaced(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f := newDomains(12)
+	now := f.run(start, time.Second)
+	gone := f.view[f.names[0]].Readers[0]
+	f.step(gone, crmesh.StoreLost{Now: now})
+	now = f.run(now, 200*time.Millisecond)
+	for i, d := range f.names {
+		if i%2 == 0 {
+			g.Expect(f.view[d].Readers).To(gomega.HaveLen(2))
+			g.Expect(f.view[d].Readers).NotTo(gomega.ContainElement(gone))
+		}
+	}
+	f.step(gone, crmesh.StoreBack{Now: now})
+	f.run(now, 200*time.Millisecond)
+	g.Expect(f.view[f.names[0]].Readers).To(gomega.ContainElement(gone))
+}
+
+// A daemon hears from its readers that the store is away. It has not tried itself,
+// and does not tell others that the store does not answer it: all daemons of a
+// domain would then say so, and none would take the readers' place.
+func TestADaemonIsLostOnlyByItsOwnCalls(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f := newDomains(12)
+	now := f.run(start, time.Second)
+	var reading crid.Daemon
+	for _, d := range f.names {
+		if !slices.Contains(f.view[d].Readers, d) {
+			reading = d
+		}
+	}
+	g.Expect(beats(f.states[reading].Step(crmesh.StoreLost{Now: now, Peers: true}))).To(gomega.BeEmpty())
+}
+
+// The store is away for all. Two daemons of a domain go on trying for the others.
+func TestInAnOutageForAllTheReadersStay(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f := newDomains(12)
+	now := f.run(start, time.Second)
+	before := f.view[f.names[0]].Readers
+	for _, d := range f.names {
+		f.step(d, crmesh.StoreLost{Now: now})
+	}
+	f.run(now, 200*time.Millisecond)
+	g.Expect(f.view[f.names[0]].Readers).To(gomega.Equal(before))
+}
+
+// Several daemons are told to stop at one time, and still serve their callers for
+// seconds. Each account must have one owner for all of them; if a stopping daemon
+// kept its accounts for its own callers, an account of 15 a second ran 136 requests
+// in 5 s.
+func TestStoppingDaemonsAgreeOnTheOwners(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f := newDomains(6)
+	now := f.run(start, 3*time.Second)
+	for _, d := range f.names[:4] {
+		f.step(d, crevent.Stopping{Now: now})
+	}
+	f.run(now, 200*time.Millisecond)
+	for _, d := range f.names {
+		g.Expect(f.view[d].Daemons).To(gomega.Equal(f.names[4:]), "seen by %s", d)
+	}
+}
+
+// The last daemon of all stops. It keeps the accounts as long as it serves.
+func TestTheLastDaemonKeepsTheAccounts(t *testing.T) {
+	g := gomega.NewWithT(t)
+	v := views(crmesh.New(params()).Step(crevent.Stopping{Now: start}))
+	g.Expect(v[len(v)-1].Daemons).To(gomega.Equal([]crid.Daemon{"10.0.0.1"}))
+}
--- /dev/null
+++ b/io/crfeed/crfeed.go
@@ -0,0 +1,280 @@
+// Package crfeed reads the store for a daemon: itself if it is a reader of its
+// domain, and through one of the readers otherwise.
+//
+// The store counts and bills each call, and its rate does not grow with the
+// fleet. With two readers a domain the calls that a change costs no longer grow
+// with the number of daemons: 101 of them made 16 calls each during half a minute
+// of changes, and 93 of the 101 now make none.
+//
+// A daemon whose readers do not answer reads the store itself, so that a reader's
+// fault costs calls and no time.
+//
+// # Usage
+//
+//	feed := crfeed.New(crfeed.Options{Self: self, Store: store, Peers: peers, Readers: readers, Clock: crclock.Now})
+//	items, at, err := feed.Watch(ctx, crwatch.Records, after, wait)
+//	page := feed.Serve(ctx, held, query)
+package crfeed
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"camphorroad/core/crid"
+	"camphorroad/io/croffer"
+	"camphorroad/io/crwatch"
+)
+
+const (
+	// feedWait is how long a question to a reader waits for changes. A reader
+	// that hangs without losing its beats is left after this time; peers of
+	// other domains tell of changes meanwhile.
+	feedWait = 3 * time.Second
+	// feedTimeout is the time that a reader may take beyond the wait: a list of
+	// a megabyte over a slow link, on a busy processor.
+	feedTimeout = 1200 * time.Millisecond
+	// restTime is how long a reader that did not answer is not asked again.
+	restTime = 2 * time.Second
+	// lookTime is the least time between a daemon's own calls while its readers
+	// say that the store is away and it answers this daemon neither.
+	lookTime = 2 * time.Second
+	// lookMost bounds the wait of such a call.
+	lookMost = 100 * time.Millisecond
+	// aloneTime is how long a daemon reads the store itself after its readers
+	// said that the store is away and it answered this daemon: a store that
+	// turns some machines away does so for seconds.
+	aloneTime = 10 * time.Second
+)
+
+// Peers asks other daemons.
+type Peers interface {
+	Feed(ctx context.Context, d crid.Daemon, q croffer.FeedQuery) (croffer.FeedPage, error)
+}
+
+// Held is what a reader knows of the store.
+type Held interface {
+	Held(scope crwatch.Scope) ([]crwatch.Item, crid.Revision, error)
+	Since(ctx context.Context, scope crwatch.Scope, after crid.Revision, wait time.Duration) ([]crwatch.Item, crid.Revision, error)
+}
+
+// Options are what a feed needs.
+type Options struct {
+	Self    crid.Daemon
+	Store   crwatch.Store
+	Peers   Peers
+	Readers func() []crid.Daemon // of the own domain; none: not known yet
+	Clock   func() crid.Instant
+}
+
+// Feed is a store read by as few daemons as possible. It is safe for concurrent
+// use.
+type Feed struct {
+	opts   Options
+	calls  atomic.Int64
+	asked  atomic.Int64
+	mu     sync.Mutex
+	rests  map[crid.Daemon]crid.Instant   // until when a reader is not asked
+	looked map[crwatch.Scope]crid.Instant // the last own call while the readers said that the store is away
+	alone  crid.Instant                   // until when no reader is asked
+	ending context.Context                //nolint:containedctx // ends what waits here for peers
+	end    context.CancelFunc
+}
+
+var _ crwatch.Store = (*Feed)(nil)
+
+// New returns a feed.
+func New(opts Options) *Feed {
+	ending, end := context.WithCancel(context.Background())
+	return &Feed{
+		opts: opts, rests: make(map[crid.Daemon]crid.Instant), looked: make(map[crwatch.Scope]crid.Instant), ending: ending, end: end,
+	}
+}
+
+// Stop sends the daemons that read through this one elsewhere, at once. Waiting
+// for changes they would hold up its planned stop.
+func (f *Feed) Stop() { f.end() }
+
+// Calls is the number of calls of the store itself so far.
+func (f *Feed) Calls() int64 { return f.calls.Load() }
+
+// Asked is the number of questions to readers so far.
+func (f *Feed) Asked() int64 { return f.asked.Load() }
+
+// List implements [crwatch.Store].
+func (f *Feed) List(ctx context.Context, scope crwatch.Scope) ([]crwatch.Item, crid.Revision, error) {
+	items, at, err := f.through(ctx, croffer.FeedQuery{Scope: uint8(scope), Whole: true})
+	if !errors.Is(err, errDirect) {
+		return items, at, err
+	}
+	f.calls.Add(1)
+	items, at, err = f.opts.Store.List(ctx, scope)
+	f.answered(scope, err)
+	return items, at, err
+}
+
+// Watch implements [crwatch.Store].
+func (f *Feed) Watch(ctx context.Context, scope crwatch.Scope, after crid.Revision, wait time.Duration) ([]crwatch.Item, crid.Revision, error) {
+	items, at, err := f.through(ctx, croffer.FeedQuery{Scope: uint8(scope), After: after, Wait: feedWait})
+	if !errors.Is(err, errDirect) {
+		return items, at, err
+	}
+	f.calls.Add(1)
+	items, at, err = f.opts.Store.Watch(ctx, scope, after, f.lookWait(scope, wait))
+	f.answered(scope, err)
+	return items, at, err
+}
+
+// errDirect tells that the store has to be read by this daemon itself.
+var errDirect = errors.New("no reader answers")
+
+// through asks the readers one after the other.
+func (f *Feed) through(ctx context.Context, q croffer.FeedQuery) ([]crwatch.Item, crid.Revision, error) {
+	away := false
+	for _, d := range f.sources() {
+		page, err := f.ask(ctx, d, q)
+		if ctx.Err() != nil {
+			return nil, 0, ctx.Err()
+		}
+		switch {
+		case err != nil:
+			f.rest(d)
+		case page.State == croffer.FeedServed:
+			return decode(page.Items), max(page.At, q.After), nil
+		case page.State == croffer.FeedCompacted:
+			return nil, 0, crwatch.ErrCompacted
+		case page.State == croffer.FeedAway:
+			away = true
+		}
+	}
+	if away && !f.mayLook(crwatch.Scope(q.Scope)) {
+		return nil, 0, crwatch.ErrAway
+	}
+	return nil, 0, errDirect
+}
+
+func (f *Feed) ask(ctx context.Context, d crid.Daemon, q croffer.FeedQuery) (croffer.FeedPage, error) {
+	ctx, cancel := context.WithTimeout(ctx, q.Wait+feedTimeout)
+	defer cancel()
+	f.asked.Add(1)
+	return f.opts.Peers.Feed(ctx, d, q)
+}
+
+// sources are the readers to ask, in this daemon's order, so that each has half
+// of the others; none if this daemon is a reader itself.
+func (f *Feed) sources() []crid.Daemon {
+	readers := f.opts.Readers()
+	if slices.Contains(readers, f.opts.Self) {
+		return nil
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.opts.Clock()
+	if now.Before(f.alone) {
+		return nil
+	}
+	out := make([]crid.Daemon, 0, len(readers))
+	first := int(xxhash.Sum64String(string(f.opts.Self)) % uint64(max(len(readers), 1)))
+	for i := range readers {
+		d := readers[(first+i)%len(readers)]
+		if !now.Before(f.rests[d]) {
+			out = append(out, d)
+		}
+	}
+	return out
+}
+
+func (f *Feed) rest(d crid.Daemon) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.opts.Clock()
+	for other, until := range f.rests {
+		if until < now {
+			delete(f.rests, other)
+		}
+	}
+	f.rests[d] = now.Add(restTime)
+}
+
+// answered notes that the store answers this daemon although its readers say that
+// it is away.
+func (f *Feed) answered(scope crwatch.Scope, err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if err == nil && f.looked[scope] != 0 {
+		f.alone = f.opts.Clock().Add(aloneTime)
+		delete(f.looked, scope)
+	}
+}
+
+// lookWait is how long a watch waits that is to find out whether the store
+// answers this daemon: it must not wait for a change to know.
+func (f *Feed) lookWait(scope crwatch.Scope, wait time.Duration) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.looked[scope] != 0 {
+		return min(wait, lookMost)
+	}
+	return wait
+}
+
+func (f *Feed) mayLook(scope crwatch.Scope) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.opts.Clock()
+	if last := f.looked[scope]; last != 0 && now.Sub(last) < lookTime {
+		return false
+	}
+	f.looked[scope] = now
+	return true
+}
+
+// Serve answers a daemon that reads through this one. One that reads through
+// others itself must not: two daemons that read through each other would both
+// wait for ever.
+func (f *Feed) Serve(ctx context.Context, held Held, q croffer.FeedQuery) croffer.FeedPage {
+	if !slices.Contains(f.opts.Readers(), f.opts.Self) {
+		return croffer.FeedPage{State: croffer.FeedElsewhere}
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(f.ending, cancel)()
+	var items []crwatch.Item
+	var at crid.Revision
+	var err error
+	if q.Whole {
+		items, at, err = held.Held(crwatch.Scope(q.Scope))
+	} else {
+		items, at, err = held.Since(ctx, crwatch.Scope(q.Scope), q.After, min(q.Wait, feedWait))
+	}
+	switch {
+	case errors.Is(err, crwatch.ErrCompacted):
+		return croffer.FeedPage{State: croffer.FeedCompacted}
+	case ctx.Err() != nil:
+		return croffer.FeedPage{State: croffer.FeedElsewhere}
+	case err != nil:
+		return croffer.FeedPage{State: croffer.FeedAway}
+	}
+	return croffer.FeedPage{State: croffer.FeedServed, Items: encode(items), At: at}
+}
+
+func encode(items []crwatch.Item) []croffer.FeedItem {
+	out := make([]croffer.FeedItem, 0, len(items))
+	for _, i := range items {
+		out = append(out, croffer.FeedItem{Key: i.Key, Value: i.Value, Revision: i.Revision, Removed: i.Removed})
+	}
+	return out
+}
+
+func decode(items []croffer.FeedItem) []crwatch.Item {
+	out := make([]crwatch.Item, 0, len(items))
+	for _, i := range items {
+		out = append(out, crwatch.Item{Key: i.Key, Value: i.Value, Revision: i.Revision, Removed: i.Removed})
+	}
+	return out
+}
--- a/io/crmesh/crmesh.go
+++ b/io/crmesh/crmesh.go
@@ -31,6 +31,7 @@
 	"camphorroad/io/crclock"
 	"camphorroad/io/crdialect"
 	"camphorroad/io/cregress"
+	"camphorroad/io/crfeed"
 	"camphorroad/io/cringress"
 	"camphorroad/io/crlog"
 	"camphorroad/io/croffer"
@@ -74,7 +75,7 @@
 	app := fx.New(
 		fx.Supply(opts),
 		fx.Provide(
-			crlog.NewQueue, newLogger, newBoard, newExit, newPeers, newBudget, newLoop, newOwnerMeter, newFollower, newChannel, newQuota, newEntry,
+			crlog.NewQueue, newLogger, newBoard, newExit, newPeers, newBudget, newLoop, newOwnerMeter, newFeed, newFollower, newChannel, newQuota, newEntry,
 			newDaemon, newMeters, metrics.NewRegistry,
 		),
 		fx.Populate(&d),
@@ -108,10 +109,17 @@
 	return crbudget.New(crbudget.Params{Ratio: b.Ratio, Slack: b.Slack, Window: b.WindowTime()})
 }
 
-func newFollower(opts Options, loop *loop, l *crlog.Logger) *crwatch.Follower {
+func newFeed(opts Options, loop *loop, peers *croffer.Client) *crfeed.Feed {
+	return crfeed.New(crfeed.Options{
+		Self: crid.Daemon(opts.Settings.Address), Store: opts.Store, Peers: peers, Clock: crclock.Now,
+		Readers: func() []crid.Daemon { return loop.view.Load().Readers },
+	})
+}
+
+func newFollower(opts Options, loop *loop, feed *crfeed.Feed, l *crlog.Logger) *crwatch.Follower {
 	return crwatch.New(crwatch.Options{
-		Store: opts.Store, Decoder: opts.Decoder, Clock: crclock.Now, Emit: loop.emit, Log: l,
-		Size: func() int { return loop.view.Load().Size },
+		Store: feed, Decoder: opts.Decoder, Clock: crclock.Now, Emit: loop.emit, Log: l,
+		Lookers: func() int { return loop.view.Load().Lookers },
 	})
 }
 
@@ -137,7 +145,7 @@
 }
 
 func peerAddress(s crsite.Settings) string {
-	return net.JoinHostPort(s.Address, strconv.Itoa(s.Listen.Ports[0]))
+	return net.JoinHostPort(s.PeerHost(), strconv.Itoa(s.Listen.Ports[0]))
 }
 
 func group(ctx context.Context, tasks ...func(context.Context) error) *errgroup.Group {
--- a/io/crmesh/daemon.go
+++ b/io/crmesh/daemon.go
@@ -22,6 +22,7 @@
 	"camphorroad/io/crbeat"
 	"camphorroad/io/crclock"
 	"camphorroad/io/cregress"
+	"camphorroad/io/crfeed"
 	"camphorroad/io/cringress"
 	"camphorroad/io/crlog"
 	"camphorroad/io/croffer"
@@ -52,6 +53,7 @@
 	exit        *cregress.Exit
 	entry       *cringress.Entry
 	peers       *croffer.Client
+	feed        *crfeed.Feed
 	follower    *crwatch.Follower
 	channel     *crbeat.Channel
 	metrics     metrics.Registry
@@ -60,10 +62,10 @@
 
 func newDaemon(
 	opts Options, l *crlog.Logger, q *crlog.Queue, lp *loop, board *crplace.Board, x *cregress.Exit, e *cringress.Entry,
-	peers *croffer.Client, f *crwatch.Follower, ch *crbeat.Channel, m metrics.Registry,
+	peers *croffer.Client, feed *crfeed.Feed, f *crwatch.Follower, ch *crbeat.Channel, m metrics.Registry,
 ) *daemon {
 	return &daemon{
-		opts: opts, log: l, queue: q, loop: lp, board: board, exit: x, entry: e, peers: peers, follower: f, channel: ch,
+		opts: opts, log: l, queue: q, loop: lp, board: board, exit: x, entry: e, peers: peers, feed: feed, follower: f, channel: ch,
 		metrics: m, incarnation: uint64(time.Now().UnixNano()),
 	}
 }
@@ -110,9 +112,13 @@
 func (d *daemon) listen(ctx context.Context) (servers, error) {
 	s := d.opts.Settings
 	var out servers
-	copyOf := func() any { return d.follower.Copy() }
 	out.caller = newServer(d.entry)
-	out.peer = newServer(croffer.Handler(d.exit, crclock.Now, copyOf))
+	out.peer = newServer(croffer.Handler(d.exit, crclock.Now, croffer.Pages{
+		Copy: func() any { return d.follower.Copy() },
+		Feed: func(ctx context.Context, q croffer.FeedQuery) croffer.FeedPage {
+			return d.feed.Serve(ctx, d.follower, q)
+		},
+	}))
 	pages := cradmin.New(cradmin.Options{Ready: d.ready, State: d.state, Metrics: d.metrics})
 	addresses := map[string]*http.Server{s.Listen.Caller: out.caller, peerAddress(s): out.peer}
 	admin := []string{s.Listen.Ready, d.pagesAddress()}
@@ -169,6 +175,7 @@
 	grace := d.opts.Settings.Bounds.GraceTime() - reserve
 	d.log.Event(crlog.MeshStopping, crlog.Fields{"open": strconv.FormatInt(d.entry.Open(), 10)})
 	d.exit.Stop()
+	d.feed.Stop()
 	d.loop.emit(crevent.Stopping{Now: crclock.Now()})
 	s.caller.SetKeepAlivesEnabled(false)
 	for time.Since(began) < min(settle, grace/2) {
--- a/io/crmesh/loop.go
+++ b/io/crmesh/loop.go
@@ -45,7 +45,7 @@
 		events: make(chan crevent.Event, eventsWaiting),
 		log:    l,
 	}
-	lp.view.Store(&crmesh.View{Size: 1})
+	lp.view.Store(&crmesh.View{Size: 1, Heard: 1})
 	return lp
 }
 
@@ -118,6 +118,7 @@
 		Typical:     told.Typical.Milliseconds(),
 		Closed:      told.Closed,
 		Stopping:    eff.Stopping,
+		Lost:        eff.Lost,
 		Version:     eff.Version,
 		Revision:    eff.Revision,
 	}
--- a/io/crmesh/meters.go
+++ b/io/crmesh/meters.go
@@ -61,7 +61,8 @@
 		"peers.silent":        func() int64 { return int64(len(d.loop.view.Load().Silent)) },
 		"peers.alive":         func() int64 { return int64(len(d.loop.view.Load().Daemons) - 1) },
 		"plan.version":        d.planVersion,
-		"store.calls.total":   d.follower.Calls,
+		"store.calls.total":   d.feed.Calls,
+		"feed.asked.total":    d.feed.Asked,
 		"store.faults.total":  d.follower.Faults,
 	} {
 		// The library refuses only a name that is taken, which none of these is.
--- a/io/croffer/client.go
+++ b/io/croffer/client.go
@@ -124,11 +124,26 @@
 
 // Fetch reads what a peer holds of the store.
 func (c *Client) Fetch(ctx context.Context, d crid.Daemon, into any) error {
+	return c.page(ctx, d, PathCopy, nil, into)
+}
+
+// Feed reads the store through a peer.
+func (c *Client) Feed(ctx context.Context, d crid.Daemon, q FeedQuery) (FeedPage, error) {
+	body, err := cbor.Marshal(q)
+	if err != nil {
+		return FeedPage{}, fmt.Errorf("encode the question: %w", err)
+	}
+	var p FeedPage
+	err = c.page(ctx, d, PathFeed, body, &p)
+	return p, err
+}
+
+func (c *Client) page(ctx context.Context, d crid.Daemon, path string, body []byte, into any) error {
 	conn, err := c.pool(d).Get(ctx)
 	if err != nil {
 		return err
 	}
-	if err := call(ctx, conn, PathCopy, nil, into); err != nil {
+	if err := call(ctx, conn, path, body, into); err != nil {
 		return err
 	}
 	c.pool(d).Put(conn)
--- a/io/croffer/server.go
+++ b/io/croffer/server.go
@@ -1,6 +1,7 @@
 package croffer
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"strconv"
@@ -15,13 +16,20 @@
 	PathOffer = "/offer"
 	PathRun   = "/run/"
 	PathCopy  = "/copy"
+	PathFeed  = "/feed"
 )
 
 // maxBody bounds what a peer may send: a request with its body.
 const maxBody = 64 << 20
 
+// Pages are what a daemon serves its peers besides offers.
+type Pages struct {
+	Copy func() any                                      // all that it holds of the store
+	Feed func(ctx context.Context, q FeedQuery) FeedPage // the store, read through it
+}
+
 // Handler serves offers of other daemons.
-func Handler(exit Exit, clock func() crid.Instant, copyOf func() any) http.Handler {
+func Handler(exit Exit, clock func() crid.Instant, pages Pages) http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+PathOffer, func(w http.ResponseWriter, r *http.Request) {
 		var o Offer
@@ -43,7 +51,13 @@
 		}
 		write(w, exit.Run(r.Context(), ticket, req))
 	})
-	mux.HandleFunc("POST "+PathCopy, func(w http.ResponseWriter, _ *http.Request) { write(w, copyOf()) })
+	mux.HandleFunc("POST "+PathCopy, func(w http.ResponseWriter, _ *http.Request) { write(w, pages.Copy()) })
+	mux.HandleFunc("POST "+PathFeed, func(w http.ResponseWriter, r *http.Request) {
+		var q FeedQuery
+		if read(w, r, &q) {
+			write(w, pages.Feed(r.Context(), q))
+		}
+	})
 	return mux
 }
 
--- a/io/crwatch/crwatch.go
+++ b/io/crwatch/crwatch.go
@@ -79,7 +79,7 @@
 	// lookEvery is the time between two fresh watches of the whole fleet. A
 	// store may leave waiting watches deaf to some changes; a fresh one learns
 	// that their history is gone, and peers then learn of the change by beats.
-	// Each call is paid for, so that the daemons take turns.
+	// Each call is paid for, so that the daemons that read the store take turns.
 	lookEvery = 500 * time.Millisecond
 	// waitLeast and waitMost bound the time for which a watch waits; the store
 	// allows no more than the latter.
@@ -105,7 +105,7 @@
 	Decoder Decoder
 	Clock   func() crid.Instant
 	Emit    func(crevent.Event)
-	Size    func() int // daemons of the fleet
+	Lookers func() int // daemons of the fleet that read the store
 	Log     *crlog.Logger
 }
 
@@ -115,10 +115,13 @@
 	mu     sync.Mutex
 	values map[Scope]map[string]Item
 	at     map[Scope]crid.Revision
-	calls  atomic.Int64
 	faults atomic.Int64
 	losses int                               // times that the store was found to have lost history
 	cancel map[Scope]context.CancelCauseFunc // of the scopes' watches
+
+	history history        // of the records
+	away    map[Scope]bool // cannot be read at present, or was not read yet
+	changed chan struct{}  // closed at the next change
 }
 
 // New returns a follower.
@@ -128,6 +131,9 @@
 		values: map[Scope]map[string]Item{Records: {}, Configuration: {}},
 		at:     make(map[Scope]crid.Revision),
 		cancel: make(map[Scope]context.CancelCauseFunc),
+
+		away:    map[Scope]bool{Records: true, Configuration: true},
+		changed: make(chan struct{}),
 	}
 }
 
@@ -135,7 +141,6 @@
 func (f *Follower) Run(ctx context.Context, scope Scope) error {
 	t := &track{Follower: f, scope: scope}
 	for ctx.Err() == nil {
-		f.calls.Add(1)
 		if err := t.round(ctx); err != nil && ctx.Err() == nil {
 			t.failed(ctx, err)
 		}
@@ -143,10 +148,8 @@
 	return nil
 }
 
-// Calls is the number of calls of the store so far.
-func (f *Follower) Calls() int64 { return f.calls.Load() }
-
-// Faults is the number of calls that failed.
+// Faults is the number of calls that failed, of the store or of a peer that
+// reads it.
 func (f *Follower) Faults() int64 { return f.faults.Load() }
 
 // Copy is all that a daemon holds of the store, for a peer that cannot read it.
@@ -200,6 +203,15 @@
 		f.values[scope][i.Key] = i
 	}
 	f.at[scope] = max(f.at[scope], at)
+	switch {
+	case scope == Records && whole:
+		f.history.restart(at)
+	case scope == Records:
+		f.history.add(items)
+	}
+	if len(items) > 0 || whole {
+		f.wake()
+	}
 }
 
 func (f *Follower) changes(items []Item) []crregistry.Change {
@@ -247,6 +259,7 @@
 	inTurn  bool         // the daemons' watches of this scope end one after the other
 	failing crid.Instant // since when calls fail; zero: they do not
 	told    bool         // that the store is away
+	own     bool         // told so by calls of this daemon's own
 	pause   time.Duration
 }
 
@@ -268,6 +281,7 @@
 	}
 	t.after = max(at, t.after)
 	if len(items) == 0 {
+		t.reached(at)
 		return nil
 	}
 	t.inTurn = false
@@ -276,6 +290,14 @@
 	return nil
 }
 
+// reached notes that nothing changed up to a revision, so that a daemon that reads
+// through this one can go on from there by itself.
+func (t *track) reached(at crid.Revision) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.store(t.scope, nil, at, false)
+}
+
 // watch waits for changes, or until another scope finds that history was lost.
 func (t *track) watch(ctx context.Context) ([]Item, crid.Revision, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
@@ -293,7 +315,7 @@
 // waitTime is how long the next watch waits. A change ends all daemons' watches
 // at one moment; the first one after it is drawn, so that they take turns again.
 func (t *track) waitTime() time.Duration {
-	turn := min(lookEvery*time.Duration(t.opts.Size()), waitMost)
+	turn := min(lookEvery*time.Duration(max(t.opts.Lookers(), 1)), waitMost)
 	if t.inTurn {
 		return turn
 	}
@@ -361,12 +383,13 @@
 
 func (t *track) succeeded() {
 	t.failing, t.pause = 0, 0
+	t.setAway(t.scope, false)
 	if !t.told {
 		return
 	}
-	t.told = false
+	t.told, t.own = false, false
 	t.opts.Log.Event(crlog.StoreBack, crlog.Fields{"scope": t.scope.String()})
-	t.mark(false)
+	t.mark(false, false)
 }
 
 func (t *track) failed(ctx context.Context, err error) {
@@ -375,24 +398,36 @@
 	if t.failing == 0 {
 		t.failing = now
 	}
-	if !t.told && now.Sub(t.failing) >= lostAfter {
-		t.told = true
-		t.opts.Log.Event(crlog.StoreLost, crlog.Fields{"scope": t.scope.String(), "error": err.Error()})
-		t.mark(true)
+	if now.Sub(t.failing) >= lostAfter || errors.Is(err, ErrAway) {
+		t.lost(err)
 	}
 	t.pause = min(max(2*t.pause, retryFirst), retryMost)
 	wait(ctx, t.pause/2+rand.N(t.pause/2+1))
 }
 
+// lost notes that the store cannot be read: once as peers say, and once more as
+// this daemon's own calls show.
+func (t *track) lost(err error) {
+	peers := errors.Is(err, ErrAway)
+	if t.told && (t.own || peers) {
+		return
+	}
+	t.told, t.own = true, !peers
+	t.setAway(t.scope, true)
+	t.opts.Log.Event(crlog.StoreLost, crlog.Fields{"scope": t.scope.String(), "error": err.Error()})
+	t.mark(true, peers)
+}
+
 // mark tells the control side when the list of records is cut off from the
-// store, and when it is not any more.
-func (t *track) mark(down bool) {
+// store, and when it is not any more; peers says that those said so which read it
+// for this daemon.
+func (t *track) mark(down, peers bool) {
 	if t.scope != Records {
 		return
 	}
 	now := t.opts.Clock()
 	if down {
-		t.opts.Emit(crmesh.StoreLost{Now: now})
+		t.opts.Emit(crmesh.StoreLost{Now: now, Peers: peers})
 		return
 	}
 	t.opts.Emit(crmesh.StoreBack{Now: now})
--- /dev/null
+++ b/io/crwatch/history_test.go
@@ -0,0 +1,145 @@
+package crwatch_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"camphorroad/core/crevent"
+	"camphorroad/core/crid"
+	"camphorroad/core/crplan"
+	"camphorroad/core/crregistry"
+	"camphorroad/io/crclock"
+	"camphorroad/io/crlog"
+	"camphorroad/io/crwatch"
+)
+
+// store plays what a test hands it.
+type store struct {
+	mu    sync.Mutex
+	list  []crwatch.Item
+	at    crid.Revision
+	watch chan answer
+}
+
+type answer struct {
+	items []crwatch.Item
+	at    crid.Revision
+	err   error
+}
+
+func (s *store) List(context.Context, crwatch.Scope) ([]crwatch.Item, crid.Revision, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.list, s.at, nil
+}
+
+func (s *store) Watch(ctx context.Context, _ crwatch.Scope, _ crid.Revision, _ time.Duration) ([]crwatch.Item, crid.Revision, error) {
+	select {
+	case a := <-s.watch:
+		return a.items, a.at, a.err
+	case <-ctx.Done():
+		return nil, 0, ctx.Err()
+	}
+}
+
+type decoder struct{}
+
+func (decoder) Record(i crwatch.Item) (crregistry.Record, error) {
+	return crregistry.Record{Target: crid.Target(i.Key)}, nil
+}
+
+func (decoder) Plan([]byte) (*crplan.Plan, error) { return nil, errors.New("no plan") }
+
+func follow(t *testing.T, s *store) *crwatch.Follower {
+	t.Helper()
+	q := crlog.NewQueue()
+	f := crwatch.New(crwatch.Options{
+		Store: s, Decoder: decoder{}, Clock: crclock.Now, Emit: func(crevent.Event) {}, Lookers: func() int { return 1 },
+		Log: crlog.New(q, "info", "test"),
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{}, 2)
+	go func() { _ = f.Run(ctx, crwatch.Records); done <- struct{}{} }()
+	go func() { _ = q.Run(ctx, io.Discard); done <- struct{}{} }()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+		<-done
+	})
+	return f
+}
+
+func keys(items []crwatch.Item) []string {
+	out := make([]string, 0, len(items))
+	for _, i := range items {
+		out = append(out, i.Key)
+	}
+	return out
+}
+
+func TestPeersAreToldOfChangesInTheirOrder(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := &store{list: []crwatch.Item{{Key: "a", Revision: 4}}, at: 5, watch: make(chan answer)}
+	f := follow(t, s)
+	s.watch <- answer{items: []crwatch.Item{{Key: "b", Revision: 6}, {Key: "a", Revision: 7, Removed: true}}, at: 8}
+	items, at, err := f.Since(t.Context(), crwatch.Records, 5, time.Second)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(keys(items)).To(gomega.Equal([]string{"b", "a"}))
+	g.Expect(at).To(gomega.Equal(crid.Revision(8)))
+	items, _, err = f.Since(t.Context(), crwatch.Records, 6, time.Second)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(keys(items)).To(gomega.Equal([]string{"a"}))
+	whole, _, err := f.Held(crwatch.Records)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(keys(whole)).To(gomega.Equal([]string{"b"}))
+}
+
+// A list tells what there is and not what went before it. A peer that asks for
+// changes from before the list would keep what was removed for ever.
+func TestChangesFromBeforeAListAreNotTold(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := &store{list: []crwatch.Item{{Key: "a", Revision: 4}}, at: 5, watch: make(chan answer)}
+	f := follow(t, s)
+	g.Eventually(func() error {
+		_, _, err := f.Since(t.Context(), crwatch.Records, 3, time.Millisecond)
+		return err
+	}).Should(gomega.MatchError(crwatch.ErrCompacted))
+}
+
+// The store is lost while a peer waits for changes through this daemon. Records
+// that run out in the outage do not mean that their targets leave, so the peer
+// must hear of the outage at once, before it hears of them.
+func TestAWaitingPeerIsToldThatTheStoreIsLost(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := &store{list: []crwatch.Item{{Key: "a", Revision: 4}}, at: 5, watch: make(chan answer)}
+	f := follow(t, s)
+	g.Eventually(func() error { _, _, err := f.Held(crwatch.Records); return err }).Should(gomega.Succeed())
+	told := make(chan error, 1)
+	go func() {
+		_, _, err := f.Since(t.Context(), crwatch.Records, 5, time.Minute)
+		told <- err
+	}()
+	for range 6 {
+		select {
+		case s.watch <- answer{err: errors.New("reset")}:
+		case err := <-told:
+			told <- err
+		}
+	}
+	g.Eventually(told, 3*time.Second).Should(gomega.Receive(gomega.MatchError(crwatch.ErrAway)))
+}
+
+// A reader that has not listed yet knows nothing, which must not look like a store
+// without targets.
+func TestNothingIsServedBeforeTheFirstList(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f := crwatch.New(crwatch.Options{})
+	_, _, err := f.Held(crwatch.Records)
+	g.Expect(err).To(gomega.MatchError(crwatch.ErrAway))
+}
