Soak fleets of real processes with faults from outside

Nothing ran `join` as processes: fleet tests ran it within one. The soak starts six daemons (or more) beside stand-ins of store and targets, with relays for each connection and datagram, draws faults from a seed, in series and one upon the other, and checks the promises from what callers and targets saw, those that no fault excuses each second.

`listen.host` lets peers come through a translated address, which the relays need. Ruled out: relays by address rewriting in the kernel, which wants root.

--- a/cmd/camphorlab/main.go
+++ b/cmd/camphorlab/main.go
@@ -16,6 +16,7 @@
 	Load     lab.LoadOptions     `cmd:"" help:"Send load by a plan."`
 	Measure  lab.MeasureOptions  `cmd:"" help:"Take the four measures beside the baselines."`
 	Memory   lab.MemoryOptions   `cmd:"" help:"Measure the memory of a daemon."`
+	Soak     lab.SoakOptions     `cmd:"" help:"Harm fleets of real processes and check the promises."`
 	Upstream lab.UpstreamOptions `cmd:"" help:"Serve a stand-in of one upstream."`
 }
 
--- /dev/null
+++ b/command/lab/soak.go
@@ -0,0 +1,121 @@
+package lab
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"camphorroad/command/factory"
+	"camphorroad/lab/crsoak"
+)
+
+// SoakOptions runs fault soaks.
+type SoakOptions struct {
+	First    uint64        `default:"1" help:"First seed."`
+	Seeds    uint64        `default:"1" help:"Number of seeds."`
+	Length   time.Duration `default:"15s" help:"Length of each run's faults."`
+	Machines int           `default:"6" help:"Daemons of each run."`
+	Jobs     int           `default:"1" help:"Runs at a time."`
+	Net      int           `default:"60" help:"Second byte of the loopback addresses of the first job."`
+	Keep     string        `placeholder:"DIR" help:"Keep the logs of runs with broken promises in DIR."`
+	Binary   string        `placeholder:"FILE" help:"The daemon's program; default camphorroad beside this one."`
+}
+
+// Help is shown with the command's flags.
+func (*SoakOptions) Help() string {
+	return `Runs fleets of real processes beside stand-ins of store and targets, with faults
+drawn from each seed, and prints the promises that were broken. Exits with 1 if
+there were any.
+
+EXAMPLES
+  $ camphorlab soak --first 7
+  $ camphorlab soak --seeds 50 --jobs 3 --keep soaks`
+}
+
+// Run plays the seeds.
+func (o *SoakOptions) Run(ctx context.Context, f *factory.Factory) error {
+	binary, err := daemonBinary(o.Binary)
+	if err != nil {
+		return err
+	}
+	seeds := make(chan uint64)
+	broken := make(chan int, o.Seeds)
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error {
+		defer close(seeds)
+		for i := range o.Seeds {
+			select {
+			case seeds <- o.First + i:
+			case <-ctx.Done():
+				return ctx.Err()
+			}
+		}
+		return nil
+	})
+	for job := range max(o.Jobs, 1) {
+		g.Go(func() error {
+			for seed := range seeds {
+				n, err := o.one(ctx, f, binary, seed, o.Net+job)
+				if err != nil {
+					return fmt.Errorf("seed %d: %w", seed, err)
+				}
+				broken <- n
+			}
+			return nil
+		})
+	}
+	if err := g.Wait(); err != nil {
+		return err
+	}
+	close(broken)
+	total := 0
+	for n := range broken {
+		total += n
+	}
+	if total > 0 {
+		return fmt.Errorf("%d promises were broken", total)
+	}
+	return nil
+}
+
+// one plays a seed and prints what it found.
+func (o *SoakOptions) one(ctx context.Context, f *factory.Factory, binary string, seed uint64, number int) (int, error) {
+	dir, err := o.directory(seed)
+	if err != nil {
+		return 0, err
+	}
+	report, err := crsoak.Run(ctx, crsoak.Options{
+		Binary: binary, Dir: dir, Seed: seed, Machines: o.Machines, Length: o.Length, Net: number,
+	})
+	if err != nil {
+		return 0, err
+	}
+	text := report.Summary() + "\n"
+	for _, line := range report.Broken() {
+		text += "  " + line + "\n"
+	}
+	if len(report.Broken()) > 0 {
+		text += "  played: " + strings.Join(report.Faults(), "; ") + "\n"
+	}
+	if _, err := fmt.Fprint(f.Out, text); err != nil {
+		return 0, err
+	}
+	if len(report.Broken()) > 0 && o.Keep != "" {
+		return len(report.Broken()), nil
+	}
+	return len(report.Broken()), os.RemoveAll(dir)
+}
+
+func (o *SoakOptions) directory(seed uint64) (string, error) {
+	if o.Keep == "" {
+		return os.MkdirTemp("", "camphorroad-soak-")
+	}
+	dir := filepath.Join(o.Keep, strconv.FormatUint(seed, 10))
+	return dir, os.MkdirAll(dir, 0o750)
+}
--- a/io/crsite/crsite.go
+++ b/io/crsite/crsite.go
@@ -57,6 +57,16 @@
 	Control string `toml:"control"` // where seeds are asked
 	Pages   string `toml:"pages"`   // state and metrics; empty: at the second of Ports
 	Ports   []int  `toml:"ports"`   // first and last port between daemons
+	Host    string `toml:"host"`    // to listen at for peers; empty: the machine's address
+}
+
+// PeerHost is the address to listen at for peers. It differs from the machine's
+// where peers come through a translated address.
+func (s Settings) PeerHost() string {
+	if s.Listen.Host != "" {
+		return s.Listen.Host
+	}
+	return s.Address
 }
 
 // Store is where records and configuration are read.
@@ -141,6 +151,9 @@
 	if net.ParseIP(s.Address) == nil {
 		return fmt.Errorf("address: %q is no IP address", s.Address)
 	}
+	if s.Listen.Host != "" && net.ParseIP(s.Listen.Host) == nil {
+		return fmt.Errorf("listen.host: %q is no IP address", s.Listen.Host)
+	}
 	if s.Domain == "" {
 		return errors.New("domain: missing")
 	}
--- a/io/crsite/crsite_test.go
+++ b/io/crsite/crsite_test.go
@@ -64,6 +64,7 @@
 		"address":     {`address = "10.1.0.5"`, `address = "here"`, "address"},
 		"no service":  {`service = "s1"`, `service = ""`, "service: missing"},
 		"no port":     {`caller = "10.1.0.5:8402"`, `caller = "10.1.0.5"`, "listen.caller"},
+		"no host":     {`ports = [7660, 7675]`, "host = \"here\"\nports = [7660, 7675]", "listen.host"},
 		"one port":    {`[7660, 7675]`, `[7660]`, "listen.ports"},
 		"no grace":    {`grace = 6`, `grace = 0`, "bounds"},
 	} {
@@ -74,3 +75,16 @@
 		})
 	}
 }
+
+// Peers come through a translated address: the daemon is known by one address and
+// listens at another.
+func TestPeersMayComeThroughATranslatedAddress(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s, err := crsite.Parse("boot.toml", []byte(good))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(s.PeerHost()).To(gomega.Equal("10.1.0.5"))
+	s, err = crsite.Parse("boot.toml", []byte(strings.Replace(good, `ports =`, "host = \"10.9.0.5\"\nports =", 1)))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(s.PeerHost()).To(gomega.Equal("10.9.0.5"))
+	g.Expect(s.Address).To(gomega.Equal("10.1.0.5"))
+}
--- a/lab/crfleet/crfleet.go
+++ b/lab/crfleet/crfleet.go
@@ -54,6 +54,10 @@
 // daemonEnv makes the program run as a daemon.
 const daemonEnv = "CAMPHORROAD_FLEET_DAEMON"
 
+// DaemonEnv is the variable, with its value, that makes a program which calls
+// [ServeIfDaemon] a daemon.
+func DaemonEnv() string { return daemonEnv + "=1" }
+
 // ServeIfDaemon runs the command line and exits if this process was started as
 // a daemon of a fleet; otherwise it returns.
 func ServeIfDaemon(run func(args []string) int) {
--- /dev/null
+++ b/lab/crsoak/fleet.go
@@ -0,0 +1,299 @@
+package crsoak
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strconv"
+	"sync"
+	"time"
+
+	"camphorroad/lab/crstore"
+	"camphorroad/lab/crtarget"
+)
+
+// Ports, the same on all machines.
+const (
+	portTarget = 9000 + iota
+	portCaller
+	portReady
+	portPeer
+	portPages
+	portControl
+	portStore
+)
+
+// addresses is the plan of the loopback addresses of one run. A machine has one
+// that its daemon listens at, one that others know and that leads through the
+// relays, one for its target and one for its way to the store.
+type addresses struct{ net int }
+
+func (a addresses) at(part, i, port int) string {
+	return fmt.Sprintf("127.%d.%d.%d:%d", a.net, part, 10+i, port)
+}
+
+func (a addresses) real(i, port int) string   { return a.at(1, i, port) }
+func (a addresses) known(i, port int) string  { return a.at(2, i, port) }
+func (a addresses) target(i, port int) string { return a.at(3, i, port) }
+func (a addresses) store(i, port int) string  { return a.at(4, i, port) }
+
+// machineOf returns the machine whose daemon has an address.
+func (a addresses) machineOf(addr netip.Addr) (int, bool) {
+	b := addr.Unmap().As4()
+	return int(b[3]) - 10, b[2] == 1
+}
+
+// Bounds that the settings hold and the checks use.
+const (
+	drainTime   = 2 * time.Second
+	graceTime   = 6 * time.Second
+	budgetRatio = 0.2
+	budgetSlack = 40.0
+	budgetSpan  = 10 * time.Second
+	slotsEach   = 4
+	services    = 2
+)
+
+// machine is a daemon's process with its target and its links.
+type machine struct {
+	index int
+	plan  addresses
+	dir   string
+	links map[string]*relay // peer, store, target
+	proc  *process
+
+	replacing sync.Mutex // held while the target is replaced
+	mu        sync.Mutex
+	target    *crtarget.Target
+	id        string // of the target; new at each of its starts
+	starts    int
+}
+
+func (m *machine) service() string { return "s" + strconv.Itoa(m.index%services) }
+func (m *machine) domain() string  { return string(rune('a' + m.index%3)) }
+
+// at returns the machine's target and its name.
+func (m *machine) at() (*crtarget.Target, string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.target, m.id
+}
+
+// fleet is all machines of a run, and the store.
+type fleet struct {
+	ctx      context.Context //nolint:containedctx // ends all that the run started
+	plan     addresses
+	binary   string
+	env      []string
+	dir      string
+	store    *crstore.Store
+	server   *http.Server
+	machines []*machine
+	grams    *datagrams
+	mu       sync.Mutex
+	runs     []crtarget.Run // of targets that are gone
+	ended    map[*crtarget.Target]bool
+	exits    []string // processes that ended otherwise than told to
+}
+
+func newFleet(ctx context.Context, opts Options) (*fleet, error) {
+	n := opts.Machines
+	f := &fleet{
+		ctx: ctx, plan: addresses{opts.Net}, binary: opts.Binary, env: append(os.Environ(), opts.Env...), dir: opts.Dir,
+		store: crstore.New(), ended: make(map[*crtarget.Target]bool),
+	}
+	if err := f.serveStore(); err != nil {
+		return nil, err
+	}
+	var err error
+	if f.grams, err = newDatagrams(ctx, f.plan, n); err != nil {
+		return f, err
+	}
+	for i := range n {
+		if err := f.add(i, n); err != nil {
+			return f, err
+		}
+	}
+	return f, nil
+}
+
+func (f *fleet) serveStore() error {
+	l, err := new(net.ListenConfig).Listen(f.ctx, "tcp4", f.plan.at(5, 0, portStore))
+	if err != nil {
+		return fmt.Errorf("listen for the store: %w", err)
+	}
+	f.server = &http.Server{Handler: f.store, ReadHeaderTimeout: time.Minute}
+	go func() { _ = f.server.Serve(l) }() // ends when the server is closed
+	return nil
+}
+
+func (f *fleet) add(i, n int) error {
+	m := &machine{index: i, plan: f.plan, dir: f.dir, links: make(map[string]*relay)}
+	for name, way := range map[string][2]string{
+		"peer":   {f.plan.known(i, portPeer), f.plan.real(i, portPeer)},
+		"target": {f.plan.known(i, portTarget), f.plan.target(i, portTarget)},
+		"store":  {f.plan.store(i, portStore), f.plan.at(5, 0, portStore)},
+	} {
+		r, err := newRelay(f.ctx, way[0], way[1])
+		if err != nil {
+			return fmt.Errorf("relay of machine %d: %w", i, err)
+		}
+		m.links[name] = r
+	}
+	f.machines = append(f.machines, m)
+	if err := m.writeSettings(n); err != nil {
+		return err
+	}
+	if err := f.startTarget(m); err != nil {
+		return err
+	}
+	m.proc = newProcess(f, m)
+	return m.proc.start()
+}
+
+// writeSettings writes the daemon's settings file.
+func (m *machine) writeSettings(n int) error {
+	host, _, err := net.SplitHostPort(m.plan.known(m.index, 0))
+	if err != nil {
+		return err
+	}
+	realHost, _, err := net.SplitHostPort(m.plan.real(m.index, 0))
+	if err != nil {
+		return err
+	}
+	text := fmt.Sprintf(`name = "m%d"
+address = %q
+domain = %q
+service = %q
+target = %q
+seeds = [%q, %q]
+[listen]
+caller = %q
+ready = %q
+control = %q
+pages = %q
+host = %q
+ports = [%d, %d]
+[store]
+address = %q
+[limits]
+memory = 200
+[bounds]
+drain = %d
+grace = %v
+ratio = %v
+slack = %v
+window = %v
+`, m.index, host, m.domain(), m.service(), m.plan.known(m.index, portTarget),
+		m.plan.known((m.index+1)%n, portControl), m.plan.known((m.index+2)%n, portControl),
+		m.plan.real(m.index, portCaller), m.plan.real(m.index, portReady), m.plan.real(m.index, portControl),
+		m.plan.real(m.index, portPages), realHost, portPeer, portPeer+1, m.plan.store(m.index, portStore),
+		drainTime.Milliseconds(), graceTime.Seconds(), budgetRatio, budgetSlack, budgetSpan.Seconds())
+	return os.WriteFile(m.settings(), []byte(text), 0o600)
+}
+
+func (m *machine) settings() string {
+	return filepath.Join(m.dir, "m"+strconv.Itoa(m.index)+".toml")
+}
+
+// startTarget starts a new incarnation of a machine's target and registers it.
+func (f *fleet) startTarget(m *machine) error {
+	starts := m.starts + 1
+	id := fmt.Sprintf("i-%d-%d", m.index, starts)
+	target, err := crtarget.Start(crtarget.Options{Address: f.plan.target(m.index, portTarget), ID: id, Slots: slotsEach})
+	if err != nil {
+		return err
+	}
+	target.Set(calm())
+	m.mu.Lock()
+	m.starts, m.target, m.id = starts, target, id
+	m.mu.Unlock()
+	f.register(m, "ready")
+	return nil
+}
+
+// calm is how a target works without a fault.
+func calm() crtarget.Behaviour { return crtarget.Behaviour{Work: 15 * time.Millisecond} }
+
+// endTarget ends a target at once and keeps what ran on it.
+func (f *fleet) endTarget(m *machine) {
+	target, _ := m.at()
+	target.Close()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.runs = append(f.runs, target.Runs()...)
+	f.ended[target] = true
+}
+
+func (f *fleet) register(m *machine, state string) {
+	_, id := m.at()
+	f.store.Put("servers/"+id, fmt.Appendf(nil, `{"address":%q,"born":%d,"information":{"service":%q,"version":"v1","zone":%q,"slots":%d},
+"status":{"state":%q,"sequence":1,"warmup-remaining-ms":0}}`, f.plan.known(m.index, portTarget), m.starts, m.service(), m.domain(), slotsEach, state))
+}
+
+// account is a client account of the run.
+type account struct {
+	Name  string   `json:"name"`
+	Keys  []string `json:"api-keys"`
+	Rate  float64  `json:"rate-per-s"`
+	Burst float64  `json:"burst"`
+}
+
+// publish writes a configuration.
+func (f *fleet) publish(version int, accounts []account) error {
+	listed, err := json.Marshal(accounts)
+	if err != nil {
+		return fmt.Errorf("encode the accounts: %w", err)
+	}
+	f.store.Put("op/config", fmt.Appendf(nil, `{"version":"%08x","services":[{"name":"s0"},{"name":"s1"}],"limits":{},"tenants":%s,
+"virtual-hosts":[{"host":"h.example","path-routes":[
+{"name":"look","path-prefix":"/look/","kind":"idempotent","timeout-ms":1500,"objective-latency-ms":800,"priority":2,"service":"s0","max-attempts":3},
+{"name":"hold","path-prefix":"/hold/","kind":"non_idempotent","timeout-ms":1500,"objective-latency-ms":800,"priority":1,"service":"s0","max-attempts":3},
+{"name":"read","path-prefix":"/read/","kind":"idempotent","timeout-ms":1500,"objective-latency-ms":800,"priority":2,"service":"s1","max-attempts":2},
+{"name":"pay","path-prefix":"/pay/","kind":"non_idempotent","timeout-ms":1500,"objective-latency-ms":800,"priority":0,"service":"s1","max-attempts":2}]}]}`,
+		version, listed))
+	return nil
+}
+
+// allRuns returns what ran at all targets so far.
+func (f *fleet) allRuns() []crtarget.Run {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	out := append([]crtarget.Run(nil), f.runs...)
+	for _, m := range f.machines {
+		if target, _ := m.at(); !f.ended[target] {
+			out = append(out, target.Runs()...)
+		}
+	}
+	return out
+}
+
+// close ends all that the run started.
+func (f *fleet) close() error {
+	var errs []error
+	for _, m := range f.machines {
+		if m.proc != nil {
+			errs = append(errs, m.proc.kill())
+		}
+	}
+	for _, m := range f.machines {
+		if target, _ := m.at(); target != nil {
+			target.Close()
+		}
+		for _, r := range m.links {
+			r.close()
+		}
+	}
+	if f.grams != nil {
+		f.grams.close()
+	}
+	return errors.Join(append(errs, f.server.Close())...)
+}
+
+func isClosed(err error) bool { return errors.Is(err, net.ErrClosed) }
--- a/lab/crtarget/crtarget.go
+++ b/lab/crtarget/crtarget.go
@@ -39,6 +39,8 @@
 
 // Run is a request that ran.
 type Run struct {
+	At                    time.Time
+	Target                string // where it ran
 	ID, Method, URI, Body string
 	Account, From         string
 	Wait                  time.Duration
@@ -222,7 +224,7 @@
 	t.running++
 	t.most = max(t.most, t.running)
 	t.runs = append(t.runs, Run{
-		ID: r.Header.Get("Request-Id"), Method: r.Method, URI: r.URL.RequestURI(), Body: body,
+		At: time.Now(), Target: t.opts.ID, ID: r.Header.Get("Request-Id"), Method: r.Method, URI: r.URL.RequestURI(), Body: body,
 		Account: r.Header.Get("Tenant-Name"), From: r.Header.Get("Calling-Service"),
 		Wait: time.Duration(wait) * time.Millisecond, Header: r.Header,
 	})
