Show the users' platform in make demo, and fail on unexpected answers

Cause: make demo showed only the fleet with published files, and exited with 0 whatever came. Change: lab/crstage sets a stage of store, targets and settings for daemons that join (the soak uses it, too); script/demo-join plays it; both demos exit with 1 on an answer that is not the expected one. A refusal by rate of a fleet that has just started is shown with its time to come back, and followed.

--- a/Makefile
+++ b/Makefile
@@ -31,7 +31,9 @@
 	CAMPHORROAD_TRACES=$(CURDIR)/io/crtrace/testdata $(GO) test -count=1 ./e2e -ginkgo.focus "recorded trace"
 	$(GO) test -count=1 ./io/crtrace -update
 
+# On the users' platform, and with policy files that operators publish themselves.
 demo: build
+	script/demo-join
 	script/demo
 
 # The tables in virtual time repeat exactly; those over real processes vary by
--- a/cmd/camphorlab/main.go
+++ b/cmd/camphorlab/main.go
@@ -17,6 +17,7 @@
 	Measure  lab.MeasureOptions  `cmd:"" help:"Take the four measures beside the baselines."`
 	Memory   lab.MemoryOptions   `cmd:"" help:"Measure the memory of a daemon."`
 	Soak     lab.SoakOptions     `cmd:"" help:"Harm fleets of real processes and check the promises."`
+	Stage    lab.StageOptions    `cmd:"" help:"Serve stand-ins of the store and of targets."`
 	Upstream lab.UpstreamOptions `cmd:"" help:"Serve a stand-in of one upstream."`
 }
 
--- /dev/null
+++ b/command/lab/stage.go
@@ -0,0 +1,45 @@
+package lab
+
+import (
+	"context"
+	"fmt"
+
+	"camphorroad/command/factory"
+	"camphorroad/lab/crstage"
+)
+
+// StageOptions sets a stage for daemons that join through a store.
+type StageOptions struct {
+	Dir      string `required:"" placeholder:"DIR" help:"Directory for the daemons' settings."`
+	Machines int    `default:"3" help:"Machines, each with a target."`
+	Net      int    `default:"70" help:"Second byte of the loopback addresses."`
+	Key      string `required:"" help:"Key of the one account."`
+}
+
+// Help is shown with the command's flags.
+func (*StageOptions) Help() string {
+	return `Runs stand-ins of the store and of the targets, writes a settings file for each
+daemon, and prints a line for each machine: name, settings, address of the
+callers, address of the pages. Serves until SIGTERM or SIGINT.
+
+EXAMPLES
+  $ camphorlab stage --dir stage --key crk_demo
+  $ camphorroad join --config stage/machine-0.toml`
+}
+
+// Run serves until the context ends.
+func (o *StageOptions) Run(ctx context.Context, f *factory.Factory) error {
+	stage, err := crstage.Start(ctx, crstage.Options{Dir: o.Dir, Machines: o.Machines, Net: o.Net, Key: o.Key})
+	if err != nil {
+		return err
+	}
+	rows := make([][]string, 0, o.Machines)
+	for _, m := range stage.Machines() {
+		rows = append(rows, []string{m.Name(), m.File(), m.Caller(), m.Ready()})
+	}
+	if err := f.Table([]string{"NAME", "SETTINGS", "CALLERS", "PAGES"}, rows); err != nil {
+		return fmt.Errorf("print the machines: %w", err)
+	}
+	<-ctx.Done()
+	return stage.Close()
+}
--- a/io/crfeed/crfeed_test.go
+++ b/io/crfeed/crfeed_test.go
@@ -69,14 +69,14 @@
 	return r.feed.Watch(t.Context(), crwatch.Records, 4, time.Second)
 }
 
-func served(key string) croffer.FeedPage {
-	return croffer.FeedPage{State: croffer.FeedServed, Items: []croffer.FeedItem{{Key: key, Revision: 7}}, At: 7}
+func served() croffer.FeedPage {
+	return croffer.FeedPage{State: croffer.FeedServed, Items: []croffer.FeedItem{{Key: "far", Revision: 7}}, At: 7}
 }
 
 func TestADaemonReadsThroughItsReaders(t *testing.T) {
 	g := gomega.NewWithT(t)
 	r := newRig("a", "b")
-	r.peers.pages["a"], r.peers.pages["b"] = served("far"), served("far")
+	r.peers.pages["a"], r.peers.pages["b"] = served(), served()
 	items, at, err := r.watch(t)
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	g.Expect(items).To(gomega.Equal([]crwatch.Item{{Key: "far", Revision: 7}}))
@@ -129,7 +129,7 @@
 	}
 	g.Expect(r.peers.asked).To(gomega.HaveLen(2))
 	r.now = r.now.Add(11 * time.Second)
-	r.peers.pages["a"], r.peers.pages["b"] = served("far"), served("far")
+	r.peers.pages["a"], r.peers.pages["b"] = served(), served()
 	items, _, err := r.watch(t)
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	g.Expect(items[0].Key).To(gomega.Equal("far"))
@@ -159,7 +159,7 @@
 	g := gomega.NewWithT(t)
 	r := newRig("a", "b")
 	r.peers.pages["a"] = croffer.FeedPage{State: croffer.FeedAway}
-	r.peers.pages["b"] = served("far")
+	r.peers.pages["b"] = served()
 	for range 2 {
 		items, _, err := r.watch(t)
 		g.Expect(err).NotTo(gomega.HaveOccurred())
--- a/lab/crsoak/caller.go
+++ b/lab/crsoak/caller.go
@@ -11,6 +11,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"camphorroad/lab/crstage"
 )
 
 // callerWait is how long a caller waits for its answer.
@@ -72,13 +74,13 @@
 // keyring is the keys of the accounts over time.
 type keyring struct {
 	mu        sync.Mutex
-	accounts  []account
+	accounts  []crstage.Account
 	owner     map[string]string
 	issued    map[string]time.Time
 	withdrawn map[string]time.Time
 }
 
-func newKeyring(accounts []account) *keyring {
+func newKeyring(accounts []crstage.Account) *keyring {
 	k := &keyring{
 		accounts: accounts, owner: make(map[string]string), issued: make(map[string]time.Time), withdrawn: make(map[string]time.Time),
 	}
@@ -105,15 +107,15 @@
 	return a.Name, a.Keys[r.IntN(len(a.Keys))]
 }
 
-func (k *keyring) now() []account {
+func (k *keyring) now() []crstage.Account {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return append([]account(nil), k.accounts...)
+	return append([]crstage.Account(nil), k.accounts...)
 }
 
 // replace withdraws the first key of an account and gives it another one; it
 // returns the accounts as they then are.
-func (k *keyring) replace(i int, key string) []account {
+func (k *keyring) replace(i int, key string) []crstage.Account {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	at := time.Now()
@@ -122,7 +124,7 @@
 	k.issued[key] = at
 	k.owner[key] = a.Name
 	a.Keys = append(append([]string(nil), a.Keys[1:]...), key)
-	return append([]account(nil), k.accounts...)
+	return append([]crstage.Account(nil), k.accounts...)
 }
 
 // times returns when a key was issued and withdrawn; zero: at the start, and not.
@@ -177,7 +179,7 @@
 	if k.once {
 		done.body = "body of " + done.id
 	}
-	req, err := http.NewRequestWithContext(ctx, k.method, "http://"+c.machine.plan.real(c.machine.index, portCaller)+done.path, strings.NewReader(done.body))
+	req, err := http.NewRequestWithContext(ctx, k.method, "http://"+c.machine.plan.real(c.machine.index, crstage.PortCaller)+done.path, strings.NewReader(done.body))
 	if err != nil {
 		done.err = err.Error()
 		c.book.add(done)
--- a/lab/crsoak/check.go
+++ b/lab/crsoak/check.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"camphorroad/lab/crstage"
 	"camphorroad/lab/crtarget"
 )
 
@@ -36,7 +37,7 @@
 	stops    []stopped
 	exits    []string
 	keys     *keyring
-	accounts []account
+	accounts []crstage.Account
 	machines []*machine
 	calm     time.Time // when the last fault had ended; zero: not yet
 }
@@ -157,10 +158,10 @@
 		}
 		slices.SortFunc(again, time.Time.Compare)
 		for _, end := range again {
-			n := within(again, end.Add(-budgetSpan), end)
-			requests := max(within(asked, end.Add(-budgetSpan), end), within(asked, end.Add(-2*budgetSpan), end.Add(-budgetSpan)))
-			if bound := budgetRatio*float64(requests) + budgetSlack; float64(n) > bound {
-				v.add("budget: %s got %d repeats in %v, %.0f are allowed", service, n, budgetSpan, bound)
+			n := within(again, end.Add(-crstage.BudgetSpan), end)
+			requests := max(within(asked, end.Add(-crstage.BudgetSpan), end), within(asked, end.Add(-2*crstage.BudgetSpan), end.Add(-crstage.BudgetSpan)))
+			if bound := crstage.BudgetRatio*float64(requests) + crstage.BudgetSlack; float64(n) > bound {
+				v.add("budget: %s got %d repeats in %v, %.0f are allowed", service, n, crstage.BudgetSpan, bound)
 				break
 			}
 		}
@@ -240,7 +241,7 @@
 	}
 	for _, l := range e.leaves {
 		for _, r := range e.allRuns {
-			if r.Target != l.id || r.At.Sub(l.at) < drainTime+drainSlack {
+			if r.Target != l.id || r.At.Sub(l.at) < crstage.DrainTime+drainSlack {
 				continue
 			}
 			c, known := entry[r.ID]
--- a/lab/crsoak/crsoak.go
+++ b/lab/crsoak/crsoak.go
@@ -28,6 +28,7 @@
 	"sync"
 	"time"
 
+	"camphorroad/lab/crstage"
 	"camphorroad/lab/crtarget"
 )
 
@@ -89,8 +90,8 @@
 }
 
 // accounts of each run: one that is held to its rate, and three that are not.
-func accounts() []account {
-	return []account{
+func accounts() []crstage.Account {
+	return []crstage.Account{
 		{Name: "small", Keys: []string{"k-small-1", "k-small-2"}, Rate: 15, Burst: 15},
 		{Name: "north", Keys: []string{"k-north-1", "k-north-2"}, Rate: 400, Burst: 400},
 		{Name: "south", Keys: []string{"k-south-1"}, Rate: 400, Burst: 400},
@@ -115,7 +116,7 @@
 		return nil, err
 	}
 	s.player = &player{fleet: s.fleet, keys: s.keys, version: 1}
-	if err := s.fleet.publish(1, accounts()); err != nil {
+	if err := crstage.Publish(s.fleet.store, 1, accounts()); err != nil {
 		return nil, err
 	}
 	if err := s.waitReady(ctx); err != nil {
@@ -140,7 +141,7 @@
 }
 
 func isReady(ctx context.Context, m *machine) bool {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+m.plan.real(m.index, portReady)+"/ready", nil)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+m.plan.real(m.index, crstage.PortReady)+"/ready", nil)
 	if err != nil {
 		return false
 	}
--- a/lab/crsoak/datagram.go
+++ b/lab/crsoak/datagram.go
@@ -6,6 +6,8 @@
 	"net"
 	"net/netip"
 	"sync"
+
+	"camphorroad/lab/crstage"
 )
 
 // pair is a way between two machines, by their numbers.
@@ -25,7 +27,7 @@
 func newDatagrams(ctx context.Context, plan addresses, n int) (*datagrams, error) {
 	d := &datagrams{plan: plan, cuts: make(map[pair]bool)}
 	for i := range n {
-		addr := netip.MustParseAddrPort(plan.known(i, portPeer))
+		addr := netip.MustParseAddrPort(plan.known(i, crstage.PortPeer))
 		conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(addr))
 		if err != nil {
 			d.close()
@@ -44,7 +46,7 @@
 func (d *datagrams) forward(ctx context.Context, to int) {
 	defer d.done.Done()
 	buf := make([]byte, 2048)
-	real := netip.MustParseAddrPort(d.plan.real(to, portPeer))
+	real := netip.MustParseAddrPort(d.plan.real(to, crstage.PortPeer))
 	for ctx.Err() == nil {
 		n, from, err := d.conns[to].ReadFromUDPAddrPort(buf)
 		if err != nil {
--- a/lab/crsoak/fault.go
+++ b/lab/crsoak/fault.go
@@ -9,6 +9,7 @@
 	"syscall"
 	"time"
 
+	"camphorroad/lab/crstage"
 	"camphorroad/lab/crstore"
 	"camphorroad/lab/crtarget"
 )
@@ -311,7 +312,7 @@
 }
 
 // leaveTime is how long a leaving target still serves.
-const leaveTime = drainTime + 700*time.Millisecond
+const leaveTime = crstage.DrainTime + 700*time.Millisecond
 
 // replaceTarget ends a target, with a word or without, and starts another one at
 // its address later.
@@ -320,7 +321,7 @@
 	defer m.replacing.Unlock()
 	_, id := m.at()
 	if s.kind == "leave" {
-		p.fleet.register(m, "draining")
+		p.fleet.register(m, true)
 		p.mu.Lock()
 		p.leaves = append(p.leaves, leaving{id: id, at: time.Now()})
 		p.mu.Unlock()
@@ -328,7 +329,7 @@
 	}
 	p.fleet.endTarget(m)
 	pause(ctx, s.lasts/2)
-	p.fleet.store.Remove("servers/" + id)
+	crstage.Deregister(p.fleet.store, id)
 	return p.fleet.startTarget(m)
 }
 
@@ -342,7 +343,7 @@
 	if s.kind == "withdraw" {
 		accounts = p.keys.replace(int(s.pick%uint64(len(accounts))), fmt.Sprintf("k-%d", p.version))
 	}
-	return p.fleet.publish(p.version, accounts)
+	return crstage.Publish(p.fleet.store, p.version, accounts)
 }
 
 func (p *player) setFast(is bool) {
--- a/lab/crsoak/fleet.go
+++ b/lab/crsoak/fleet.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"net"
@@ -14,21 +13,11 @@
 	"sync"
 	"time"
 
+	"camphorroad/lab/crstage"
 	"camphorroad/lab/crstore"
 	"camphorroad/lab/crtarget"
 )
 
-// Ports, the same on all machines.
-const (
-	portTarget = 9000 + iota
-	portCaller
-	portReady
-	portPeer
-	portPages
-	portControl
-	portStore
-)
-
 // addresses is the plan of the loopback addresses of one run. A machine has one
 // that its daemon listens at, one that others know and that leads through the
 // relays, one for its target and one for its way to the store.
@@ -49,16 +38,8 @@
 	return int(b[3]) - 10, b[2] == 1
 }
 
-// Bounds that the settings hold and the checks use.
-const (
-	drainTime   = 2 * time.Second
-	graceTime   = 6 * time.Second
-	budgetRatio = 0.2
-	budgetSlack = 40.0
-	budgetSpan  = 10 * time.Second
-	slotsEach   = 4
-	services    = 2
-)
+// services is the number of services that the machines' targets serve in turn.
+const services = 2
 
 // machine is a daemon's process with its target and its links.
 type machine struct {
@@ -124,7 +105,7 @@
 }
 
 func (f *fleet) serveStore() error {
-	l, err := new(net.ListenConfig).Listen(f.ctx, "tcp4", f.plan.at(5, 0, portStore))
+	l, err := new(net.ListenConfig).Listen(f.ctx, "tcp4", f.plan.at(5, 0, crstage.PortStore))
 	if err != nil {
 		return fmt.Errorf("listen for the store: %w", err)
 	}
@@ -136,9 +117,9 @@
 func (f *fleet) add(i, n int) error {
 	m := &machine{index: i, plan: f.plan, dir: f.dir, links: make(map[string]*relay)}
 	for name, way := range map[string][2]string{
-		"peer":   {f.plan.known(i, portPeer), f.plan.real(i, portPeer)},
-		"target": {f.plan.known(i, portTarget), f.plan.target(i, portTarget)},
-		"store":  {f.plan.store(i, portStore), f.plan.at(5, 0, portStore)},
+		"peer":   {f.plan.known(i, crstage.PortPeer), f.plan.real(i, crstage.PortPeer)},
+		"target": {f.plan.known(i, crstage.PortTarget), f.plan.target(i, crstage.PortTarget)},
+		"store":  {f.plan.store(i, crstage.PortStore), f.plan.at(5, 0, crstage.PortStore)},
 	} {
 		r, err := newRelay(f.ctx, way[0], way[1])
 		if err != nil {
@@ -159,43 +140,20 @@
 
 // writeSettings writes the daemon's settings file.
 func (m *machine) writeSettings(n int) error {
-	host, _, err := net.SplitHostPort(m.plan.known(m.index, 0))
+	known, _, err := net.SplitHostPort(m.plan.known(m.index, 0))
 	if err != nil {
 		return err
 	}
-	realHost, _, err := net.SplitHostPort(m.plan.real(m.index, 0))
+	listen, _, err := net.SplitHostPort(m.plan.real(m.index, 0))
 	if err != nil {
 		return err
 	}
-	text := fmt.Sprintf(`name = "m%d"
-address = %q
-domain = %q
-service = %q
-target = %q
-seeds = [%q, %q]
-[listen]
-caller = %q
-ready = %q
-control = %q
-pages = %q
-host = %q
-ports = [%d, %d]
-[store]
-address = %q
-[limits]
-memory = 200
-[bounds]
-drain = %d
-grace = %v
-ratio = %v
-slack = %v
-window = %v
-`, m.index, host, m.domain(), m.service(), m.plan.known(m.index, portTarget),
-		m.plan.known((m.index+1)%n, portControl), m.plan.known((m.index+2)%n, portControl),
-		m.plan.real(m.index, portCaller), m.plan.real(m.index, portReady), m.plan.real(m.index, portControl),
-		m.plan.real(m.index, portPages), realHost, portPeer, portPeer+1, m.plan.store(m.index, portStore),
-		drainTime.Milliseconds(), graceTime.Seconds(), budgetRatio, budgetSlack, budgetSpan.Seconds())
-	return os.WriteFile(m.settings(), []byte(text), 0o600)
+	cfg := crstage.Settings{
+		Name: "m" + strconv.Itoa(m.index), Address: known, Listen: listen, Domain: m.domain(), Service: m.service(),
+		Target: m.plan.known(m.index, crstage.PortTarget), Store: m.plan.store(m.index, crstage.PortStore),
+		Seeds: [2]string{m.plan.known((m.index+1)%n, crstage.PortControl), m.plan.known((m.index+2)%n, crstage.PortControl)},
+	}
+	return os.WriteFile(m.settings(), []byte(cfg.TOML()), 0o600)
 }
 
 func (m *machine) settings() string {
@@ -206,7 +164,7 @@
 func (f *fleet) startTarget(m *machine) error {
 	starts := m.starts + 1
 	id := fmt.Sprintf("i-%d-%d", m.index, starts)
-	target, err := crtarget.Start(crtarget.Options{Address: f.plan.target(m.index, portTarget), ID: id, Slots: slotsEach})
+	target, err := crtarget.Start(crtarget.Options{Address: f.plan.target(m.index, crstage.PortTarget), ID: id, Slots: crstage.Slots})
 	if err != nil {
 		return err
 	}
@@ -214,7 +172,7 @@
 	m.mu.Lock()
 	m.starts, m.target, m.id = starts, target, id
 	m.mu.Unlock()
-	f.register(m, "ready")
+	f.register(m, false)
 	return nil
 }
 
@@ -231,34 +189,12 @@
 	f.ended[target] = true
 }
 
-func (f *fleet) register(m *machine, state string) {
+// register writes the record of a machine's target.
+func (f *fleet) register(m *machine, leaving bool) {
 	_, id := m.at()
-	f.store.Put("servers/"+id, fmt.Appendf(nil, `{"address":%q,"born":%d,"information":{"service":%q,"version":"v1","zone":%q,"slots":%d},
-"status":{"state":%q,"sequence":1,"warmup-remaining-ms":0}}`, f.plan.known(m.index, portTarget), m.starts, m.service(), m.domain(), slotsEach, state))
-}
-
-// account is a client account of the run.
-type account struct {
-	Name  string   `json:"name"`
-	Keys  []string `json:"api-keys"`
-	Rate  float64  `json:"rate-per-s"`
-	Burst float64  `json:"burst"`
-}
-
-// publish writes a configuration.
-func (f *fleet) publish(version int, accounts []account) error {
-	listed, err := json.Marshal(accounts)
-	if err != nil {
-		return fmt.Errorf("encode the accounts: %w", err)
-	}
-	f.store.Put("op/config", fmt.Appendf(nil, `{"version":"%08x","services":[{"name":"s0"},{"name":"s1"}],"limits":{},"tenants":%s,
-"virtual-hosts":[{"host":"h.example","path-routes":[
-{"name":"look","path-prefix":"/look/","kind":"idempotent","timeout-ms":1500,"objective-latency-ms":800,"priority":2,"service":"s0","max-attempts":3},
-{"name":"hold","path-prefix":"/hold/","kind":"non_idempotent","timeout-ms":1500,"objective-latency-ms":800,"priority":1,"service":"s0","max-attempts":3},
-{"name":"read","path-prefix":"/read/","kind":"idempotent","timeout-ms":1500,"objective-latency-ms":800,"priority":2,"service":"s1","max-attempts":2},
-{"name":"pay","path-prefix":"/pay/","kind":"non_idempotent","timeout-ms":1500,"objective-latency-ms":800,"priority":0,"service":"s1","max-attempts":2}]}]}`,
-		version, listed))
-	return nil
+	crstage.Register(f.store, id, crstage.Record{
+		Address: f.plan.known(m.index, crstage.PortTarget), Born: m.starts, Service: m.service(), Domain: m.domain(), Leaving: leaving,
+	})
 }
 
 // allRuns returns what ran at all targets so far.
--- a/lab/crsoak/process.go
+++ b/lab/crsoak/process.go
@@ -10,6 +10,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"camphorroad/lab/crstage"
 )
 
 // process is a daemon's process over its restarts. Only processes that it started
@@ -92,7 +94,7 @@
 	if err := p.signal(syscall.SIGTERM); err != nil {
 		return false, err
 	}
-	if p.gone(graceTime) {
+	if p.gone(crstage.GraceTime) {
 		return true, nil
 	}
 	return false, p.kill()
