Take what ends in time at a stopping daemon's target

Cause: from SIGTERM on an exit refused all that was new, although the daemon serves its callers for 2.6 s more: its target lay idle for the whole stop and start, some four seconds.

Ruled out: going on until the end of the grace (the daemon then stays until the last request has ended, and its start comes later).

--- a/core/crmesh/event.go
+++ b/core/crmesh/event.go
@@ -32,7 +32,7 @@
 		Slots:   b.Slots,
 		Sick:    float64(b.Sick) / 255,
 		Typical: time.Duration(b.Typical) * time.Millisecond,
-		Closed:  b.Closed || b.Stopping,
+		Closed:  b.Closed,
 	}
 }
 
--- a/io/cregress/cregress.go
+++ b/io/cregress/cregress.go
@@ -69,6 +69,7 @@
 	pool     *crlink.Pool
 	target   atomic.Pointer[crregistry.Record]
 	stopping atomic.Bool
+	end      atomic.Int64 // instant by which all work must have ended; zero: none
 	calls    calls
 	running  atomic.Int64 // idempotent requests at the target
 	repeats  atomic.Int64 // of these, those that were sent elsewhere before
@@ -130,6 +131,16 @@
 	x.held = false
 }
 
+// Finish has the exit take only what ends before an instant in any case: its daemon
+// was told to stop.
+func (x *Exit) Finish(end crid.Instant) { x.end.Store(int64(end)) }
+
+// fits reports whether an offer's request ends before the daemon does.
+func (x *Exit) fits(now crid.Instant, o croffer.Offer) bool {
+	end := x.end.Load()
+	return end == 0 || now.Add(o.Left) <= crid.Instant(end)
+}
+
 // Stop refuses all that has not been started yet.
 func (x *Exit) Stop() {
 	x.stopping.Store(true)
@@ -174,6 +185,9 @@
 	if r == nil || r.Target != o.Target || r.Service != o.Service {
 		return x.refuse("no such target here", 0)
 	}
+	if !x.fits(now, o) {
+		return x.refuse("stopping", 0)
+	}
 	if !x.fit(now, o) {
 		return x.refuse("sick", 0)
 	}
--- a/io/crmesh/crmesh_test.go
+++ b/io/crmesh/crmesh_test.go
@@ -338,6 +338,26 @@
 	g.Expect(f.machines[2].log.String()).To(gomega.ContainSubstring(`"event":603`))
 }
 
+// A daemon is told to stop while its target is the only one that serves. The target
+// would lie idle until the next daemon has started; what ends before this one does
+// is still taken.
+func TestAStoppingDaemonStillTakesWhatEndsInTime(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f := newFleet(t, 2)
+	f.machines[0].target.Set(crtarget.Behaviour{Shed: 1})
+	g.Expect(f.machines[0].call(http.MethodPost, "/hold/", "k1").status).To(gomega.Equal(http.StatusOK))
+	stopping := make(chan struct{})
+	go func() {
+		defer close(stopping)
+		f.machines[1].end()
+	}()
+	g.Eventually(f.machines[1].ready).ShouldNot(gomega.Equal(http.StatusOK))
+	a := f.machines[0].call(http.MethodPost, "/hold/", "k1")
+	g.Expect(a.status).To(gomega.Equal(http.StatusOK))
+	g.Expect(f.runs(a.id)).To(gomega.HaveLen(1))
+	<-stopping
+}
+
 // A process starts while the store is away. It must not say that it is ready
 // before it can serve, and learns what it needs from its seeds.
 func TestAProcessThatStartsWithoutTheStoreLearnsFromSeeds(t *testing.T) {
