--- a/core/crquota/crquota.go
+++ b/core/crquota/crquota.go
@@ -78,32 +78,14 @@
 	return min(1, cutSlack*float64(heard)/float64(size))
 }
 
+// bucket holds an account's tokens.
 type bucket struct {
 	tokens float64
-	at     crid.Instant
+	at     crid.Instant // of the last request
 }
 
-// Meter keeps the buckets of accounts. It is safe for concurrent use.
-type Meter struct {
-	mu      sync.Mutex
-	buckets map[crid.Account]*bucket
-	swept   crid.Instant
-}
-
-// NewMeter returns a meter without buckets.
-func NewMeter() *Meter { return &Meter{buckets: make(map[crid.Account]*bucket)} }
-
-// Take takes a token of the account, or tells how long it is until there is one.
-func (m *Meter) Take(now crid.Instant, a crid.Account, rate, burst float64) (ok bool, wait time.Duration) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.sweep(now)
-	size := max(burst, 1)
-	b := m.buckets[a]
-	if b == nil {
-		b = &bucket{tokens: max(size*startLevel, 1), at: now}
-		m.buckets[a] = b
-	}
+// take takes a token, or tells how long it is until there is one.
+func (b *bucket) take(now crid.Instant, rate, size float64) (ok bool, wait time.Duration) {
 	b.tokens = min(b.tokens+max(now.Sub(b.at).Seconds(), 0)*rate, size)
 	b.at = max(b.at, now)
 	if b.tokens >= 1 {
@@ -113,14 +95,54 @@
 	return false, time.Duration((1 - b.tokens) / rate * float64(time.Second))
 }
 
-func (m *Meter) sweep(now crid.Instant) {
-	if now.Sub(m.swept) < forgetAfter {
+// buckets are accounts' buckets, dropped after a time without requests.
+type buckets struct {
+	by    map[crid.Account]*bucket
+	keep  time.Duration
+	swept crid.Instant
+}
+
+func newBuckets(keep time.Duration) buckets {
+	return buckets{by: make(map[crid.Account]*bucket), keep: keep}
+}
+
+// of returns an account's bucket, or a fresh one if none is kept.
+func (s *buckets) of(now crid.Instant, a crid.Account, start func() float64) *bucket {
+	s.sweep(now)
+	b := s.by[a]
+	if b == nil || now.Sub(b.at) > s.keep {
+		b = &bucket{tokens: start(), at: now}
+		s.by[a] = b
+	}
+	return b
+}
+
+func (s *buckets) sweep(now crid.Instant) {
+	if now.Sub(s.swept) < s.keep {
 		return
 	}
-	m.swept = now
-	for a, b := range m.buckets {
-		if now.Sub(b.at) > forgetAfter {
-			delete(m.buckets, a)
+	s.swept = now
+	for a, b := range s.by {
+		if now.Sub(b.at) > s.keep {
+			delete(s.by, a)
 		}
 	}
 }
+
+// Meter keeps the buckets of accounts. It is safe for concurrent use.
+type Meter struct {
+	mu      sync.Mutex
+	buckets buckets
+}
+
+// NewMeter returns a meter without buckets.
+func NewMeter() *Meter { return &Meter{buckets: newBuckets(forgetAfter)} }
+
+// Take takes a token of the account, or tells how long it is until there is one.
+func (m *Meter) Take(now crid.Instant, a crid.Account, rate, burst float64) (ok bool, wait time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	size := max(burst, 1)
+	b := m.buckets.of(now, a, func() float64 { return max(size*startLevel, 1) })
+	return b.take(now, rate, size)
+}
--- a/core/crquota/parts.go
+++ b/core/crquota/parts.go
@@ -24,13 +24,12 @@
 type Parts struct {
 	draw    func() float64 // in [0,1)
 	mu      sync.Mutex
-	buckets map[crid.Account]*bucket
-	swept   crid.Instant
+	buckets buckets
 }
 
 // NewParts returns no parts yet. Draw gives random numbers in [0,1).
 func NewParts(draw func() float64) *Parts {
-	return &Parts{draw: draw, buckets: make(map[crid.Account]*bucket)}
+	return &Parts{draw: draw, buckets: newBuckets(partAnew)}
 }
 
 // Take takes a token of this daemon's part of an account in a fleet of a size, or
@@ -38,20 +37,9 @@
 func (p *Parts) Take(now crid.Instant, a crid.Account, rate, burst float64, size int) (ok bool, wait time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.sweep(now)
 	n := float64(max(size, 1))
-	b := p.buckets[a]
-	if b == nil || now.Sub(b.at) > partAnew {
-		b = &bucket{tokens: p.start((burst*startLevel + partsExtra) / n), at: now}
-		p.buckets[a] = b
-	}
-	b.tokens = min(b.tokens+max(now.Sub(b.at).Seconds(), 0)*rate/n, max(burst/n, 1))
-	b.at = max(b.at, now)
-	if b.tokens >= 1 {
-		b.tokens--
-		return true, 0
-	}
-	return false, time.Duration((1 - b.tokens) / rate * n * float64(time.Second))
+	b := p.buckets.of(now, a, func() float64 { return p.start((burst*startLevel + partsExtra) / n) })
+	return b.take(now, rate/n, max(burst/n, 1))
 }
 
 // start is the number of tokens at first, in whole ones. A part of a token is one
@@ -63,15 +51,3 @@
 	}
 	return whole
 }
-
-func (p *Parts) sweep(now crid.Instant) {
-	if now.Sub(p.swept) < forgetAfter {
-		return
-	}
-	p.swept = now
-	for a, b := range p.buckets {
-		if now.Sub(b.at) > partAnew {
-			delete(p.buckets, a)
-		}
-	}
-}
--- /dev/null
+++ b/io/crwatch/copy.go
@@ -0,0 +1,75 @@
+package crwatch
+
+import (
+	"camphorroad/core/crid"
+	"camphorroad/core/crmesh"
+)
+
+// Have says what a daemon holds of the store, for a peer that it asks for more.
+type Have struct {
+	_             struct{} `cbor:",toarray"`
+	Records       crid.Revision
+	Configuration crid.Revision
+}
+
+// Have returns how far this daemon is.
+func (f *Follower) Have() Have {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return Have{Records: f.at[Records], Configuration: f.configuration()}
+}
+
+// configuration is the revision of the configuration held; zero: none.
+func (f *Follower) configuration() crid.Revision {
+	var r crid.Revision
+	for _, i := range f.values[Configuration] {
+		r = max(r, i.Revision)
+	}
+	return r
+}
+
+// Copy is what a daemon holds of the store that a peer lacks.
+type Copy struct {
+	Records         []Item        `cbor:"r"`
+	RecordsRevision crid.Revision `cbor:"n"` // zero: the peer's are as new
+	Configuration   []Item        `cbor:"c"`
+}
+
+// Copy returns what is newer than what a peer has. A list of records and a
+// configuration are tens of kilobytes each; sent whole to all who lacked one of
+// them, they filled the link of a daemon that many asked at a time.
+func (f *Follower) Copy(peer Have) Copy {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	c := Copy{Configuration: f.pack(f.newer(peer.Configuration))}
+	if f.at[Records] <= peer.Records {
+		return c
+	}
+	c.RecordsRevision = f.at[Records]
+	for _, i := range f.values[Records] {
+		c.Records = append(c.Records, i)
+	}
+	return c
+}
+
+// Take takes what a peer held, where it is newer.
+func (f *Follower) Take(c Copy) error {
+	now := f.opts.Clock()
+	configuration, err := Unpack(c.Configuration)
+	if err != nil {
+		return err
+	}
+	for _, i := range configuration {
+		f.plan(now, i)
+	}
+	f.mu.Lock()
+	newer := c.RecordsRevision > f.at[Records]
+	if newer {
+		f.store(Records, c.Records, c.RecordsRevision, true)
+	}
+	f.mu.Unlock()
+	if newer {
+		f.opts.Emit(crmesh.Listed{Now: now, Changes: f.changes(c.Records), Revision: c.RecordsRevision, Peer: true})
+	}
+	return nil
+}
--- /dev/null
+++ b/io/crwatch/track.go
@@ -0,0 +1,204 @@
+package crwatch
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"camphorroad/core/crid"
+	"camphorroad/core/crmesh"
+	"camphorroad/io/crlog"
+)
+
+// track follows one scope.
+type track struct {
+	*Follower
+	scope   Scope
+	listed  bool
+	seen    int // of the losses, when it was listed
+	after   crid.Revision
+	inTurn  bool         // the daemons' watches of this scope end one after the other
+	failing crid.Instant // since when calls fail; zero: they do not
+	told    bool         // that the store is away
+	own     bool         // told so by calls of this daemon's own
+	pause   time.Duration
+}
+
+func (t *track) round(ctx context.Context) error {
+	if !t.upToDate() {
+		return t.list(ctx)
+	}
+	items, at, err := t.watch(ctx)
+	if errors.Is(err, ErrCompacted) {
+		t.lostHistory()
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	t.succeeded()
+	if at == 0 {
+		return nil
+	}
+	t.after = max(at, t.after)
+	if len(items) == 0 {
+		t.reached(at)
+		return nil
+	}
+	t.inTurn = false
+	t.take(items, at, false)
+	return nil
+}
+
+// reached notes that nothing changed up to a revision, so that a daemon that reads
+// through this one can go on from there by itself.
+func (t *track) reached(at crid.Revision) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.store(t.scope, nil, at, false)
+}
+
+// watch waits for changes, or until another scope finds that history was lost.
+func (t *track) watch(ctx context.Context) ([]Item, crid.Revision, error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	t.mu.Lock()
+	t.cancel[t.scope] = cancel
+	t.mu.Unlock()
+	items, at, err := t.opts.Store.Watch(ctx, t.scope, t.after, t.waitTime())
+	if err != nil && errors.Is(context.Cause(ctx), ErrCompacted) {
+		return nil, 0, nil
+	}
+	return items, at, err
+}
+
+// waitTime is how long the next watch waits. A change ends all daemons' watches
+// at one moment; the first one after it is drawn, so that they take turns again.
+func (t *track) waitTime() time.Duration {
+	turn := min(lookEvery*time.Duration(max(t.opts.Lookers(), 1)), waitMost)
+	if t.inTurn {
+		return turn
+	}
+	t.inTurn = true
+	return waitLeast + rand.N(max(turn-waitLeast, 1))
+}
+
+// lostHistory has all scopes listed anew: the others' waiting watches may be
+// deaf to changes of the same time, and would tell of it much later.
+func (t *track) lostHistory() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.losses++
+	for scope, cancel := range t.cancel {
+		if scope != t.scope {
+			cancel(ErrCompacted)
+		}
+	}
+}
+
+// upToDate reports whether the scope was listed since history was lost last.
+func (t *track) upToDate() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.listed && t.seen == t.losses
+}
+
+func (t *track) list(ctx context.Context) error {
+	t.mu.Lock()
+	losses := t.losses
+	t.mu.Unlock()
+	items, at, err := t.opts.Store.List(ctx, t.scope)
+	if err != nil {
+		return err
+	}
+	t.succeeded()
+	t.listed, t.after, t.seen, t.inTurn = true, at, losses, false
+	t.take(items, at, true)
+	if at == 0 {
+		// The store told no revision to watch from.
+		t.listed = false
+		wait(ctx, retryFirst)
+	}
+	return nil
+}
+
+func (t *track) take(items []Item, at crid.Revision, whole bool) {
+	now := t.opts.Clock()
+	if t.scope == Configuration {
+		for _, i := range items {
+			t.plan(now, i)
+		}
+		return
+	}
+	t.mu.Lock()
+	t.store(Records, items, at, whole)
+	t.mu.Unlock()
+	changes := t.changes(items)
+	if whole {
+		t.opts.Emit(crmesh.Listed{Now: now, Changes: changes, Revision: at})
+		return
+	}
+	t.opts.Emit(crmesh.Changed{Now: now, Changes: changes, Revision: at})
+}
+
+func (t *track) succeeded() {
+	t.failing, t.pause = 0, 0
+	t.setAway(t.scope, false)
+	if !t.told {
+		return
+	}
+	t.told, t.own = false, false
+	t.opts.Log.Event(crlog.StoreBack, crlog.Fields{"scope": t.scope.String()})
+	t.mark(false, false)
+}
+
+func (t *track) failed(ctx context.Context, err error) {
+	t.faults.Add(1)
+	now := t.opts.Clock()
+	if t.failing == 0 {
+		t.failing = now
+	}
+	if now.Sub(t.failing) >= lostAfter || errors.Is(err, ErrAway) {
+		t.lost(err)
+	}
+	t.pause = min(max(2*t.pause, retryFirst), retryMost)
+	wait(ctx, t.pause/2+rand.N(t.pause/2+1))
+}
+
+// lost notes that the store cannot be read: once as peers say, and once more as
+// this daemon's own calls show.
+func (t *track) lost(err error) {
+	peers := errors.Is(err, ErrAway)
+	if t.told && (t.own || peers) {
+		return
+	}
+	t.told, t.own = true, !peers
+	t.setAway(t.scope, true)
+	t.opts.Log.Event(crlog.StoreLost, crlog.Fields{"scope": t.scope.String(), "error": err.Error()})
+	t.mark(true, peers)
+}
+
+// mark tells the control side when the list of records is cut off from the
+// store, and when it is not any more; peers says that those said so which read it
+// for this daemon.
+func (t *track) mark(down, peers bool) {
+	if t.scope != Records {
+		return
+	}
+	now := t.opts.Clock()
+	if down {
+		t.opts.Emit(crmesh.StoreLost{Now: now, Peers: peers})
+		return
+	}
+	t.opts.Emit(crmesh.StoreBack{Now: now})
+}
+
+func wait(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- a/lab/crsoak/fault.go
+++ b/lab/crsoak/fault.go
@@ -279,16 +279,18 @@
 func (p *player) links(ctx context.Context, s step, r *rand.Rand) error {
 	name := map[string]string{"peer": "peer", "store link": "store", "target link": "target"}[s.kind]
 	way := Link(1 + r.IntN(links-1))
-	for _, i := range s.machines {
-		p.fleet.machines[i].links[name].set(way)
-	}
+	p.setLinks(s.machines, name, way)
 	pause(ctx, s.lasts)
-	for _, i := range s.machines {
-		p.fleet.machines[i].links[name].set(Pass)
-	}
+	p.setLinks(s.machines, name, Pass)
 	return nil
 }
 
+func (p *player) setLinks(machines []int, name string, way Link) {
+	for _, i := range machines {
+		p.fleet.machines[i].links[name].set(way)
+	}
+}
+
 // cutDatagrams loses what goes to, comes from, or both, some machines.
 func (p *player) cutDatagrams(ctx context.Context, s step, r *rand.Rand) error {
 	to, from := r.IntN(3) != 0, r.IntN(3) != 0
