Count peers that were not heard yet as not cut off

Cause: an owner that had just started took peers of other domains, whose first beat comes up to two seconds later in a fleet of a hundred, for cut off, and handed out a part of its accounts' rate.

Test: TestAFreshDaemonDoesNotTakeItsPeersForCutOff.

--- a/core/crmesh/crmesh.go
+++ b/core/crmesh/crmesh.go
@@ -163,7 +163,7 @@
 		}
 		p := s.peers[d]
 		if p == nil {
-			p = &peer{}
+			p = &peer{since: now}
 			s.peers[d] = p
 		}
 		p.listed = true
@@ -186,7 +186,7 @@
 		s.peers[ev.From] = p
 	}
 	fresh := p.heard == 0 || p.isSilent || !alike(p.beat, ev.Beat)
-	p.heard, p.beat, p.isSilent = ev.Now, ev.Beat, false
+	p.heard, p.beat, p.isSilent, p.missing = ev.Now, ev.Beat, false, false
 	s.noteAhead(ev.Now, p)
 	effects := make([]crevent.Effect, 0, 3)
 	if ev.Beat.Target != "" {
@@ -206,8 +206,12 @@
 			changed = true
 			continue
 		}
-		if silent := s.silent(now, p); silent != p.isSilent {
-			p.isSilent = silent
+		if p.since == 0 {
+			p.since = now // a seed
+		}
+		silent, missing := s.silent(now, p), s.overdue(now, p)
+		if silent != p.isSilent || missing != p.missing {
+			p.isSilent, p.missing = silent, missing
 			changed = true
 		}
 	}
@@ -247,7 +251,7 @@
 		if p.listed {
 			v.Size++
 		}
-		if p.listed && p.heard != 0 && !p.isSilent {
+		if p.listed && !p.isSilent && !p.missing {
 			v.Heard++
 		}
 		switch {
--- a/core/crmesh/event.go
+++ b/core/crmesh/event.go
@@ -143,7 +143,7 @@
 	Own      *crregistry.Record // the record of this daemon's target; nil: none
 	Daemons  []crid.Daemon      // this one and the peers that are alive, but for those that stop
 	Size     int                // daemons of the fleet, alive or not
-	Heard    int                // of these, daemons that are heard, and this one
+	Heard    int                // of these, without those that are silent or were never heard in time
 	Readers  []crid.Daemon      // of the own domain, that read the store for it
 	Lookers  int                // daemons of the fleet that read the store
 	Silent   map[crid.Daemon]bool
--- a/core/crmesh/peer.go
+++ b/core/crmesh/peer.go
@@ -22,6 +22,8 @@
 	version  uint64       // that it held then
 	revision crid.Revision
 	isSilent bool
+	since    crid.Instant // when it was first known of
+	missing  bool         // not heard for as long since then as makes others silent
 }
 
 // noteAhead remembers what a peer holds that this daemon lacks. What the store
@@ -85,6 +87,11 @@
 	return now.Sub(p.heard) > silentBeats*s.idle(p)
 }
 
+// overdue reports whether a peer should have been heard by now and never was.
+func (s *State) overdue(now crid.Instant, p *peer) bool {
+	return p.heard == 0 && now.Sub(p.since) > silentBeats*s.idle(p)
+}
+
 func (s *State) near(p *peer) bool { return p.domain == s.params.Domain }
 
 // interested reports whether a peer wants to know of this daemon's target.
--- a/core/crmesh/reader_test.go
+++ b/core/crmesh/reader_test.go
@@ -198,3 +198,17 @@
 	v := views(crmesh.New(params()).Step(crevent.Stopping{Now: start}))
 	g.Expect(v[len(v)-1].Daemons).To(gomega.Equal([]crid.Daemon{"10.0.0.1"}))
 }
+
+// A daemon has just started, and peers of other domains have not sent it a beat yet:
+// in a fleet of a hundred that takes two seconds. If it took them for cut off, the
+// accounts that it owns would be held to a part of their rate after each restart.
+func TestAFreshDaemonDoesNotTakeItsPeersForCutOff(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := crmesh.New(params())
+	v := views(s.Step(listed()))
+	g.Expect(v[len(v)-1].Heard).To(gomega.Equal(v[len(v)-1].Size))
+	for at := time.Duration(0); at < 10*time.Second; at += 100 * time.Millisecond {
+		v = append(v, views(s.Step(crevent.Tick{Now: start.Add(at)}))...)
+	}
+	g.Expect(v[len(v)-1].Heard).To(gomega.Equal(1), "they were never heard")
+}
