Leave owners that are gone after a second, and have one owner through a cut

And a daemon that was asked granted tokens also of accounts whose owner it took to be another one: through a cut an account had two buckets.

Change: a peer that leaves questions unanswered for a second and sends no beat meanwhile is silent until it is heard; who is asked and is not the owner passes the question on, once.

--- a/core/crmesh/crmesh.go
+++ b/core/crmesh/crmesh.go
@@ -115,6 +115,8 @@
 		if p := s.peers[ev.From]; p != nil {
 			p.asked = ev.Now
 		}
+	case Unanswered:
+		return s.unanswered(ev)
 	case Nudge:
 		s.nudged = true
 		return s.beats(ev.Now)
@@ -186,7 +188,7 @@
 		s.peers[ev.From] = p
 	}
 	fresh := p.heard == 0 || p.isSilent || !alike(p.beat, ev.Beat)
-	p.heard, p.beat, p.isSilent, p.missing = ev.Now, ev.Beat, false, false
+	p.heard, p.beat, p.isSilent, p.missing, p.dumb = ev.Now, ev.Beat, false, false, false
 	s.noteAhead(ev.Now, p)
 	effects := make([]crevent.Effect, 0, 3)
 	if ev.Beat.Target != "" {
@@ -209,7 +211,7 @@
 		if p.since == 0 {
 			p.since = now // a seed
 		}
-		silent, missing := s.silent(now, p), s.overdue(now, p)
+		silent, missing := p.dumb || s.silent(now, p), s.overdue(now, p)
 		if silent != p.isSilent || missing != p.missing {
 			p.isSilent, p.missing = silent, missing
 			changed = true
--- a/core/crmesh/event.go
+++ b/core/crmesh/event.go
@@ -74,6 +74,11 @@
 		Now  crid.Instant
 		From crid.Daemon
 	}
+	// Unanswered tells that a peer did not answer a question and its repetition.
+	Unanswered struct {
+		Now crid.Instant
+		By  crid.Daemon
+	}
 	// Nudge asks for a beat to all peers now: the target's state has changed.
 	Nudge struct{ Now crid.Instant }
 )
@@ -99,6 +104,9 @@
 // At implements crevent.Event.
 func (e Asked) At() crid.Instant { return e.Now }
 
+// At implements crevent.Event.
+func (e Unanswered) At() crid.Instant { return e.Now }
+
 // At implements crevent.Event.
 func (e Nudge) At() crid.Instant { return e.Now }
 
--- a/core/crmesh/peer.go
+++ b/core/crmesh/peer.go
@@ -22,7 +22,9 @@
 	version  uint64       // that it held then
 	revision crid.Revision
 	isSilent bool
+	asking   crid.Instant // since when questions to it go unanswered; zero: they do not
 	since    crid.Instant // when it was first known of
+	dumb     bool         // silent since it answers no questions
 	missing  bool         // not heard for as long since then as makes others silent
 }
 
@@ -87,6 +89,30 @@
 	return now.Sub(p.heard) > silentBeats*s.idle(p)
 }
 
+// unansweredFor is how long a peer may leave questions unanswered, and send no
+// beat, before it counts as silent. Peers of other domains send one each two
+// seconds in a fleet of a hundred, and three missing ones are six seconds in which
+// each of its accounts' requests would wait in vain and be held to a part.
+const unansweredFor = time.Second
+
+// unanswered counts a peer as silent that has answered no question for a while
+// and sent no beat meanwhile.
+func (s *State) unanswered(ev Unanswered) []crevent.Effect {
+	p := s.peers[ev.By]
+	if p == nil || p.isSilent || p.heard == 0 {
+		return nil
+	}
+	if p.asking == 0 || p.heard > p.asking {
+		p.asking = ev.Now
+		return nil
+	}
+	if ev.Now.Sub(p.asking) < unansweredFor {
+		return nil
+	}
+	p.isSilent, p.dumb = true, true
+	return []crevent.Effect{s.view(ev.Now)}
+}
+
 // overdue reports whether a peer should have been heard by now and never was.
 func (s *State) overdue(now crid.Instant, p *peer) bool {
 	return p.heard == 0 && now.Sub(p.since) > silentBeats*s.idle(p)
--- a/core/crmesh/reader_test.go
+++ b/core/crmesh/reader_test.go
@@ -212,3 +212,34 @@
 	}
 	g.Expect(v[len(v)-1].Heard).To(gomega.Equal(1), "they were never heard")
 }
+
+// The owner of some accounts loses power. Peers of other domains would miss its
+// beats only after six seconds in a fleet of a hundred, and until then hold its
+// accounts to parts of their rate. Its silence to questions tells sooner.
+func TestAPeerThatAnswersNoQuestionsIsSilentSoon(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := crmesh.New(params())
+	s.Step(listed())
+	s.Step(crmesh.Heard{Now: start, From: "10.0.0.2", Beat: crmesh.Beat{Incarnation: 1, Revision: 5}})
+	g.Expect(s.Step(crmesh.Unanswered{Now: start.Add(100 * time.Millisecond), By: "10.0.0.2"})).To(gomega.BeEmpty())
+	v := views(s.Step(crmesh.Unanswered{Now: start.Add(1200 * time.Millisecond), By: "10.0.0.2"}))
+	g.Expect(v).To(gomega.HaveLen(1))
+	g.Expect(v[0].Silent).To(gomega.HaveKey(crid.Daemon("10.0.0.2")))
+	for _, later := range views(s.Step(crevent.Tick{Now: start.Add(1300 * time.Millisecond)})) {
+		g.Expect(later.Silent).To(gomega.HaveKey(crid.Daemon("10.0.0.2")), "it stays silent")
+	}
+	v = views(s.Step(crmesh.Heard{Now: start.Add(1400 * time.Millisecond), From: "10.0.0.2", Beat: crmesh.Beat{Incarnation: 1, Revision: 5}}))
+	g.Expect(v[0].Silent).To(gomega.BeEmpty())
+}
+
+// The path to an owner is cut for questions and not for its beats. It lives, and
+// others reach it; were it taken for silent, its accounts would have two owners.
+func TestAPeerThatIsHeardIsNotSilent(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := crmesh.New(params())
+	s.Step(listed())
+	for at := time.Duration(0); at < 5*time.Second; at += 500 * time.Millisecond {
+		s.Step(crmesh.Heard{Now: start.Add(at), From: "10.0.0.2", Beat: crmesh.Beat{Incarnation: 1, Revision: 5}})
+		g.Expect(s.Step(crmesh.Unanswered{Now: start.Add(at + 100*time.Millisecond), By: "10.0.0.2"})).To(gomega.BeEmpty())
+	}
+}
--- a/io/crbeat/crbeat.go
+++ b/io/crbeat/crbeat.go
@@ -55,7 +55,7 @@
 	_       struct{} `cbor:",toarray"`
 	Number  uint64
 	Account crid.Account
-	PassOn  bool // the receiver is to ask the account's owner
+	Final   bool // the receiver is not to pass it on
 }
 
 type answer struct {
@@ -69,7 +69,8 @@
 type Options struct {
 	Address string
 	Heard   func(from crid.Daemon, b crmesh.Beat)
-	Grant   func(a crid.Account) (ok bool, wait time.Duration)
+	// Grant gives a token, unless this daemon takes another one for the owner.
+	Grant func(a crid.Account) (ok bool, wait time.Duration, mine bool)
 }
 
 // Asker asks an account's owner for a token.
@@ -125,11 +126,8 @@
 	switch {
 	case m.Beat != nil:
 		c.opts.Heard(crid.Daemon(from.Addr().Unmap().String()), *m.Beat)
-	case m.Ask != nil && m.Ask.PassOn:
-		c.passOn(ctx, from, *m.Ask)
 	case m.Ask != nil:
-		ok, wait := c.opts.Grant(m.Ask.Account)
-		c.send(from, message{Answer: &answer{Number: m.Ask.Number, OK: ok, Wait: wait}})
+		c.asked(ctx, from, *m.Ask)
 	case m.Answer != nil:
 		c.mu.Lock()
 		waiting := c.open[m.Answer.Number]
@@ -154,8 +152,22 @@
 	}
 }
 
-// PassOn has questions of peers that do not reach an account's owner passed on to
-// it. It is to be called before Run.
+// asked answers a question, or passes it on to the owner. Two daemons may take
+// different ones for the owner while a path is cut; if both granted, the account
+// would get its rate twice.
+func (c *Channel) asked(ctx context.Context, from netip.AddrPort, q ask) {
+	ok, wait, mine := c.opts.Grant(q.Account)
+	if !mine && !q.Final {
+		c.passOn(ctx, from, q)
+		return
+	}
+	if mine {
+		c.send(from, message{Answer: &answer{Number: q.Number, OK: ok, Wait: wait}})
+	}
+}
+
+// PassOn has questions about accounts that this daemon does not own passed on to
+// their owner. It is to be called before Run.
 func (c *Channel) PassOn(owner Asker) { c.owner = owner }
 
 // passOn asks the owner for a peer, and answers it if the owner answered.
@@ -183,9 +195,14 @@
 	return c.question(ctx, owner, ask{Account: a}, askTries, askTimeout)
 }
 
-// AskThrough asks for a token through a peer that reaches the owner.
+// AskThrough asks for a token through a peer that may reach the owner.
 func (c *Channel) AskThrough(ctx context.Context, peer crid.Daemon, a crid.Account) (ok bool, wait time.Duration, err error) {
-	return c.question(ctx, peer, ask{Account: a, PassOn: true}, 1, relayTimeout)
+	return c.question(ctx, peer, ask{Account: a}, 1, relayTimeout)
+}
+
+// AskFinal asks an owner for a peer.
+func (c *Channel) AskFinal(ctx context.Context, owner crid.Daemon, a crid.Account) (ok bool, wait time.Duration, err error) {
+	return c.question(ctx, owner, ask{Account: a, Final: true}, askTries, askTimeout)
 }
 
 // question sends a question so many times and waits for the answer after each.
--- a/io/crbeat/crbeat_test.go
+++ b/io/crbeat/crbeat_test.go
@@ -15,7 +15,7 @@
 )
 
 // listen opens a channel on an address of its own; grant tells what it grants.
-func listen(t *testing.T, host string, port int, grant func(crid.Account) (bool, time.Duration)) *crbeat.Channel {
+func listen(t *testing.T, host string, port int, grant func(crid.Account) (bool, time.Duration, bool)) *crbeat.Channel {
 	t.Helper()
 	c, err := crbeat.Listen(crbeat.Options{
 		Address: fmt.Sprintf("%s:%d", host, port), Heard: func(crid.Daemon, crmesh.Beat) {}, Grant: grant,
@@ -43,7 +43,8 @@
 	})
 }
 
-func nothing(crid.Account) (bool, time.Duration) { return false, time.Second }
+// others takes another daemon for the owner of all accounts.
+func others(crid.Account) (bool, time.Duration, bool) { return false, 0, false }
 
 // The path between an entry and the owner of an account is cut, and both reach a
 // third daemon. Held to a part of the rate, callers inside it would be refused for
@@ -52,11 +53,11 @@
 	g := gomega.NewWithT(t)
 	const port = 28411
 	asked := make(chan crid.Account, 1)
-	entry := listen(t, "127.0.40.1", port, nothing)
-	third := listen(t, "127.0.40.2", port, nothing)
-	owner := listen(t, "127.0.40.3", port, func(a crid.Account) (bool, time.Duration) {
+	entry := listen(t, "127.0.40.1", port, others)
+	third := listen(t, "127.0.40.2", port, others)
+	owner := listen(t, "127.0.40.3", port, func(a crid.Account) (bool, time.Duration, bool) {
 		asked <- a
-		return true, 0
+		return true, 0, true
 	})
 	third.PassOn(func(ctx context.Context, a crid.Account) (bool, time.Duration, error) {
 		return third.Ask(ctx, "127.0.40.3", a)
@@ -73,8 +74,8 @@
 func TestWithoutAnOwnerNobodyAnswers(t *testing.T) {
 	g := gomega.NewWithT(t)
 	const port = 28412
-	entry := listen(t, "127.0.40.1", port, nothing)
-	third := listen(t, "127.0.40.2", port, nothing)
+	entry := listen(t, "127.0.40.1", port, others)
+	third := listen(t, "127.0.40.2", port, others)
 	third.PassOn(func(context.Context, crid.Account) (bool, time.Duration, error) {
 		return false, 0, errors.New("silent")
 	})
@@ -83,3 +84,23 @@
 	g.Expect(err).To(gomega.MatchError(crbeat.ErrSilent))
 	g.Expect(ok).To(gomega.BeFalse())
 }
+
+// Two daemons each take the other for an account's owner. A question must not go
+// round between them for ever.
+func TestAQuestionIsPassedOnOnce(t *testing.T) {
+	g := gomega.NewWithT(t)
+	const port = 28413
+	entry := listen(t, "127.0.40.1", port, others)
+	one := listen(t, "127.0.40.2", port, others)
+	other := listen(t, "127.0.40.3", port, others)
+	one.PassOn(func(ctx context.Context, a crid.Account) (bool, time.Duration, error) {
+		return one.AskFinal(ctx, "127.0.40.3", a)
+	})
+	other.PassOn(func(context.Context, crid.Account) (bool, time.Duration, error) {
+		t.Error("it was passed on again")
+		return false, 0, errors.New("again")
+	})
+	run(t, entry, one, other)
+	_, _, err := entry.Ask(t.Context(), "127.0.40.2", "survey")
+	g.Expect(err).To(gomega.MatchError(crbeat.ErrSilent))
+}
--- a/io/crmesh/daemon.go
+++ b/io/crmesh/daemon.go
@@ -287,7 +287,7 @@
 		Heard: func(from crid.Daemon, b crmesh.Beat) {
 			loop.emit(crmesh.Heard{Now: crclock.Now(), From: from, Beat: b})
 		},
-		Grant: m.grant,
+		Grant: m.answer,
 	})
 }
 
--- a/io/crmesh/quota.go
+++ b/io/crmesh/quota.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"camphorroad/core/crid"
+	"camphorroad/core/crmesh"
 	"camphorroad/core/crplan"
 	"camphorroad/core/crquota"
 	"camphorroad/io/crbeat"
@@ -22,12 +23,23 @@
 
 // ownerMeter keeps the buckets of the accounts that this daemon owns.
 type ownerMeter struct {
+	self  crid.Daemon
 	loop  *loop
 	meter *crquota.Meter
 }
 
-func newOwnerMeter(loop *loop) *ownerMeter {
-	return &ownerMeter{loop: loop, meter: crquota.NewMeter()}
+func newOwnerMeter(opts Options, loop *loop) *ownerMeter {
+	return &ownerMeter{self: crid.Daemon(opts.Settings.Address), loop: loop, meter: crquota.NewMeter()}
+}
+
+// answer gives a token of an account to a peer if this daemon is its owner.
+func (m *ownerMeter) answer(name crid.Account) (ok bool, wait time.Duration, mine bool) {
+	v := m.loop.view.Load()
+	if owner := crquota.Owner(name, v.Daemons); owner != m.self && owner != "" {
+		return false, 0, false
+	}
+	ok, wait = m.grant(name)
+	return ok, wait, true
 }
 
 // grant gives a token of an account. One that this daemon's plan does not know
@@ -74,6 +86,7 @@
 type way struct {
 	to      crid.Daemon
 	through bool
+	final   bool // for a peer
 }
 
 // Take implements cringress.Quota.
@@ -104,7 +117,7 @@
 		ok, wait = q.owner.grant(a)
 		return ok, wait, nil
 	}
-	return q.ask(ctx, way{to: owner}, a)
+	return q.ask(ctx, way{to: owner, final: true}, a)
 }
 
 // errResting tells that a daemon did not answer a moment ago.
@@ -116,8 +129,11 @@
 		return false, 0, errResting
 	}
 	question := q.channel.Ask
-	if w.through {
+	switch {
+	case w.through:
 		question = q.channel.AskThrough
+	case w.final:
+		question = q.channel.AskFinal
 	}
 	ok, wait, err = question(ctx, w.to, a)
 	if err != nil && ctx.Err() == nil {
@@ -136,5 +152,8 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.silent[w] = crclock.Now().Add(ownerRest)
+	if !w.through {
+		q.loop.emit(crmesh.Unanswered{Now: crclock.Now(), By: w.to})
+	}
 	q.log.Event(crlog.OwnerSilent, crlog.Fields{"peer": string(w.to), "account": string(a), "through": strconv.FormatBool(w.through)})
 }
