--- a/core/crquota/cut_test.go
+++ b/core/crquota/cut_test.go
@@ -65,13 +65,13 @@
 				}
 			}
 		}
-		g.Expect(taken).To(gomega.BeNumerically("<=", rate+burst+20))
+		g.Expect(taken).To(gomega.BeNumerically("<=", rate+10))
 		now = now.Add(10 * time.Second)
 	}
 }
 
-// A large account's callers all enter at one daemon, whose owner is silent. It gets
-// that daemon's part and is told when to come back for more.
+// A large account's callers all enter at one daemon, whose owner is silent. They get
+// that daemon's part and are told when to come back for more.
 func TestAPartTellsWhenThereIsMore(t *testing.T) {
 	g := gomega.NewWithT(t)
 	p := crquota.NewParts(func() float64 { return 0.9 })
@@ -86,7 +86,7 @@
 		}
 		g.Expect(wait).To(gomega.BeNumerically("~", 20*time.Millisecond, time.Millisecond))
 	}
-	g.Expect(n).To(gomega.Equal(52))
+	g.Expect(n).To(gomega.Equal(1))
 }
 
 // The path to an account's owner is cut. The question goes through the daemon that
--- a/core/crquota/parts.go
+++ b/core/crquota/parts.go
@@ -13,11 +13,12 @@
 // daemon of the fleet, which is many times the burst of a small account.
 const partAnew = 2 * time.Second
 
-// partsExtra is how many tokens the parts of all daemons hold at first beyond what
-// an owner's bucket would: half of the slack that the users allow an account.
-// Without it a daemon of 29 starts with a sixth of a token of an account with a
-// burst of ten.
-const partsExtra = 10
+// partsStart is how many tokens the parts of all daemons hold at first: a quarter
+// of the slack that the users allow an account, since parts may start anew twice
+// in a window in which the account also has up to three new owners. With 17 an
+// account of 15 a second ran 138 requests in 5 s in a soak of six daemons, where
+// 132 are allowed.
+const partsStart = 5
 
 // Parts keeps this daemon's parts of accounts whose owner is silent. It is safe
 // for concurrent use.
@@ -38,7 +39,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	n := float64(max(size, 1))
-	b := p.buckets.of(now, a, func() float64 { return p.start((burst*startLevel + partsExtra) / n) })
+	b := p.buckets.of(now, a, func() float64 { return p.start(partsStart / n) })
 	return b.take(now, rate/n, max(burst/n, 1))
 }
 
