Read the soak's seeds in their order, and take comments for comments

Change: lines with # are comments; seeds keep the file's order, since specs must come in the same order each time.

--- a/e2e/soak_test.go
+++ b/e2e/soak_test.go
@@ -21,23 +21,29 @@
 // soakNet is the second byte of the soak's loopback addresses.
 const soakNet = 90
 
-// soakSeeds reads the seeds to play and why.
-func soakSeeds() map[uint64]string {
+// soakSeed is a seed to play, and why.
+type soakSeed struct {
+	number uint64
+	why    string
+}
+
+// soakSeeds reads the seeds; lines that start with # are comments.
+func soakSeeds() []soakSeed {
 	text, err := os.ReadFile("testdata/soak.txt")
 	if err != nil {
 		panic(err)
 	}
-	out := make(map[uint64]string)
+	var out []soakSeed
 	for line := range strings.Lines(string(text)) {
 		number, why, ok := strings.Cut(strings.TrimSpace(line), " | ")
-		if !ok {
-			continue // a comment
+		if !ok || strings.HasPrefix(line, "#") {
+			continue
 		}
 		seed, err := strconv.ParseUint(number, 10, 64)
 		if err != nil {
 			panic(fmt.Sprintf("testdata/soak.txt: %q is no seed", number))
 		}
-		out[seed] = why
+		out = append(out, soakSeed{number: seed, why: why})
 	}
 	return out
 }
@@ -48,12 +54,12 @@
 // account gets more than its rate; and where nothing harmed a machine, it keeps
 // its times, too.
 var _ = Describe("A fleet that joins through the store's records, under faults", Ordered, func() {
-	for seed, why := range soakSeeds() {
-		It(fmt.Sprintf("keeps its promises, seed %d: %s", seed, why), func(ctx SpecContext) {
+	for _, seed := range soakSeeds() {
+		It(fmt.Sprintf("keeps its promises, seed %d: %s", seed.number, seed.why), func(ctx SpecContext) {
 			binary, err := os.Executable()
 			Expect(err).NotTo(HaveOccurred())
 			report, err := crsoak.Run(ctx, crsoak.Options{
-				Binary: binary, Env: []string{crfleet.DaemonEnv()}, Dir: GinkgoT().TempDir(), Seed: seed, Length: soakLength, Net: soakNet,
+				Binary: binary, Env: []string{crfleet.DaemonEnv()}, Dir: GinkgoT().TempDir(), Seed: seed.number, Length: soakLength, Net: soakNet,
 			})
 			Expect(err).NotTo(HaveOccurred())
 			AddReportEntry(report.Summary(), strings.Join(report.Faults(), "\n"))
