Ask a silent store in short watches, and serve no list before it is taken in

The store was silent from 18.0 to 22.5 s. The readers' watches wait 3 s and may take 1.5 s more; those sent in the outage are never answered, and so all six readers were deaf until 25.1 to 26.2 s, 2.1 to 3.1 s after a version was acknowledged at 23.09 s. One fresh daemon had it at once, and eighty peers asked it for a copy over a link of 10 Mbit/s. Ruled out: the store's rate (no 429), the decoder, the beats (all knew at 24.5 s that a peer was ahead). Change: while calls fail, a watch waits 200 ms, so that one that is lost costs 1.7 s at most. The test asks for it and fails on the old code (3 s).

Found on the way: TestACopyHoldsOnlyWhatThePeerLacks failed once. A follower told peers that the store answers before it had taken the answer in: a peer that asked in between was served a list without targets. It is told after; the new test asks at that very moment and fails on the old code.

--- a/io/crwatch/history_test.go
+++ b/io/crwatch/history_test.go
@@ -13,6 +13,7 @@
 
 	"camphorroad/core/crevent"
 	"camphorroad/core/crid"
+	"camphorroad/core/crmesh"
 	"camphorroad/core/crplan"
 	"camphorroad/core/crregistry"
 	"camphorroad/io/crclock"
@@ -57,11 +58,11 @@
 
 func (decoder) Plan([]byte) (*crplan.Plan, error) { return nil, errors.New("no plan") }
 
-func follow(t *testing.T, s *store) *crwatch.Follower {
+func follow(t *testing.T, s crwatch.Store) *crwatch.Follower {
 	t.Helper()
 	q := crlog.NewQueue()
 	f := crwatch.New(crwatch.Options{
-		Store: s, Decoder: decoder{}, Clock: crclock.Now, Emit: func(crevent.Event) {}, Lookers: func() int { return 1 },
+		Store: s, Decoder: decoder{}, Clock: crclock.Now, Emit: func(crevent.Event) {}, Lookers: func() int { return 6 },
 		Log: crlog.New(q, "info", "test"),
 	})
 	ctx, cancel := context.WithCancel(t.Context())
@@ -191,3 +192,77 @@
 	_, err := crwatch.Unpack([]crwatch.Item{{Key: "op", Value: []byte("no such form"), Packed: true}})
 	g.Expect(err).To(gomega.MatchError(gomega.ContainSubstring("op")))
 }
+
+// waits records how long each watch of a silent store would wait.
+type waits struct {
+	store
+	asked chan time.Duration
+}
+
+func (s *waits) Watch(ctx context.Context, _ crwatch.Scope, _ crid.Revision, wait time.Duration) ([]crwatch.Item, crid.Revision, error) {
+	select {
+	case s.asked <- wait:
+	case <-ctx.Done():
+	}
+	return nil, 0, errors.New("no answer")
+}
+
+// The store is silent for some seconds, and a watch that is sent then is never
+// answered. A daemon that waits three seconds for each learns of a configuration
+// only long after the store is back, and refuses callers by an old one meanwhile.
+func TestWatchesOfASilentStoreAreShort(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := &waits{store: store{list: []crwatch.Item{{Key: "a", Revision: 4}}, at: 5}, asked: make(chan time.Duration)}
+	follow(t, s)
+	<-s.asked
+	for range 3 {
+		g.Expect(<-s.asked).To(gomega.BeNumerically("<=", 200*time.Millisecond))
+	}
+}
+
+// late fails its first calls, and then lists.
+type late struct {
+	store
+	mu    sync.Mutex
+	calls int
+}
+
+func (s *late) List(ctx context.Context, scope crwatch.Scope) ([]crwatch.Item, crid.Revision, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.calls++; s.calls <= 6 {
+		return nil, 0, errors.New("no answer")
+	}
+	return s.store.List(ctx, scope)
+}
+
+// A reader starts while the store is away, and peers ask it all the while. At the
+// moment at which the store answers it has no list yet; told an empty one, its peers
+// would refuse all callers for want of targets.
+func TestAListIsServedOnlyOnceItIsTakenIn(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := &late{store: store{list: []crwatch.Item{{Key: "a", Revision: 4}}, at: 5, watch: make(chan answer)}}
+	q := crlog.NewQueue()
+	var f *crwatch.Follower
+	served := make(chan int, 1)
+	f = crwatch.New(crwatch.Options{
+		Store: s, Decoder: decoder{}, Clock: crclock.Now, Lookers: func() int { return 1 }, Log: crlog.New(q, "info", "test"),
+		Emit: func(ev crevent.Event) {
+			if _, ok := ev.(crmesh.StoreBack); !ok {
+				return
+			}
+			items, _, err := f.Held(crwatch.Records)
+			if errors.Is(err, crwatch.ErrAway) {
+				served <- 1
+				return
+			}
+			served <- len(items)
+		},
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() { _ = f.Run(ctx, crwatch.Records); close(done) }()
+	g.Eventually(served, 5*time.Second).Should(gomega.Receive(gomega.Equal(1)))
+	cancel()
+	<-done
+}
--- a/io/crwatch/track.go
+++ b/io/crwatch/track.go
@@ -44,10 +44,11 @@
 	t.after = max(at, t.after)
 	if len(items) == 0 {
 		t.reached(at)
-		return nil
+	} else {
+		t.inTurn = false
+		t.take(items, at, false)
 	}
-	t.inTurn = false
-	t.take(items, at, false)
+	t.setAway(t.scope, false)
 	return nil
 }
 
@@ -75,7 +76,15 @@
 
 // waitTime is how long the next watch waits. A change ends all daemons' watches
 // at one moment; the first one after it is drawn, so that they take turns again.
+//
+// While calls fail, a watch is to find out whether the store answers again. One that
+// is sent while the store is silent gets no answer later either, and a long one would
+// keep this daemon deaf for seconds after the store is back, beyond the time in
+// which a new configuration has to be in force.
 func (t *track) waitTime() time.Duration {
+	if t.failing != 0 {
+		return waitLeast
+	}
 	turn := min(lookEvery*time.Duration(max(t.opts.Lookers(), 1)), waitMost)
 	if t.inTurn {
 		return turn
@@ -115,6 +124,7 @@
 	t.succeeded()
 	t.listed, t.after, t.seen, t.inTurn = true, at, losses, false
 	t.take(items, at, true)
+	t.setAway(t.scope, false)
 	if at == 0 {
 		// The store told no revision to watch from.
 		t.listed = false
@@ -142,9 +152,10 @@
 	t.opts.Emit(crmesh.Changed{Now: now, Changes: changes, Revision: at})
 }
 
+// succeeded notes that the store has answered. Peers are told so only when its answer
+// is taken in: one that asks before would be served a list without targets.
 func (t *track) succeeded() {
 	t.failing, t.pause = 0, 0
-	t.setAway(t.scope, false)
 	if !t.told {
 		return
 	}
