Ask a third daemon before taking an account over from one that is not heard

Paths between some pairs of machines were cut. The next owner in rank did not hear the first and took its place, while most daemons still heard the first: logs of each token show 56 grants each half second by the one and 17 to 25 by the other, of a rate of 109. Share() does not see it, since each of the two hears nearly all of the fleet. Ruled out: parts of the rate (17 grants in all), fresh buckets (55 tokens). Change: crquota.Decide says what a daemon does about a token. One that would be the owner only because it does not hear another asks a third daemon first, which may hear that one, and grants only if nobody answers. How far a question may go on is one typed value where two methods and a flag stood. Test: a fleet of twenty with a cut between the two first owners and six others takes the rate once; with the old rule it takes it twice.

--- a/core/crmesh/crmesh.go
+++ b/core/crmesh/crmesh.go
@@ -260,19 +260,27 @@
 		if s.counts(p) && !p.isSilent && !p.missing {
 			v.Heard++
 		}
-		switch {
-		case p.isSilent:
+		if p.isSilent {
 			v.Silent[d] = true
-		case p.heard != 0 && !p.beat.Stopping:
+		}
+		if p.heard == 0 || p.beat.Stopping {
+			continue
+		}
+		if !p.isSilent {
 			v.Daemons = append(v.Daemons, d)
 		}
+		if !p.isSilent || p.recorded {
+			v.Members = append(v.Members, d)
+		}
 	}
 	// A daemon that stops gives its accounts up as its peers take them over. If it
 	// went on as their owner, each stopping daemon would hand out their rate
 	// once more to its own callers.
 	if !s.stopping || len(v.Daemons) == 0 {
 		v.Daemons = append(v.Daemons, s.params.Self)
+		v.Members = append(v.Members, s.params.Self)
 	}
 	slices.Sort(v.Daemons)
+	slices.Sort(v.Members)
 	return UseView{View: v}
 }
--- a/core/crquota/cut_test.go
+++ b/core/crquota/cut_test.go
@@ -104,3 +104,94 @@
 	}
 	g.Expect(crquota.Through("survey", []crid.Daemon{owner, "10.0.0.9"}, owner, "10.0.0.9")).To(gomega.BeEmpty())
 }
+
+// cutFleet is a fleet in which some pairs of daemons do not hear each other.
+type cutFleet struct {
+	daemons []crid.Daemon
+	cut     map[[2]crid.Daemon]bool
+	meters  map[crid.Daemon]*crquota.Meter
+}
+
+func (f *cutFleet) hears(a, b crid.Daemon) bool {
+	return !f.cut[[2]crid.Daemon{a, b}] && !f.cut[[2]crid.Daemon{b, a}]
+}
+
+func (f *cutFleet) heard(self crid.Daemon) []crid.Daemon {
+	var out []crid.Daemon
+	for _, d := range f.daemons {
+		if f.hears(self, d) {
+			out = append(out, d)
+		}
+	}
+	return out
+}
+
+// take plays a question for a token over the fleet.
+func (f *cutFleet) take(now crid.Instant, self crid.Daemon, by crquota.Asked, rate, burst float64) (ok, answered bool) {
+	step := crquota.Decide("large", f.daemons, f.heard(self), self, by)
+	if step.To != "" {
+		if ok, answered := f.take(now, step.To, step.As, rate, burst); answered {
+			return ok, true
+		}
+	}
+	if !step.Grant {
+		return false, false
+	}
+	ok, _ = f.meters[self].Take(now, "large", rate, burst)
+	return ok, true
+}
+
+// Paths between some pairs of machines are cut, and all machines live. The account's
+// owner is not heard by some, the next owner among them. An account that sends far
+// above its rate at all daemons gets its rate once, not once from each of the two.
+func TestAnAccountHasOneOwnerThoughSomePathsAreCut(t *testing.T) {
+	g := gomega.NewWithT(t)
+	const rate, burst, span = 100.0, 100.0, 5
+	f := &cutFleet{cut: make(map[[2]crid.Daemon]bool), meters: make(map[crid.Daemon]*crquota.Meter)}
+	for i := range 20 {
+		d := crid.Daemon([]byte{'a' + byte(i)})
+		f.daemons = append(f.daemons, d)
+		f.meters[d] = crquota.NewMeter()
+	}
+	owner := crquota.Owner("large", f.daemons)
+	next := crquota.Through("large", f.daemons, owner, "")
+	f.cut[[2]crid.Daemon{owner, next}] = true
+	for _, d := range f.daemons[:8] {
+		if d != owner && d != next {
+			f.cut[[2]crid.Daemon{owner, d}] = true
+		}
+	}
+	taken := 0
+	for at := start; at < start.Add(span*time.Second); at = at.Add(20 * time.Millisecond) {
+		for _, d := range f.daemons {
+			ok, answered := f.take(at, d, crquota.ByCaller, rate, burst)
+			g.Expect(answered).To(gomega.BeTrue())
+			if ok {
+				taken++
+			}
+		}
+	}
+	g.Expect(float64(taken)).To(gomega.BeNumerically("<=", (rate*span+burst)*1.25))
+	g.Expect(float64(taken)).To(gomega.BeNumerically(">=", rate*span))
+}
+
+// The owner's machine is gone, and its record not yet. The next owner finds nobody
+// who hears it, and grants what the account may have.
+func TestTheNextOwnerGrantsWhereNobodyHearsTheFirst(t *testing.T) {
+	g := gomega.NewWithT(t)
+	members := []crid.Daemon{"a", "b", "c", "d"}
+	owner := crquota.Owner("survey", members)
+	var heard []crid.Daemon
+	for _, d := range members {
+		if d != owner {
+			heard = append(heard, d)
+		}
+	}
+	next := crquota.Owner("survey", heard)
+	step := crquota.Decide("survey", members, heard, next, crquota.ByCaller)
+	g.Expect(step.To).NotTo(gomega.BeElementOf(owner, next))
+	g.Expect(step.Grant).To(gomega.BeTrue())
+	back := crquota.Decide("survey", members, heard, step.To, step.As)
+	g.Expect(back).To(gomega.Equal(crquota.Step{To: next, As: crquota.ByOther}))
+	g.Expect(crquota.Decide("survey", members, heard, next, back.As)).To(gomega.Equal(crquota.Step{Grant: true}))
+}
--- /dev/null
+++ b/core/crquota/way.go
@@ -0,0 +1,56 @@
+package crquota
+
+import "camphorroad/core/crid"
+
+// Asked says for whom a token is wanted, and so how far the question may go on.
+type Asked uint8
+
+// The askers.
+const (
+	// ByCaller: a request that entered at this daemon.
+	ByCaller Asked = iota + 1
+	// ByPeer: a peer that takes this daemon for the owner.
+	ByPeer
+	// ByRelay: a peer that does not hear the owner itself.
+	ByRelay
+	// ByOther: a peer for another one. The question ends here.
+	ByOther
+)
+
+// Step is what a daemon does about a token that is wanted: it asks another one, or
+// grants it from its own bucket. With neither it leaves the question unanswered.
+type Step struct {
+	To    crid.Daemon // to ask; none: nobody
+	As    Asked       // what the question is there
+	Grant bool        // at once, or when To does not answer
+}
+
+// Decide returns what a daemon does about a token of an account. Members are the
+// daemons that should be there, and heard those of them that this one hears.
+//
+// A cut between two machines leaves both alive. Where the next owner did not hear
+// the first one, and took its place, both handed out the whole rate, each to the
+// daemons that heard it: the account got half as much again as its limit. So one
+// that would own an account only because it does not hear another asks a third
+// daemon first, which may hear that one, and is the owner only if that fails.
+func Decide(a crid.Account, members, heard []crid.Daemon, self crid.Daemon, by Asked) Step {
+	owner := Owner(a, heard)
+	if owner != self && owner != "" {
+		return ask(owner, by)
+	}
+	first := Owner(a, members)
+	if first == self || first == "" || by == ByRelay || by == ByOther {
+		return Step{Grant: true}
+	}
+	return Step{To: Through(a, heard, first, self), As: ByRelay, Grant: true}
+}
+
+func ask(owner crid.Daemon, by Asked) Step {
+	switch by {
+	case ByCaller:
+		return Step{To: owner, As: ByPeer}
+	case ByOther:
+		return Step{}
+	}
+	return Step{To: owner, As: ByOther}
+}
--- a/io/crbeat/crbeat.go
+++ b/io/crbeat/crbeat.go
@@ -7,7 +7,7 @@
 //	c, err := crbeat.Listen(crbeat.Options{Address: "10.0.0.1:7660", Heard: heard, Grant: grant})
 //	go c.Run(ctx)
 //	c.Beat(peers, beat)
-//	ok, wait, err := c.Ask(ctx, owner, account)
+//	ok, wait, err := c.Ask(ctx, owner, account, crquota.ByPeer)
 package crbeat
 
 import (
@@ -23,6 +23,7 @@
 
 	"camphorroad/core/crid"
 	"camphorroad/core/crmesh"
+	"camphorroad/core/crquota"
 )
 
 const (
@@ -55,7 +56,7 @@
 	_       struct{} `cbor:",toarray"`
 	Number  uint64
 	Account crid.Account
-	Final   bool // the receiver is not to pass it on
+	As      crquota.Asked // how far it may go on
 }
 
 type answer struct {
@@ -69,12 +70,12 @@
 type Options struct {
 	Address string
 	Heard   func(from crid.Daemon, b crmesh.Beat)
-	// Grant gives a token, unless this daemon takes another one for the owner.
-	Grant func(a crid.Account) (ok bool, wait time.Duration, mine bool)
+	// Grant gives a token, unless another daemon has to be asked.
+	Grant func(a crid.Account, as crquota.Asked) (ok bool, wait time.Duration, mine bool)
 }
 
-// Asker asks an account's owner for a token.
-type Asker func(ctx context.Context, a crid.Account) (ok bool, wait time.Duration, err error)
+// Asker asks other daemons for a token that a peer wants.
+type Asker func(ctx context.Context, a crid.Account, as crquota.Asked) (ok bool, wait time.Duration, err error)
 
 // Channel sends and receives messages. It is safe for concurrent use.
 type Channel struct {
@@ -156,8 +157,8 @@
 // different ones for the owner while a path is cut; if both granted, the account
 // would get its rate twice.
 func (c *Channel) asked(ctx context.Context, from netip.AddrPort, q ask) {
-	ok, wait, mine := c.opts.Grant(q.Account)
-	if !mine && !q.Final {
+	ok, wait, mine := c.opts.Grant(q.Account, q.As)
+	if !mine && q.As != crquota.ByOther {
 		c.passOn(ctx, from, q)
 		return
 	}
@@ -184,25 +185,19 @@
 		defer func() { <-c.relays }()
 		ctx, cancel := context.WithTimeout(ctx, relayTimeout)
 		defer cancel()
-		if ok, wait, err := c.owner(ctx, q.Account); err == nil {
+		if ok, wait, err := c.owner(ctx, q.Account, q.As); err == nil {
 			c.send(from, message{Answer: &answer{Number: q.Number, OK: ok, Wait: wait}})
 		}
 	}()
 }
 
-// Ask asks an account's owner for a token.
-func (c *Channel) Ask(ctx context.Context, owner crid.Daemon, a crid.Account) (ok bool, wait time.Duration, err error) {
-	return c.question(ctx, owner, ask{Account: a}, askTries, askTimeout)
-}
-
-// AskThrough asks for a token through a peer that may reach the owner.
-func (c *Channel) AskThrough(ctx context.Context, peer crid.Daemon, a crid.Account) (ok bool, wait time.Duration, err error) {
-	return c.question(ctx, peer, ask{Account: a}, 1, relayTimeout)
-}
-
-// AskFinal asks an owner for a peer.
-func (c *Channel) AskFinal(ctx context.Context, owner crid.Daemon, a crid.Account) (ok bool, wait time.Duration, err error) {
-	return c.question(ctx, owner, ask{Account: a, Final: true}, askTries, askTimeout)
+// Ask asks a daemon for a token of an account. The answer to a relayed question takes
+// longer, as that daemon asks another one.
+func (c *Channel) Ask(ctx context.Context, to crid.Daemon, a crid.Account, as crquota.Asked) (ok bool, wait time.Duration, err error) {
+	if as == crquota.ByRelay {
+		return c.question(ctx, to, ask{Account: a, As: as}, 1, relayTimeout)
+	}
+	return c.question(ctx, to, ask{Account: a, As: as}, askTries, askTimeout)
 }
 
 // question sends a question so many times and waits for the answer after each.
--- a/io/crmesh/quota.go
+++ b/io/crmesh/quota.go
@@ -32,10 +32,16 @@
 	return &ownerMeter{self: crid.Daemon(opts.Settings.Address), loop: loop, meter: crquota.NewMeter()}
 }
 
-// answer gives a token of an account to a peer if this daemon is its owner.
-func (m *ownerMeter) answer(name crid.Account) (ok bool, wait time.Duration, mine bool) {
+// decide returns what this daemon does about a token of an account.
+func (m *ownerMeter) decide(name crid.Account, by crquota.Asked) crquota.Step {
 	v := m.loop.view.Load()
-	if owner := crquota.Owner(name, v.Daemons); owner != m.self && owner != "" {
+	return crquota.Decide(name, v.Members, v.Daemons, m.self, by)
+}
+
+// answer gives a token of an account to a peer, unless another daemon has to be
+// asked.
+func (m *ownerMeter) answer(name crid.Account, by crquota.Asked) (ok bool, wait time.Duration, mine bool) {
+	if step := m.decide(name, by); step.To != "" || !step.Grant {
 		return false, 0, false
 	}
 	ok, wait = m.grant(name)
@@ -81,43 +87,50 @@
 	return q
 }
 
-// way is a way to an owner: straight, or through another daemon. One that is
-// silent as the one may serve as the other.
+// way is a way to an account's tokens. A daemon that is silent as the one may
+// answer as the other.
 type way struct {
-	to      crid.Daemon
-	through bool
-	final   bool // for a peer
+	to crid.Daemon
+	as crquota.Asked
 }
 
 // Take implements cringress.Quota.
 func (q *quota) Take(ctx context.Context, a *crplan.Account) (ok bool, wait time.Duration) {
-	v := q.loop.view.Load()
-	owner := crquota.Owner(a.Name, v.Daemons)
-	if owner == q.self || owner == "" {
-		return q.owner.grant(a.Name)
-	}
-	if ok, wait, err := q.ask(ctx, way{to: owner}, a.Name); err == nil {
+	step := q.owner.decide(a.Name, crquota.ByCaller)
+	ok, wait, err := q.do(ctx, a.Name, step)
+	if err == nil {
 		return ok, wait
 	}
 	// A cut between two machines leaves most others a path. Without one to ask
-	// through, accounts were held to a part of their rate in each cut: 233 requests
-	// of a quiet day were refused, 199 when the parts were too large.
-	if d := crquota.Through(a.Name, v.Daemons, owner, q.self); d != "" {
-		if ok, wait, err := q.ask(ctx, way{to: d, through: true}, a.Name); err == nil {
+	// through, an account would be held to a part of its rate in each cut.
+	v := q.loop.view.Load()
+	if d := crquota.Through(a.Name, v.Daemons, step.To, q.self); d != "" {
+		if ok, wait, err := q.ask(ctx, way{to: d, as: crquota.ByRelay}, a.Name); err == nil {
 			return ok, wait
 		}
 	}
 	return q.parts.Take(crclock.Now(), a.Name, a.Rate, a.Burst, v.Size)
 }
 
-// passOn asks an account's owner for a peer.
-func (q *quota) passOn(ctx context.Context, a crid.Account) (ok bool, wait time.Duration, err error) {
-	owner := crquota.Owner(a, q.loop.view.Load().Daemons)
-	if owner == q.self {
+// passOn asks for a peer.
+func (q *quota) passOn(ctx context.Context, a crid.Account, by crquota.Asked) (ok bool, wait time.Duration, err error) {
+	return q.do(ctx, a, q.owner.decide(a, by))
+}
+
+// errNobody tells that a question may not go on.
+var errNobody = errors.New("no daemon to ask")
+
+// do takes a step: it asks, or grants what nobody else answers for.
+func (q *quota) do(ctx context.Context, a crid.Account, step crquota.Step) (ok bool, wait time.Duration, err error) {
+	err = errNobody
+	if step.To != "" {
+		ok, wait, err = q.ask(ctx, way{to: step.To, as: step.As}, a)
+	}
+	if err != nil && step.Grant {
 		ok, wait = q.owner.grant(a)
 		return ok, wait, nil
 	}
-	return q.ask(ctx, way{to: owner, final: true}, a)
+	return ok, wait, err
 }
 
 // errResting tells that a daemon did not answer a moment ago.
@@ -128,14 +141,7 @@
 	if q.resting(w) {
 		return false, 0, errResting
 	}
-	question := q.channel.Ask
-	switch {
-	case w.through:
-		question = q.channel.AskThrough
-	case w.final:
-		question = q.channel.AskFinal
-	}
-	ok, wait, err = question(ctx, w.to, a)
+	ok, wait, err = q.channel.Ask(ctx, w.to, a, w.as)
 	if err != nil && ctx.Err() == nil {
 		q.rest(w, a)
 	}
@@ -152,8 +158,8 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.silent[w] = crclock.Now().Add(ownerRest)
-	if !w.through {
+	if w.as != crquota.ByRelay {
 		q.loop.emit(crmesh.Unanswered{Now: crclock.Now(), By: w.to})
 	}
-	q.log.Event(crlog.OwnerSilent, crlog.Fields{"peer": string(w.to), "account": string(a), "through": strconv.FormatBool(w.through)})
+	q.log.Event(crlog.OwnerSilent, crlog.Fields{"peer": string(w.to), "account": string(a), "through": strconv.FormatBool(w.as == crquota.ByRelay)})
 }
