Serve nothing behind an ambiguous body, and refuse heads that cannot be read

Cause: a request with both a length and chunks was served by its chunks, the connection stayed open, and what followed was served as a request of its own (RFC 9112, 6.3). Of two different keys the first was taken. A negative or unreadable time to wait was taken as none, so that the request was held for half a minute. Ruled out: seeing the length beside the chunks; net/http drops it before a handler runs, and reading the bytes beside it would be a second parser of heads. Keys or times that differ, and times that are no positive number, get 400 with the reason.

--- a/io/crdialect/crdialect.go
+++ b/io/crdialect/crdialect.go
@@ -5,7 +5,7 @@
 //
 // # Usage
 //
-//	caller := dialect.Caller(r.Header)
+//	caller, err := dialect.Caller(r.Header)
 //	dialect.Address(header, crdialect.Facts{Wait: left, Target: target})
 //	if dialect.Answer(resp.StatusCode, resp.Header).NotRun { ... }
 package crdialect
@@ -41,8 +41,9 @@
 
 // Dialect reads and writes the headers of one platform.
 type Dialect interface {
-	// Caller reads what a caller said.
-	Caller(h http.Header) Caller
+	// Caller reads what a caller said. The error tells what is ambiguous or cannot
+	// be read; the request must not be served by a guess.
+	Caller(h http.Header) (Caller, error)
 	// Address writes what the target is told, and removes what a caller must
 	// not tell it, its key among that.
 	Address(h http.Header, f Facts)
--- a/io/crentry/caller_test.go
+++ b/io/crentry/caller_test.go
@@ -242,3 +242,24 @@
 		}
 	}
 }
+
+// A parser on the way goes by the length of a request that also says it comes in
+// chunks, and takes its last bytes for its body. Served here as a request of their
+// own, they would run what their caller never sent.
+func TestNothingIsServedBehindAnAmbiguousBody(t *testing.T) {
+	up := newRecorder(t)
+	p := newPath(t, up.addr())
+	conn := p.dial("POST /seen HTTP/1.1\r\n" + auth + "Content-Length: 200\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" +
+		"GET /hidden HTTP/1.1\r\n" + auth + "\r\n")
+	r := bufio.NewReader(conn)
+	resp, err := http.ReadResponse(r, nil)
+	p.Expect(err).NotTo(gomega.HaveOccurred())
+	_, err = io.Copy(io.Discard, resp.Body)
+	p.Expect(err).NotTo(gomega.HaveOccurred())
+	_ = resp.Body.Close()
+	rest, _ := io.ReadAll(r) // a reset ends it as well as a close
+	p.Expect(rest).To(gomega.BeEmpty())
+	for _, seen := range up.requests() {
+		p.Expect(seen).NotTo(gomega.ContainSubstring("/hidden"))
+	}
+}
--- a/io/cringress/cringress.go
+++ b/io/cringress/cringress.go
@@ -115,7 +115,13 @@
 	e.open.Add(1)
 	defer e.open.Add(-1)
 	started := e.opts.Clock()
-	q := &request{Entry: e, started: started, http: r, caller: e.opts.Dialect.Caller(r.Header), view: e.view.Load()}
+	if len(r.TransferEncoding) > 0 {
+		// net/http drops a length that stands beside the chunks. Another parser on the
+		// way may have gone by it, and what it took for the rest of this request
+		// would be served here as the next one of somebody else.
+		w.Header().Set("Connection", "close")
+	}
+	q := &request{Entry: e, started: started, http: r, view: e.view.Load()}
 	answer := q.handle()
 	e.opts.Meter.Answered(q.class(), answer.status, answer.own, e.opts.Clock().Sub(started))
 	if r.Context().Err() != nil {
@@ -167,6 +173,11 @@
 
 // identify finds the route, the account and the service.
 func (q *request) identify() (reply, bool) {
+	caller, err := q.opts.Dialect.Caller(q.http.Header)
+	q.caller = caller
+	if err != nil {
+		return refusal(http.StatusBadRequest, err.Error(), 0), false
+	}
 	plan := q.view.Plan
 	if plan == nil {
 		return refusal(http.StatusServiceUnavailable, "no configuration yet", comeBack), false
