--- a/core/crgate/crgate.go
+++ b/core/crgate/crgate.go
@@ -6,9 +6,13 @@
 // cannot be served in time is refused at once, while there is still time to go to
 // another target.
 //
+// It answers loads above what the slots can do, and mixtures of short and long
+// requests: each is reckoned with by the time of its own kind.
+//
 // # Usage
 //
-//	ticket, err := gate.Admit(now, crgate.Ask{Priority: 1, Start: latest})
+//	latest := gate.Latest(now, crgate.Terms{Kind: kind, Objective: objective, Left: left})
+//	ticket, err := gate.Admit(now, crgate.Ask{Kind: kind, Priority: 1, Start: latest})
 //	<-ticket.Decided()
 //	if ticket.Granted() { ...; gate.Done(now, ticket, took) }
 package crgate
@@ -19,13 +23,9 @@
 	"time"
 
 	"camphorroad/core/crid"
-	"camphorroad/core/crjudge"
+	"camphorroad/core/crpace"
 )
 
-// assumed is the time of a request that is reckoned with before any was seen:
-// the users' requests take from 50 to 640 ms.
-const assumed = 300 * time.Millisecond
-
 // Reason says why a request was not admitted, or not started after all.
 type Reason uint8
 
@@ -73,6 +73,7 @@
 
 // Ask is what a request asks for.
 type Ask struct {
+	Kind     crpace.Kind
 	Priority int          // 0 is the most urgent
 	Start    crid.Instant // latest useful start
 }
@@ -80,7 +81,7 @@
 // Ticket is an admitted request's place.
 type Ticket struct {
 	ask     Ask
-	order   uint64
+	began   crid.Instant // when it got its slot
 	decided chan struct{}
 	granted bool
 	ended   bool
@@ -106,15 +107,14 @@
 type Gate struct {
 	mu      sync.Mutex
 	slots   int
-	running int
-	order   uint64
+	running map[*Ticket]bool
 	waiting []*Ticket // most urgent first, then in order of arrival
 	closed  bool
-	pace    crjudge.Pace
+	paces   crpace.Paces
 }
 
 // New returns a gate for a target with the given number of slots.
-func New(slots int) *Gate { return &Gate{slots: max(slots, 1)} }
+func New(slots int) *Gate { return &Gate{slots: max(slots, 1), running: make(map[*Ticket]bool)} }
 
 // SetSlots changes the number of slots.
 func (g *Gate) SetSlots(now crid.Instant, n int) {
@@ -150,13 +150,11 @@
 		return nil, &Refusal{reason: Leaving}
 	}
 	g.sweep(now)
-	at := g.place(ask.Priority)
-	wait := g.wait(at)
-	if now.Add(wait) > ask.Start {
-		return nil, &Refusal{reason: Full, retryAfter: g.wait(len(g.waiting))}
+	at := g.place(ask)
+	if now.Add(g.wait(now, at)) > ask.Start {
+		return nil, &Refusal{reason: Full, retryAfter: g.wait(now, len(g.waiting))}
 	}
-	g.order++
-	t := &Ticket{ask: ask, order: g.order, decided: make(chan struct{})}
+	t := &Ticket{ask: ask, decided: make(chan struct{})}
 	g.waiting = slices.Insert(g.waiting, at, t)
 	g.dispatch(now)
 	g.displace(now)
@@ -172,8 +170,7 @@
 		return
 	}
 	if t.granted {
-		t.ended = true
-		g.running--
+		g.free(t)
 		g.dispatch(now)
 		return
 	}
@@ -191,10 +188,9 @@
 	if t.ended {
 		return
 	}
-	t.ended = true
-	g.running--
+	g.free(t)
 	if took > 0 {
-		g.pace.Add(took)
+		g.paces.Add(t.ask.Kind, took)
 	}
 	g.dispatch(now)
 }
@@ -212,21 +208,15 @@
 func (g *Gate) Load() Load {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return Load{Running: g.running, Waiting: len(g.waiting), Slots: g.slots, Typical: g.pace.Typical()}
+	return Load{Running: len(g.running), Waiting: len(g.waiting), Slots: g.slots, Typical: g.paces.Mean()}
 }
 
-// Slow returns the time from which on a request is slow; zero: not known.
-func (g *Gate) Slow() time.Duration {
+// Slow returns the time from which on a request of a kind is slow; zero: not
+// known.
+func (g *Gate) Slow(k crpace.Kind) time.Duration {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.pace.Slow()
-}
-
-// Expected is the time to reckon with for a request.
-func (g *Gate) Expected() time.Duration {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.typical()
+	return g.paces.Slow(k)
 }
 
 // Idle reports whether nothing runs and nothing waits.
@@ -234,70 +224,3 @@
 	l := g.Load()
 	return l.Running == 0 && l.Waiting == 0
 }
-
-func (g *Gate) typical() time.Duration {
-	if t := g.pace.Typical(); t > 0 {
-		return t
-	}
-	return assumed
-}
-
-// wait estimates the time until a request with so many before it has a slot.
-func (g *Gate) wait(ahead int) time.Duration {
-	if ahead == 0 && g.running < g.slots {
-		return 0
-	}
-	over := max(g.running-g.slots, 0) + ahead + 1
-	return g.typical() * time.Duration(over) / time.Duration(g.slots)
-}
-
-func (g *Gate) place(priority int) int {
-	i := len(g.waiting)
-	for i > 0 && g.waiting[i-1].ask.Priority > priority {
-		i--
-	}
-	return i
-}
-
-func (g *Gate) dispatch(now crid.Instant) {
-	for g.running < g.slots && len(g.waiting) > 0 {
-		t := g.waiting[0]
-		g.waiting = slices.Delete(g.waiting, 0, 1)
-		if now > t.ask.Start {
-			g.refuse(t, Full, g.wait(len(g.waiting)))
-			continue
-		}
-		t.granted = true
-		g.running++
-		close(t.decided)
-	}
-}
-
-// displace refuses waiting requests whose start has moved out of reach, since
-// more urgent ones came. Told at once, they can still go to another target.
-func (g *Gate) displace(now crid.Instant) {
-	for i := len(g.waiting) - 1; i >= 0; i-- {
-		t := g.waiting[i]
-		if now.Add(g.wait(i)/2) <= t.ask.Start {
-			continue
-		}
-		g.waiting = slices.Delete(g.waiting, i, i+1)
-		g.refuse(t, Displaced, g.wait(len(g.waiting)))
-	}
-}
-
-func (g *Gate) sweep(now crid.Instant) {
-	g.waiting = slices.DeleteFunc(g.waiting, func(t *Ticket) bool {
-		if now <= t.ask.Start {
-			return false
-		}
-		g.refuse(t, Full, g.typical())
-		return true
-	})
-}
-
-func (g *Gate) refuse(t *Ticket, r Reason, retry time.Duration) {
-	t.ended = true
-	t.refusal = &Refusal{reason: r, retryAfter: retry}
-	close(t.decided)
-}
--- a/core/crjudge/crjudge_test.go
+++ b/core/crjudge/crjudge_test.go
@@ -97,15 +97,3 @@
 	g.Expect(float64(lost)/float64(sent)).To(gomega.BeNumerically("<", 0.04), "once-only requests lost")
 	g.Expect(float64(setAside)/float64(wellTime)).To(gomega.BeNumerically("<", 0.1), "sound targets set aside")
 }
-
-func TestPaceKnowsWhatIsSlow(t *testing.T) {
-	g := gomega.NewWithT(t)
-	var p crjudge.Pace
-	g.Expect(p.Slow()).To(gomega.BeZero())
-	for i := range 40 {
-		p.Add(time.Duration(200+10*(i%10)) * time.Millisecond)
-	}
-	g.Expect(p.Typical()).To(gomega.BeNumerically("~", 245*time.Millisecond, 30*time.Millisecond))
-	g.Expect(p.Slow()).To(gomega.BeNumerically(">", 600*time.Millisecond))
-	g.Expect(p.Slow()).To(gomega.BeNumerically("<", 1200*time.Millisecond))
-}
--- a/io/cregress/cregress.go
+++ b/io/cregress/cregress.go
@@ -46,9 +46,6 @@
 	connectionIdle = 1500 * time.Millisecond
 	// margin is kept of the time left, for the answer's way back.
 	margin = 12 * time.Millisecond
-	// worthwhile is the share of the usual time that must be left for a
-	// request to be started at all.
-	worthwhile = 0.8
 )
 
 // Options are the settings of an exit.
@@ -191,7 +188,8 @@
 	if !x.fit(now, o) {
 		return x.refuse("sick", 0)
 	}
-	ticket, refusal := x.gate.Admit(now, crgate.Ask{Priority: o.Priority, Start: now.Add(x.patience(o))})
+	latest := x.gate.Latest(now, crgate.Terms{Kind: o.Kind(), Objective: o.Objective, Left: o.Left})
+	ticket, refusal := x.gate.Admit(now, crgate.Ask{Kind: o.Kind(), Priority: o.Priority, Start: latest})
 	if refusal != nil {
 		return x.refuse(refusal.Reason().String(), refusal.RetryAfter())
 	}
@@ -217,17 +215,6 @@
 	return true
 }
 
-// patience is how long a request may wait for its slot. As long as it can still
-// meet its objective, it waits no longer than that allows; once that has passed,
-// as long as an answer is still of use.
-func (x *Exit) patience(o croffer.Offer) time.Duration {
-	need := time.Duration(worthwhile * float64(x.gate.Expected()))
-	if o.Objective > need {
-		return min(o.Objective, o.Left) - need
-	}
-	return max(o.Left-need-margin, 0)
-}
-
 func (x *Exit) claim(now crid.Instant, o croffer.Offer, t *crgate.Ticket) uint64 {
 	x.mu.Lock()
 	defer x.mu.Unlock()
--- a/io/cregress/run.go
+++ b/io/cregress/run.go
@@ -69,7 +69,7 @@
 	}
 	wait := min(r.request.Wait-waited, left)
 	defer x.count(r.claim.offer)()
-	r.watch.start(x, r.claim.offer.ID)
+	r.watch.start(x, r.claim.offer)
 	answer, err := conn.Exchange(ctx, r.encode(wait), r.mine)
 	r.watch.stop()
 	if err != nil {
@@ -116,7 +116,7 @@
 	if r.watch.told() || r.exit.calls.failedSince(r.started) {
 		return
 	}
-	if slow := r.exit.gate.Slow(); slow > 0 && now.Sub(r.started) < slow {
+	if slow := r.exit.gate.Slow(r.claim.offer.Kind()); slow > 0 && now.Sub(r.started) < slow {
 		return
 	}
 	r.exit.note(now, crjudge.Slow, r.claim.offer.ID)
@@ -185,8 +185,8 @@
 	ended bool
 }
 
-func (w *watch) start(x *Exit, id string) {
-	slow := x.gate.Slow()
+func (w *watch) start(x *Exit, o croffer.Offer) {
+	slow := x.gate.Slow(o.Kind())
 	if slow == 0 {
 		return
 	}
@@ -199,7 +199,7 @@
 		w.said = w.said || late
 		w.mu.Unlock()
 		if late {
-			x.note(x.opts.Clock(), crjudge.Slow, id)
+			x.note(x.opts.Clock(), crjudge.Slow, o.ID)
 		}
 	})
 }
--- a/io/cringress/dispatch.go
+++ b/io/cringress/dispatch.go
@@ -127,6 +127,7 @@
 	o := croffer.Offer{
 		ID: d.caller.ID, From: d.opts.Self, Target: c.Target, Service: d.service, Class: d.route.Class, Priority: d.priority(),
 		Left: d.deadline.Sub(now), Objective: d.route.Objective - now.Sub(d.started), Last: c.Last, Repeat: d.repeat,
+		Aim: d.route.Objective,
 	}
 	if c.Daemon == d.opts.Self {
 		return d.tryLocal(ctx, o)
--- a/io/croffer/croffer.go
+++ b/io/croffer/croffer.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"camphorroad/core/crid"
+	"camphorroad/core/crpace"
 	"camphorroad/core/crplace"
 	"camphorroad/core/crpolicy"
 )
@@ -35,8 +36,12 @@
 	Objective time.Duration // until an answer loses worth; zero or less: it has
 	Last      bool          // no better target is left
 	Repeat    bool          // it was sent to another target before
+	Aim       time.Duration // objective of its route
 }
 
+// Kind is what the offer's request has in common with others that take as long.
+func (o Offer) Kind() crpace.Kind { return crpace.Kind{Class: o.Class, Objective: o.Aim} }
+
 // Reply is an exit's answer to an offer.
 type Reply struct {
 	_          struct{} `cbor:",toarray"`
