--- a/core/crgate/crgate.go
+++ b/core/crgate/crgate.go
@@ -74,6 +74,7 @@
 // Ask is what a request asks for.
 type Ask struct {
 	Kind     crpace.Kind
+	Call     bool         // a request that holds a slot of the fleet waits for it
 	Priority int          // 0 is the most urgent
 	Start    crid.Instant // latest useful start
 }
--- a/core/crgate/mixture_test.go
+++ b/core/crgate/mixture_test.go
@@ -9,6 +9,7 @@
 	"github.com/onsi/gomega"
 
 	"camphorroad/core/crgate"
+	"camphorroad/core/crid"
 	"camphorroad/core/crpace"
 	"camphorroad/core/crpolicy"
 )
@@ -71,3 +72,89 @@
 	_, refusal = gate.Admit(later, crgate.Ask{Kind: readKind, Start: later.Add(500 * time.Millisecond)})
 	g.Expect(refusal).To(gomega.BeNil())
 }
+
+// coming is a request of the load below.
+type coming struct {
+	at   crid.Instant
+	call bool
+	took time.Duration
+}
+
+// load draws reads of more than a second, more than five slots can do, and four calls
+// a second among them.
+func load(rng *rand.Rand, span time.Duration) []coming {
+	var out []coming
+	for at := start; at < start.Add(span); at = at.Add(10 * time.Millisecond) {
+		if rng.Float64() < 0.045 {
+			out = append(out, coming{at: at, took: time.Duration(float64(1150*time.Millisecond) * math.Exp(0.5*rng.NormFloat64()))})
+		}
+		if rng.Float64() < 0.04 {
+			out = append(out, coming{at: at, call: true, took: time.Duration(float64(115*time.Millisecond) * math.Exp(0.5*rng.NormFloat64()))})
+		}
+	}
+	return out
+}
+
+// A target is full of reads of more than a second, a fifth more than it can do, and
+// requests at other targets call it for a tenth of a second each. Their own callers
+// wait two seconds. If the calls wait in line behind the reads, they come too late,
+// and each takes a request with it that had done half a second of work; going first,
+// all of them are in time and the reads lose next to nothing.
+func TestCallsAreServedInTimeAtAFullTarget(t *testing.T) {
+	g := gomega.NewWithT(t)
+	const parentLeft, readObjective, readLeft = 2 * time.Second, 3 * time.Second, 6 * time.Second
+	gate := crgate.New(5)
+	teach(gate, map[crpace.Kind]time.Duration{callKind: 130 * time.Millisecond, readKind: 1300 * time.Millisecond})
+	type open struct {
+		coming
+		ticket *crgate.Ticket
+		began  crid.Instant
+	}
+	var waiting, running []*open
+	asked, inTime := map[bool]int{}, map[bool]int{}
+	list := load(rand.New(rand.NewPCG(4, 5)), time.Minute)
+	for now := start; now < start.Add(70*time.Second); now = now.Add(5 * time.Millisecond) {
+		for len(list) > 0 && list[0].at <= now {
+			c := list[0]
+			list = list[1:]
+			asked[c.call]++
+			terms := crgate.Terms{Kind: readKind, Objective: readObjective, Left: readLeft}
+			if c.call {
+				terms = crgate.Terms{Kind: callKind, Call: true, Objective: 500 * time.Millisecond, Left: parentLeft}
+			}
+			ticket, refusal := gate.Admit(now, crgate.Ask{Kind: terms.Kind, Call: c.call, Priority: 2, Start: gate.Latest(now, terms)})
+			if refusal == nil {
+				waiting = append(waiting, &open{coming: c, ticket: ticket})
+			}
+		}
+		rest := waiting[:0]
+		for _, o := range waiting {
+			switch {
+			case granted(o.ticket):
+				o.began = now
+				running = append(running, o)
+			case !decided(o.ticket):
+				rest = append(rest, o)
+			}
+		}
+		waiting = rest
+		still := running[:0]
+		for _, o := range running {
+			if now.Sub(o.began) < o.took {
+				still = append(still, o)
+				continue
+			}
+			gate.Done(now, o.ticket, o.took)
+			limit := readObjective
+			if o.call {
+				limit = parentLeft
+			}
+			if now.Sub(o.at) <= limit {
+				inTime[o.call]++
+			}
+		}
+		running = still
+		gate.Sweep(now)
+	}
+	g.Expect(inTime[true]).To(gomega.BeNumerically(">=", asked[true]*98/100), "calls in the time of their parents")
+}
--- a/core/crgate/queue.go
+++ b/core/crgate/queue.go
@@ -12,7 +12,16 @@
 const remaining = 0.3
 
 // before reports whether a request goes before another one that came earlier.
-func (a Ask) before(b Ask) bool { return a.Priority < b.Priority }
+//
+// A call goes before all else: its parent holds a slot while it waits, and if it
+// comes too late, the parent has worked in vain. At targets that are full of longer
+// requests calls would come last, and take their parents with them.
+func (a Ask) before(b Ask) bool {
+	if a.Call != b.Call {
+		return a.Call
+	}
+	return a.Priority < b.Priority
+}
 
 // place is where in the queue a request belongs.
 func (g *Gate) place(ask Ask) int {
--- a/core/crplace/crplace.go
+++ b/core/crplace/crplace.go
@@ -83,6 +83,7 @@
 	Float  func() float64         // in [0,1); safe for the caller's goroutine
 	Silent func(crid.Daemon) bool // whether nothing was heard of a daemon lately
 	Bound  bool                   // it could not be sent again if the target failed it
+	Call   bool                   // a request that holds a slot of the fleet waits for it
 }
 
 // first reports whether an idempotent request looks for its first target.
@@ -299,12 +300,15 @@
 }
 
 // spared picks a sick target with room for an idempotent request while all well
-// ones are busy. It may succeed there, and can still go to a well one if not;
-// the slot that it leaves to a request which may run only once is worth more, also
-// where it could not be sent again: with that looked at, too, days of a crowd had
-// 0.629 of their worth in place of 0.636 (six seeds).
+// ones are busy. It may succeed there, and can still go to a well one if not; the
+// slot that it leaves to a request which may run only once is worth more.
+//
+// Two kinds of request spare nothing. One that could not be sent again, its budget
+// being used up, would as a rule be lost. And a call takes little of a well target's
+// time, but lost it takes its parent with it, which may run only once and has done
+// most of its work.
 func spared(views, well []view, ask Ask) (view, bool) {
-	if !ask.first() {
+	if !ask.first() || ask.Bound || ask.Call {
 		return view{}, false
 	}
 	if slices.ContainsFunc(well, func(v view) bool { return v.use < roomy }) {
--- a/core/crplace/crplace_test.go
+++ b/core/crplace/crplace_test.go
@@ -196,3 +196,22 @@
 	c, _ = b.Choose(start, all, ask)
 	g.Expect(c.Target).To(gomega.Equal(crid.Target("t0")))
 }
+
+// All well targets are busy and a sick one has room. A call that is sent there is
+// lost as a rule, and its parent with it, which has done most of its work; and what
+// cannot be sent again is lost for good.
+func TestCallsAndWhatCannotBeSentAgainSpareNothing(t *testing.T) {
+	g := gomega.NewWithT(t)
+	b := crplace.NewBoard()
+	all := candidates("a", "a")
+	b.Tell("t0", crplace.Told{Slots: 4, Sick: 0.9})
+	b.Tell("t1", crplace.Told{Load: 6, Slots: 4})
+	call, bound := repeat(fixed(0.9)), repeat(fixed(0.9))
+	call.Call, bound.Bound = true, true
+	for _, ask := range []crplace.Ask{call, bound} {
+		c, _ := b.Choose(start, all, ask)
+		g.Expect(c.Target).To(gomega.Equal(crid.Target("t1")))
+	}
+	c, _ := b.Choose(start, all, repeat(fixed(0.9)))
+	g.Expect(c.Target).To(gomega.Equal(crid.Target("t0")))
+}
--- a/io/cregress/cregress.go
+++ b/io/cregress/cregress.go
@@ -188,8 +188,8 @@
 	if !x.fit(now, o) {
 		return x.refuse("sick", 0)
 	}
-	latest := x.gate.Latest(now, crgate.Terms{Kind: o.Kind(), Objective: o.Objective, Left: o.Left})
-	ticket, refusal := x.gate.Admit(now, crgate.Ask{Kind: o.Kind(), Priority: o.Priority, Start: latest})
+	latest := x.gate.Latest(now, crgate.Terms{Kind: o.Kind(), Call: o.Call, Objective: o.Objective, Left: o.Left})
+	ticket, refusal := x.gate.Admit(now, crgate.Ask{Kind: o.Kind(), Call: o.Call, Priority: o.Priority, Start: latest})
 	if refusal != nil {
 		return x.refuse(refusal.Reason().String(), refusal.RetryAfter())
 	}
--- a/io/cringress/dispatch.go
+++ b/io/cringress/dispatch.go
@@ -86,7 +86,7 @@
 	}
 	choice, ok := d.opts.Board.Choose(now, d.view.Targets[d.service], crplace.Ask{
 		Class: d.route.Class, Domain: d.opts.Domain, Tried: d.tried, Float: rand.Float64,
-		Silent: func(id crid.Daemon) bool { return d.view.Silent[id] }, Bound: !d.again(now),
+		Silent: func(id crid.Daemon) bool { return d.view.Silent[id] }, Bound: !d.again(now), Call: d.isCall(),
 	})
 	if !ok {
 		return false
@@ -127,7 +127,7 @@
 	o := croffer.Offer{
 		ID: d.caller.ID, From: d.opts.Self, Target: c.Target, Service: d.service, Class: d.route.Class, Priority: d.priority(),
 		Left: d.deadline.Sub(now), Objective: d.route.Objective - now.Sub(d.started), Last: c.Last, Repeat: d.repeat,
-		Aim: d.route.Objective,
+		Aim: d.route.Objective, Call: d.isCall(),
 	}
 	if c.Daemon == d.opts.Self {
 		return d.tryLocal(ctx, o)
--- a/io/croffer/croffer.go
+++ b/io/croffer/croffer.go
@@ -37,6 +37,7 @@
 	Last      bool          // no better target is left
 	Repeat    bool          // it was sent to another target before
 	Aim       time.Duration // objective of its route
+	Call      bool          // a target of the fleet waits for it
 }
 
 // Kind is what the offer's request has in common with others that take as long.
