--- a/io/crfeed/crfeed.go
+++ b/io/crfeed/crfeed.go
@@ -55,8 +55,19 @@
 	// said that the store is away and it answered this daemon: a store that
 	// turns some machines away does so for seconds.
 	aloneTime = 10 * time.Second
+	// settlePause is the time between two calls of a new daemon that knows no other
+	// reader. It is a part of the time in which a change must be in force.
+	settlePause = 1500 * time.Millisecond
+	// settleStep is the time between looks for readers in it.
+	settleStep = 100 * time.Millisecond
 )
 
+// Settle is how long a daemon counts as new. When all daemons start at one time none
+// knows readers yet, and all are told of each other's targets as these come. If each
+// watched the store as readers do meanwhile, that would cost more calls than the rest
+// of a day.
+const Settle = 6 * time.Second
+
 // Peers asks other daemons.
 type Peers interface {
 	Feed(ctx context.Context, d crid.Daemon, q croffer.FeedQuery) (croffer.FeedPage, error)
@@ -75,18 +86,21 @@
 	Peers   Peers
 	Readers func() []crid.Daemon // of the own domain; none: not known yet
 	Clock   func() crid.Instant
+	Settle  time.Duration // as [Settle]; zero: the daemon watches at once
 }
 
 // Feed is a store read by as few daemons as possible. It is safe for concurrent
 // use.
 type Feed struct {
 	opts   Options
+	began  crid.Instant
 	calls  atomic.Int64
 	asked  atomic.Int64
 	mu     sync.Mutex
 	rests  map[crid.Daemon]crid.Instant   // until when a reader is not asked
 	looked map[crwatch.Scope]crid.Instant // the last own call while the readers said that the store is away
 	news   map[crwatch.Scope]crid.Instant // when the store told changes last
+	read   map[crwatch.Scope]crid.Instant // the last call
 	alone  crid.Instant                   // until when no reader is asked
 	ending context.Context                //nolint:containedctx // ends what waits here for peers
 	end    context.CancelFunc
@@ -98,8 +112,8 @@
 func New(opts Options) *Feed {
 	ending, end := context.WithCancel(context.Background())
 	return &Feed{
-		opts: opts, rests: make(map[crid.Daemon]crid.Instant), looked: make(map[crwatch.Scope]crid.Instant),
-		news: make(map[crwatch.Scope]crid.Instant), ending: ending, end: end,
+		opts: opts, began: opts.Clock(), rests: make(map[crid.Daemon]crid.Instant), looked: make(map[crwatch.Scope]crid.Instant),
+		news: make(map[crwatch.Scope]crid.Instant), read: make(map[crwatch.Scope]crid.Instant), ending: ending, end: end,
 	}
 }
 
@@ -119,7 +133,7 @@
 	if !errors.Is(err, errDirect) {
 		return items, at, err
 	}
-	f.calls.Add(1)
+	f.call(scope)
 	items, at, err = f.opts.Store.List(ctx, scope)
 	f.answered(scope, err)
 	return items, at, err
@@ -131,10 +145,13 @@
 	if !errors.Is(err, errDirect) {
 		return items, at, err
 	}
+	if f.settling(scope) {
+		return nil, after, sleep(ctx, settleStep)
+	}
 	if err := f.pause(ctx, scope); err != nil {
 		return nil, 0, err
 	}
-	f.calls.Add(1)
+	f.call(scope)
 	items, at, err = f.opts.Store.Watch(ctx, scope, after, f.lookWait(scope, wait))
 	f.answered(scope, err)
 	if len(items) > 0 {
@@ -152,7 +169,31 @@
 	if !ok || left <= 0 {
 		return nil
 	}
-	timer := time.NewTimer(left)
+	return sleep(ctx, left)
+}
+
+// settling reports whether this daemon is new, knows no other reader yet, and has just
+// read a scope.
+func (f *Feed) settling(scope crwatch.Scope) bool {
+	f.mu.Lock()
+	last, now := f.read[scope], f.opts.Clock()
+	f.mu.Unlock()
+	if now.Sub(f.began) >= f.opts.Settle || now.Sub(last) >= settlePause {
+		return false
+	}
+	return !slices.ContainsFunc(f.opts.Readers(), func(d crid.Daemon) bool { return d != f.opts.Self })
+}
+
+// call counts a call of the store itself.
+func (f *Feed) call(scope crwatch.Scope) {
+	f.calls.Add(1)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.read[scope] = f.opts.Clock()
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
--- a/io/crfeed/crfeed_test.go
+++ b/io/crfeed/crfeed_test.go
@@ -224,3 +224,44 @@
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	g.Expect(r.store.calls).To(gomega.Equal(2))
 }
+
+// All machines of a domain start at one time, and none knows who reads the store for
+// it. Each would watch for itself, and be told of the others' targets one by one; the
+// store turns away what is above its rate. A new daemon looks for changes now and
+// then until a reader is heard, and watches all the time only if none is.
+func TestANewDaemonWaitsForItsReaders(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r := &rig{store: &store{}, peers: &peers{pages: map[crid.Daemon]croffer.FeedPage{"a": served()}}, readers: []crid.Daemon{"self"}, now: start}
+	r.feed = crfeed.New(crfeed.Options{
+		Self: "self", Store: r.store, Peers: r.peers, Readers: func() []crid.Daemon { return r.readers },
+		Clock: func() crid.Instant { return r.now }, Settle: crfeed.Settle,
+	})
+	_, _, err := r.feed.List(t.Context(), crwatch.Records)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(r.store.calls).To(gomega.Equal(1))
+	items, at, err := r.watch(t)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(items).To(gomega.BeEmpty())
+	g.Expect(at).To(gomega.Equal(crid.Revision(4)), "it goes on from where it was")
+	g.Expect(r.store.calls).To(gomega.Equal(1))
+
+	r.readers = []crid.Daemon{"a", "b"}
+	items, _, err = r.watch(t)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(items[0].Key).To(gomega.Equal("far"))
+
+	r.readers = []crid.Daemon{"self"}
+	r.now = start.Add(1500 * time.Millisecond)
+	items, _, err = r.watch(t)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(items[0].Key).To(gomega.Equal("own"))
+	g.Expect(r.store.calls).To(gomega.Equal(2))
+	items, _, err = r.watch(t)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(items).To(gomega.BeEmpty())
+
+	r.now = start.Add(crfeed.Settle)
+	items, _, err = r.watch(t)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(items[0].Key).To(gomega.Equal("own"))
+}
