Log what decided a refused offer, and the budget behind a repeat that was not sent

Of a repeat that was not sent it told nothing. Tests: the bound of the lines, what a refusal and a budget tell, the catalogue.

--- a/core/crbudget/crbudget.go
+++ b/core/crbudget/crbudget.go
@@ -59,10 +59,23 @@
 }
 
 func (b *Budget) affords(now crid.Instant, s crid.Service, daemons int, price float64) bool {
+	spent, allowed := b.balance(now, s, daemons)
+	return spent+price <= allowed
+}
+
+// Balance returns what was spent of this daemon's part in the window that ends now,
+// and the part.
+func (b *Budget) Balance(now crid.Instant, s crid.Service, daemons int) (spent, allowed float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.balance(now, s, daemons)
+}
+
+func (b *Budget) balance(now crid.Instant, s crid.Service, daemons int) (spent, allowed float64) {
 	w := b.window(s)
 	w.add(now, b.params.Window, 0, 0)
 	part := b.params.Slack / float64(max(daemons, 1))
-	return w.spent()+price <= safety*(b.params.Ratio*w.requests()+part)
+	return w.spent(), safety * (b.params.Ratio*w.requests() + part)
 }
 
 // Spend takes the price of one more send, or reports that there is nothing left.
--- a/core/crbudget/crbudget_test.go
+++ b/core/crbudget/crbudget_test.go
@@ -80,3 +80,19 @@
 	g.Expect(spent).To(gomega.Equal(6))
 	g.Expect(b.Affords(now, "s", 1, 1)).To(gomega.BeFalse())
 }
+
+// A request was not sent again. The log has to tell whether the budget was used up,
+// and by how much.
+func TestABudgetTellsItsBalance(t *testing.T) {
+	g := gomega.NewWithT(t)
+	b := crbudget.New(params)
+	for range 100 {
+		b.Request(start, "booking")
+	}
+	before, allowed := b.Balance(start, "booking", 1)
+	g.Expect(before).To(gomega.BeZero())
+	g.Expect(allowed).To(gomega.BeNumerically("~", 0.6*(0.2*100+56), 0.01))
+	g.Expect(b.Spend(start, "booking", 1, 1)).To(gomega.BeTrue())
+	after, _ := b.Balance(start, "booking", 1)
+	g.Expect(after).To(gomega.Equal(1.0))
+}
--- a/core/crgate/crgate.go
+++ b/core/crgate/crgate.go
@@ -60,6 +60,8 @@
 type Refusal struct {
 	reason     Reason
 	retryAfter time.Duration
+	wait       time.Duration
+	patience   time.Duration
 }
 
 // Error implements error.
@@ -68,6 +70,13 @@
 // Reason returns why.
 func (r *Refusal) Reason() Reason { return r.reason }
 
+// Wait is the estimated wait for a slot that was too long; zero if that was not the
+// reason.
+func (r *Refusal) Wait() time.Duration { return r.wait }
+
+// Patience is how long the request could have waited.
+func (r *Refusal) Patience() time.Duration { return r.patience }
+
 // RetryAfter estimates when the target has room again.
 func (r *Refusal) RetryAfter() time.Duration { return r.retryAfter }
 
@@ -152,8 +161,8 @@
 	}
 	g.sweep(now)
 	at := g.place(ask)
-	if now.Add(g.wait(now, at)) > ask.Start {
-		return nil, &Refusal{reason: Full, retryAfter: g.wait(now, len(g.waiting))}
+	if wait := g.wait(now, at); now.Add(wait) > ask.Start {
+		return nil, &Refusal{reason: Full, retryAfter: g.wait(now, len(g.waiting)), wait: wait, patience: ask.Start.Sub(now)}
 	}
 	t := &Ticket{ask: ask, decided: make(chan struct{})}
 	g.waiting = slices.Insert(g.waiting, at, t)
--- a/core/crgate/mixture_test.go
+++ b/core/crgate/mixture_test.go
@@ -162,3 +162,17 @@
 	possible := float64(5*time.Minute-callWork) / float64(1300*time.Millisecond)
 	g.Expect(float64(inTime[false])).To(gomega.BeNumerically(">=", 0.8*possible), "reads in time, of those that the slots can do")
 }
+
+// A caller asks why it was refused. The answer is in the wait that was expected and
+// in the time that the request had.
+func TestARefusalTellsWhatDecidedIt(t *testing.T) {
+	g := gomega.NewWithT(t)
+	gate := crgate.New(1)
+	teach(gate, map[crpace.Kind]time.Duration{readKind: time.Second})
+	_, refusal := gate.Admit(start, crgate.Ask{Kind: readKind, Start: start})
+	g.Expect(refusal).To(gomega.BeNil())
+	_, refusal = gate.Admit(start, crgate.Ask{Kind: readKind, Start: start.Add(300 * time.Millisecond)})
+	g.Expect(refusal.Reason()).To(gomega.Equal(crgate.Full))
+	g.Expect(refusal.Wait()).To(gomega.BeNumerically("~", time.Second, time.Millisecond))
+	g.Expect(refusal.Patience()).To(gomega.Equal(300 * time.Millisecond))
+}
--- a/io/cregress/cregress.go
+++ b/io/cregress/cregress.go
@@ -15,6 +15,7 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -68,6 +69,7 @@
 	stopping atomic.Bool
 	end      atomic.Int64 // instant by which all work must have ended; zero: none
 	calls    calls
+	lines    lines
 	running  atomic.Int64 // idempotent requests at the target
 	repeats  atomic.Int64 // of these, those that were sent elsewhere before
 
@@ -180,24 +182,43 @@
 	x.opts.Asked(o.From)
 	r := x.target.Load()
 	if r == nil || r.Target != o.Target || r.Service != o.Service {
-		return x.refuse("no such target here", 0)
+		return x.refuse(now, o, refusal{reason: "no such target here"})
 	}
 	if !x.fits(now, o) {
-		return x.refuse("stopping", 0)
+		return x.refuse(now, o, refusal{reason: "stopping"})
 	}
 	if !x.fit(now, o) {
-		return x.refuse("sick", 0)
+		return x.refuse(now, o, refusal{reason: "sick"})
 	}
 	latest := x.gate.Latest(now, crgate.Terms{Kind: o.Kind(), Call: o.Call, Objective: o.Objective, Left: o.Left})
-	ticket, refusal := x.gate.Admit(now, crgate.Ask{Kind: o.Kind(), Call: o.Call, Priority: o.Priority, Start: latest})
-	if refusal != nil {
-		return x.refuse(refusal.Reason().String(), refusal.RetryAfter())
+	ticket, full := x.gate.Admit(now, crgate.Ask{Kind: o.Kind(), Call: o.Call, Priority: o.Priority, Start: latest})
+	if full != nil {
+		return x.refuse(now, o, refusal{
+			reason: full.Reason().String(), after: full.RetryAfter(), wait: full.Wait(), patience: full.Patience(),
+		})
 	}
 	return croffer.Reply{Taken: true, Ticket: x.claim(now, o, ticket), Told: x.Told()}
 }
 
-func (x *Exit) refuse(reason string, after time.Duration) croffer.Reply {
-	return croffer.Reply{Reason: reason, RetryAfter: after, Told: x.Told()}
+// refusal is why an offer is not taken.
+type refusal struct {
+	reason   string
+	after    time.Duration // when there may be room; zero: not known
+	wait     time.Duration // that a request would have
+	patience time.Duration // that it has
+}
+
+func (x *Exit) refuse(now crid.Instant, o croffer.Offer, r refusal) croffer.Reply {
+	told := x.Told()
+	if x.lines.allow(now) {
+		x.opts.Log.Event(crlog.OfferRefused, crlog.Fields{
+			"request": o.ID, "target": string(o.Target), "entry": string(o.From), "reason": r.reason, "class": o.Class.String(),
+			"load": strconv.Itoa(told.Load), "slots": strconv.Itoa(told.Slots), "sick": crlog.Percent(told.Sick),
+			"wait": r.wait.Round(time.Millisecond).String(), "patience": r.patience.Round(time.Millisecond).String(),
+			"typical": told.Typical.Round(time.Millisecond).String(),
+		})
+	}
+	return croffer.Reply{Reason: r.reason, RetryAfter: r.after, Told: told}
 }
 
 // fit reports whether the target is well enough for an offer. A sick one gets
--- a/io/cringress/cringress.go
+++ b/io/cringress/cringress.go
@@ -101,6 +101,7 @@
 	own      bool          // the answer is not a target's
 	targets  int           // that the request was sent to
 	offers   int
+	budget   string         // spent of what was allowed, where that kept the request from being sent again
 	refusals string         // why offers came to nothing, each with its number
 	choice   crplace.Choice // of the target that gave the answer
 	told     crplace.Told   // by its exit, last
@@ -298,7 +299,7 @@
 		"request": q.caller.ID, "status": strconv.Itoa(a.status), "reason": a.reason, "service": string(q.service),
 		"target": string(a.choice.Target), "choice": a.choice.Why(),
 		"believed": crlog.Percent(a.choice.Sick), "told": crlog.Percent(a.told.Sick), "class": q.class().String(), "refusals": a.refusals, "targets": strconv.Itoa(a.targets), "offers": strconv.Itoa(a.offers),
-		"took": q.opts.Clock().Sub(q.started).Round(time.Millisecond).String(), "end": end,
+		"budget": a.budget, "took": q.opts.Clock().Sub(q.started).Round(time.Millisecond).String(), "end": end,
 	}
 	if q.account != nil {
 		f["account"] = string(q.account.Name)
--- a/io/cringress/dispatch.go
+++ b/io/cringress/dispatch.go
@@ -92,6 +92,8 @@
 		return false
 	}
 	if d.repeat && !d.opts.Budget.Spend(now, d.service, d.view.Size, repeatPrice) {
+		spent, allowed := d.opts.Budget.Balance(now, d.service, d.view.Size)
+		d.last.budget = fmt.Sprintf("%.1f of %.1f", spent, allowed)
 		return false
 	}
 	if d.repeat {
--- a/io/crlog/catalogue_mesh.go
+++ b/io/crlog/catalogue_mesh.go
@@ -24,6 +24,7 @@
 	PeerHeard       = 621
 	TargetJudged    = 630
 	RunEnded        = 631
+	OfferRefused    = 632
 	RequestFailed   = 640
 	CallerGone      = 641
 	RequestRepeated = 642
@@ -101,6 +102,11 @@
 			RunEnded, LevelInfo, "run ended",
 			"a request left its target without a success, or is one of the sample", "none beyond what its entry says (640, 643)", none,
 		},
+		{
+			OfferRefused, LevelInfo, "offer refused",
+			"an exit did not take a request; a bounded number a second", "it did not run, and its entry may go elsewhere",
+			"compare wait with patience and load with slots: add targets if they are full for long",
+		},
 		{
 			RequestFailed, LevelInfo, "request not served",
 			"a request was refused, failed, or its caller left",
