Let only daemons that have readers to hear wait for them

Change: the view tells whether peers of the own domain are listed and to be heard for the first time, or none is listed at all; a new daemon waits only then.

--- a/core/crmesh/crmesh.go
+++ b/core/crmesh/crmesh.go
@@ -236,6 +236,7 @@
 		Stopping: s.stopping,
 		Readers:  s.readers(),
 		Lookers:  s.lookers(),
+		Coming:   s.coming(),
 	}
 	for _, r := range s.registry.Records() {
 		if r.Address == s.params.Address {
--- a/core/crmesh/event.go
+++ b/core/crmesh/event.go
@@ -155,6 +155,7 @@
 	Known    int                // of these, without seeds that no record names and nobody hears
 	Heard    int                // of these, without those that are silent or were never heard in time
 	Readers  []crid.Daemon      // of the own domain, that read the store for it
+	Coming   bool               // peers of the own domain are to be heard for the first time, or none is listed at all
 	Lookers  int                // daemons of the fleet that read the store
 	Silent   map[crid.Daemon]bool
 	Stopping bool
--- a/core/crmesh/reader.go
+++ b/core/crmesh/reader.go
@@ -83,3 +83,18 @@
 	}
 	return n
 }
+
+// coming reports whether peers of the own domain, which may read the store for this
+// daemon, are to be heard for the first time. Without any record they may be, too: the
+// targets of a fleet that starts register a moment after its daemons.
+func (s *State) coming() bool {
+	if len(s.registry.Records()) == 0 {
+		return true
+	}
+	for _, p := range s.peers {
+		if s.near(p) && p.listed && p.heard == 0 && !p.missing {
+			return true
+		}
+	}
+	return false
+}
--- a/core/crmesh/reader_test.go
+++ b/core/crmesh/reader_test.go
@@ -257,3 +257,34 @@
 	v = views(s.Step(crmesh.Heard{Now: start, From: "10.0.9.1", Beat: crmesh.Beat{Incarnation: 1, Revision: 5}}))
 	g.Expect(v[len(v)-1].Known).To(gomega.Equal(4))
 }
+
+// All machines of a domain start at one time. Until their beats are heard, each would
+// read the store for itself although a moment later two read it for all; one that
+// stands alone in its domain must not wait for anybody.
+func TestADaemonKnowsWhetherReadersAreToBeHeard(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := crmesh.New(crmesh.Params{Self: "10.0.0.1", Domain: "a", Beat: time.Second, Far: time.Second})
+	view := func(effects []crevent.Effect) *crmesh.View {
+		for _, e := range effects {
+			if v, ok := e.(crmesh.UseView); ok {
+				return v.View
+			}
+		}
+		return nil
+	}
+	list := func(records ...crregistry.Record) *crmesh.View {
+		changes := make([]crregistry.Change, 0, len(records))
+		for i := range records {
+			changes = append(changes, crregistry.Change{Key: string(records[i].Target), Revision: 1, Record: &records[i]})
+		}
+		return view(s.Step(crmesh.Listed{Now: start, Changes: changes, Revision: 2}))
+	}
+	own := crregistry.Record{Target: "t1", Service: "s", Address: "10.0.0.1:80", Domain: "a", Slots: 1}
+	far := crregistry.Record{Target: "t2", Service: "s", Address: "10.0.0.2:80", Domain: "b", Slots: 1}
+	near := crregistry.Record{Target: "t3", Service: "s", Address: "10.0.0.3:80", Domain: "a", Slots: 1}
+	g.Expect(list().Coming).To(gomega.BeTrue())
+	g.Expect(list(own, far).Coming).To(gomega.BeFalse())
+	g.Expect(list(own, far, near).Coming).To(gomega.BeTrue())
+	v := view(s.Step(crmesh.Heard{Now: start, From: "10.0.0.3", Beat: crmesh.Beat{Revision: 2}}))
+	g.Expect(v.Coming).To(gomega.BeFalse())
+}
--- a/io/crfeed/crfeed.go
+++ b/io/crfeed/crfeed.go
@@ -55,6 +55,11 @@
 	// said that the store is away and it answered this daemon: a store that
 	// turns some machines away does so for seconds.
 	aloneTime = 10 * time.Second
+	// settle is how long a daemon counts as new. When all daemons start at one time
+	// none knows readers yet, and all are told of each other's targets as these
+	// come. If each watched the store as readers do meanwhile, that would cost more
+	// calls than the rest of a day.
+	settle = 6 * time.Second
 	// settlePause is the time between two calls of a new daemon that knows no other
 	// reader. It is a part of the time in which a change must be in force.
 	settlePause = 1500 * time.Millisecond
@@ -62,12 +67,6 @@
 	settleStep = 100 * time.Millisecond
 )
 
-// Settle is how long a daemon counts as new. When all daemons start at one time none
-// knows readers yet, and all are told of each other's targets as these come. If each
-// watched the store as readers do meanwhile, that would cost more calls than the rest
-// of a day.
-const Settle = 6 * time.Second
-
 // Peers asks other daemons.
 type Peers interface {
 	Feed(ctx context.Context, d crid.Daemon, q croffer.FeedQuery) (croffer.FeedPage, error)
@@ -86,7 +85,7 @@
 	Peers   Peers
 	Readers func() []crid.Daemon // of the own domain; none: not known yet
 	Clock   func() crid.Instant
-	Settle  time.Duration // as [Settle]; zero: the daemon watches at once
+	Coming  func() bool // others of the own domain are to be heard for the first time
 }
 
 // Feed is a store read by as few daemons as possible. It is safe for concurrent
@@ -178,7 +177,7 @@
 	f.mu.Lock()
 	last, now := f.read[scope], f.opts.Clock()
 	f.mu.Unlock()
-	if now.Sub(f.began) >= f.opts.Settle || now.Sub(last) >= settlePause {
+	if now.Sub(f.began) >= settle || now.Sub(last) >= settlePause || !f.opts.Coming() {
 		return false
 	}
 	return !slices.ContainsFunc(f.opts.Readers(), func(d crid.Daemon) bool { return d != f.opts.Self })
--- a/io/crfeed/crfeed_test.go
+++ b/io/crfeed/crfeed_test.go
@@ -60,6 +60,7 @@
 	r := &rig{store: &store{}, peers: &peers{pages: make(map[crid.Daemon]croffer.FeedPage)}, readers: readers, now: start}
 	r.feed = crfeed.New(crfeed.Options{
 		Self: "self", Store: r.store, Peers: r.peers, Readers: func() []crid.Daemon { return r.readers }, Clock: func() crid.Instant { return r.now },
+		Coming: func() bool { return false },
 	})
 	return r
 }
@@ -231,10 +232,11 @@
 // then until a reader is heard, and watches all the time only if none is.
 func TestANewDaemonWaitsForItsReaders(t *testing.T) {
 	g := gomega.NewWithT(t)
+	coming := true
 	r := &rig{store: &store{}, peers: &peers{pages: map[crid.Daemon]croffer.FeedPage{"a": served()}}, readers: []crid.Daemon{"self"}, now: start}
 	r.feed = crfeed.New(crfeed.Options{
 		Self: "self", Store: r.store, Peers: r.peers, Readers: func() []crid.Daemon { return r.readers },
-		Clock: func() crid.Instant { return r.now }, Settle: crfeed.Settle,
+		Clock: func() crid.Instant { return r.now }, Coming: func() bool { return coming },
 	})
 	_, _, err := r.feed.List(t.Context(), crwatch.Records)
 	g.Expect(err).NotTo(gomega.HaveOccurred())
@@ -260,8 +262,17 @@
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	g.Expect(items).To(gomega.BeEmpty())
 
-	r.now = start.Add(crfeed.Settle)
+	coming = false
 	items, _, err = r.watch(t)
 	g.Expect(err).NotTo(gomega.HaveOccurred())
-	g.Expect(items[0].Key).To(gomega.Equal("own"))
+	g.Expect(items[0].Key).To(gomega.Equal("own"), "there is nobody to wait for")
+
+	coming = true
+	r.now = start.Add(6 * time.Second)
+	for range 2 {
+		items, _, err = r.watch(t)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(items[0].Key).To(gomega.Equal("own"), "it is not new any more")
+		r.now = r.now.Add(time.Second)
+	}
 }
