--- a/core/crquota/crquota.go
+++ b/core/crquota/crquota.go
@@ -17,6 +17,7 @@
 package crquota
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -48,13 +49,13 @@
 	return best
 }
 
-// Through returns the daemon to ask through for an account's tokens where its owner
-// does not answer: the owner that the account would have without it. None, if
-// there are only the two.
-func Through(a crid.Account, daemons []crid.Daemon, owner, self crid.Daemon) crid.Daemon {
+// Through returns the daemon to ask through for an account's tokens where others do
+// not answer: the owner that the account would have without them. None, if there
+// are no more.
+func Through(a crid.Account, daemons []crid.Daemon, without ...crid.Daemon) crid.Daemon {
 	others := make([]crid.Daemon, 0, len(daemons))
 	for _, d := range daemons {
-		if d != owner && d != self {
+		if !slices.Contains(without, d) {
 			others = append(others, d)
 		}
 	}
--- a/io/crmesh/quota.go
+++ b/io/crmesh/quota.go
@@ -18,6 +18,10 @@
 	"camphorroad/io/crlog"
 )
 
+// throughMost bounds the daemons that are asked through, one after the other. Where some
+// paths are cut one in three of them is cut off, too, from one side or the other.
+const throughMost = 2
+
 // ownerRest is how long an owner that did not answer is not asked again.
 const ownerRest = time.Second
 
@@ -104,10 +108,16 @@
 	// A cut between two machines leaves most others a path. Without one to ask
 	// through, an account would be held to a part of its rate in each cut.
 	v := q.loop.view.Load()
-	if d := crquota.Through(a.Name, v.Daemons, step.To, q.self); d != "" {
+	without := []crid.Daemon{step.To, q.self}
+	for range throughMost {
+		d := crquota.Through(a.Name, v.Daemons, without...)
+		if d == "" {
+			break
+		}
 		if ok, wait, err := q.ask(ctx, way{to: d, as: crquota.ByRelay}, a.Name); err == nil {
 			return ok, wait
 		}
+		without = append(without, d)
 	}
 	return q.parts.Take(crclock.Now(), a.Name, a.Rate, a.Burst, v.Size)
 }
