--- a/io/cregress/cregress.go
+++ b/io/cregress/cregress.go
@@ -134,10 +134,22 @@
 // was told to stop.
 func (x *Exit) Finish(end crid.Instant) { x.end.Store(int64(end)) }
 
-// fits reports whether an offer's request ends before the daemon does.
-func (x *Exit) fits(now crid.Instant, o croffer.Offer) bool {
+// before returns the instant by which an offer's request has to start so that it ends
+// before a daemon that was told to stop; zero: it was not told.
+//
+// It goes by the time that even slow requests of its kind take. Callers wait several
+// times as long; by their time nearly nothing would fit, and the target would lie
+// idle from the order to stop until the next daemon has started.
+func (x *Exit) before(o croffer.Offer) crid.Instant {
 	end := x.end.Load()
-	return end == 0 || now.Add(o.Left) <= crid.Instant(end)
+	if end == 0 {
+		return 0
+	}
+	longest := o.Left
+	if slow := x.gate.Slow(o.Kind()); slow > 0 {
+		longest = min(longest, slow)
+	}
+	return crid.Instant(end).Add(-longest)
 }
 
 // Stop refuses all that has not been started yet.
@@ -184,13 +196,17 @@
 	if r == nil || r.Target != o.Target || r.Service != o.Service {
 		return x.refuse(now, o, refusal{reason: "no such target here"})
 	}
-	if !x.fits(now, o) {
+	before := x.before(o)
+	if before != 0 && now > before {
 		return x.refuse(now, o, refusal{reason: "stopping"})
 	}
 	if !x.fit(now, o) {
 		return x.refuse(now, o, refusal{reason: "sick"})
 	}
 	latest := x.gate.Latest(now, crgate.Terms{Kind: o.Kind(), Call: o.Call, Objective: o.Objective, Left: o.Left})
+	if before != 0 {
+		latest = min(latest, before)
+	}
 	ticket, full := x.gate.Admit(now, crgate.Ask{Kind: o.Kind(), Call: o.Call, Priority: o.Priority, Start: latest})
 	if full != nil {
 		return x.refuse(now, o, refusal{
--- a/io/crmesh/daemon.go
+++ b/io/crmesh/daemon.go
@@ -34,11 +34,6 @@
 	// settle is how long a stopping daemon still takes callers: they learn from
 	// two questions to the ready page, a second apart, that it stops.
 	settle = 2600 * time.Millisecond
-	// takeFor is how long a stopping daemon still takes requests for its target: as
-	// long as it serves callers anyway, less the half second that a request
-	// takes. The target would else lie idle for the whole stop; with half of the
-	// daemons stopped in turn, that was a fifth of the fleet's capacity.
-	takeFor = 1900 * time.Millisecond
 	// reserve is kept of the grace, to end before the kill.
 	reserve = 500 * time.Millisecond
 	// drainPoll is the time between looks at what is still in progress.
@@ -193,10 +188,12 @@
 	d.feed.Stop()
 	d.loop.emit(crevent.Stopping{Now: crclock.Now()})
 	s.caller.SetKeepAlivesEnabled(false)
-	time.Sleep(min(takeFor, grace/3))
+	// The target is used as long as callers come. It would else lie idle for the whole
+	// stop, and with half of the daemons stopped in turn a fifth of the fleet's
+	// capacity with it.
+	time.Sleep(min(settle, grace/2))
 	d.exit.Stop()
 	d.loop.emit(crmesh.Nudge{Now: crclock.Now()})
-	time.Sleep(min(settle, grace/2) - time.Since(began))
 	ctx, cancel := context.WithTimeout(context.Background(), grace-time.Since(began))
 	defer cancel()
 	err := s.caller.Shutdown(ctx)
