--- a/core/crmesh/crmesh.go
+++ b/core/crmesh/crmesh.go
@@ -41,9 +41,14 @@
 	urgentEvery = 50 * time.Millisecond
 	// idlePerPeer is the least time between beats, for each peer of the fleet, to
 	// peers elsewhere that offered nothing lately. Each daemon would else send
-	// all others a beat a second: at 300 machines that was nine tenths of all
+	// all others a beat a second, which in a fleet of hundreds is nine tenths of all
 	// bytes between domains. What such a peer does not hear, an offer tells it.
 	idlePerPeer = 25 * time.Millisecond
+	// idleShort is the same where that leaves idlePause at most between two beats: a
+	// fleet of a hundred can spare them as well, and still hears of a daemon that
+	// is gone within three of them.
+	idleShort = 60 * time.Millisecond
+	idlePause = 7500 * time.Millisecond
 	// askedFor is how long a peer that made an offer counts as interested.
 	askedFor = 10 * time.Second
 	// crowd is the number of peers above which urgent beats go only to the own
--- a/core/crmesh/crmesh_test.go
+++ b/core/crmesh/crmesh_test.go
@@ -306,3 +306,24 @@
 	s.Step(crmesh.Heard{Now: start, From: "10.0.0.3", Beat: crmesh.Beat{Incarnation: 2, Revision: told[0]}})
 	g.Expect(pulls(s.Step(crevent.Tick{Now: start.Add(time.Second)}))).To(gomega.BeEmpty())
 }
+
+// In a fleet of a hundred machines most bytes between domains are beats to peers that
+// have nothing to do with each other. They hear a few each minute, and those that make
+// offers as often as ever.
+func TestFarPeersOfAFleetOfAHundredHearSeldomIfTheyOfferNothing(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := crmesh.New(params())
+	s.Step(large(100))
+	const asks, rests = "10.1.0.2", "10.1.0.3"
+	count := map[crid.Daemon]int{}
+	for at := time.Duration(0); at < 30*time.Second; at += 100 * time.Millisecond {
+		now := start.Add(at)
+		s.Step(crmesh.Asked{Now: now, From: asks})
+		for _, d := range beats(s.Step(crevent.Tick{Now: now})) {
+			count[d]++
+		}
+	}
+	g.Expect(count[asks]).To(gomega.BeNumerically(">=", 23))
+	g.Expect(count[rests]).To(gomega.BeNumerically("<=", 6))
+	g.Expect(count[rests]).To(gomega.BeNumerically(">=", 4), "it must not count this daemon as silent")
+}
--- a/core/crmesh/peer.go
+++ b/core/crmesh/peer.go
@@ -146,7 +146,8 @@
 	if s.near(p) {
 		return max(s.params.Beat, s.least())
 	}
-	return max(s.params.Far, s.least(), idlePerPeer*time.Duration(len(s.peers)))
+	n := time.Duration(len(s.peers))
+	return max(s.params.Far, s.least(), idlePerPeer*n, min(idleShort*n, idlePause))
 }
 
 // least keeps a daemon of a large fleet from spending its processor on beats.
