Split the board by job, and tell no tuning in comments

Comments of crplace, crjudge, crbudget, crquota, crmesh, crfeed and cringress told measured figures; they say now what each piece guards against.

--- a/core/crbudget/crbudget.go
+++ b/core/crbudget/crbudget.go
@@ -21,8 +21,7 @@
 
 // safety is the part of the fleet's bound that is used. The rest is for calls of
 // repeats: they are charged where they enter, as a share that is estimated, and
-// where they alone pass a daemon's part, the others do not know. With 0.8 the sum
-// passed the bound by up to 7 in 100 on days when a third of the targets fail.
+// where they alone pass a daemon's part, the others do not know.
 const safety = 0.6
 
 // Params are the fleet's bound.
--- a/core/crjudge/crjudge.go
+++ b/core/crjudge/crjudge.go
@@ -27,15 +27,14 @@
 	// above it, and three successes in a row after one failure lead below.
 	Limit = 0.35
 
-	// usual is the share of targets that are sick at an ordinary moment. The
-	// users see up to a third; half of that keeps the first guess of a fresh
-	// target usable.
+	// usual is the share of targets that are taken to be sick at an ordinary moment.
+	// With more, a target of which nothing is known yet would hardly be used.
 	usual = 0.12
-	// turnover is the time in which a state is forgotten: gray failures of the
-	// users last five to nine seconds.
+	// turnover is the time in which a state is forgotten. Gray failures last for
+	// seconds.
 	turnover = 8 * time.Second
-	// failsSick and failsWell are the shares of failing requests. Gray targets
-	// fail between 0.4 and 0.85 of them, sound ones 0.012.
+	// failsSick and failsWell are the shares of requests that sick and sound targets
+	// fail.
 	failsSick = 0.7
 	failsWell = 0.015
 	// least keeps the probability from growing so small that a burst of
--- a/core/crmesh/peer.go
+++ b/core/crmesh/peer.go
@@ -49,8 +49,7 @@
 // pull fetches from a peer that holds what this daemon has lacked for a while:
 // one of the same domain if there is one, as bytes between domains are dear. Of
 // these each daemon has its own order, and another one at each try. If all took
-// the same peer, its link was full and most of them got nothing in time: of 1,214
-// fetches on a day of losses 464 failed, 57 of them at one peer.
+// the same peer, its link would be full and most of them get nothing in time.
 func (s *State) pull(now crid.Instant) []crevent.Effect {
 	if s.stopping || (s.pulled != 0 && now.Sub(s.pulled) < pullEvery) {
 		return nil
--- /dev/null
+++ b/core/crplace/board.go
@@ -0,0 +1,96 @@
+package crplace
+
+import (
+	"sync"
+	"time"
+
+	"camphorroad/core/crid"
+)
+
+const (
+	// avoidFirst and avoidMost bound the time for which a target is avoided
+	// whose exit did not answer an offer. It doubles with each silence. A cut
+	// of one path lasts some seconds, and each try costs its caller the
+	// timeout of an offer.
+	avoidFirst = 600 * time.Millisecond
+	avoidMost  = 2400 * time.Millisecond
+)
+
+// state is what is known of one target.
+type state struct {
+	told    Told
+	heard   bool
+	load    int
+	silence time.Duration
+	avoid   crid.Instant
+	trial   crid.Instant
+}
+
+// Board is what one daemon knows of all targets. It is safe for concurrent use.
+type Board struct {
+	mu     sync.Mutex
+	states map[crid.Target]*state
+}
+
+// NewBoard returns a board that knows nothing.
+func NewBoard() *Board { return &Board{states: make(map[crid.Target]*state)} }
+
+// Tell notes what an exit told of its target.
+func (b *Board) Tell(t crid.Target, told Told) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.state(t)
+	s.told, s.heard, s.load = told, true, told.Load
+}
+
+// Begin counts a request sent from here since the exit told its load.
+func (b *Board) Begin(t crid.Target) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.state(t).load++
+}
+
+// End counts a request that ended.
+func (b *Board) End(t crid.Target) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.state(t)
+	s.load = max(s.load-1, 0)
+}
+
+// Answered forgets former silences of a target's exit.
+func (b *Board) Answered(t crid.Target) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.state(t)
+	s.silence, s.avoid = 0, 0
+}
+
+// Silent notes that a target's exit did not answer, and avoids it for a while.
+func (b *Board) Silent(now crid.Instant, t crid.Target) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.state(t)
+	s.silence = min(max(2*s.silence, avoidFirst), avoidMost)
+	s.avoid = now.Add(s.silence)
+}
+
+// Keep forgets all targets but the given ones.
+func (b *Board) Keep(targets map[crid.Target]bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for t := range b.states {
+		if !targets[t] {
+			delete(b.states, t)
+		}
+	}
+}
+
+func (b *Board) state(t crid.Target) *state {
+	s := b.states[t]
+	if s == nil {
+		s = &state{}
+		b.states[t] = s
+	}
+	return s
+}
--- a/core/crquota/crquota.go
+++ b/core/crquota/crquota.go
@@ -69,9 +69,8 @@
 const cutSlack = 1.1
 
 // Share is the part of an account's rate that its owner hands out which hears so
-// many daemons, itself included, of a fleet of that size. Without it two halves
-// of a cut fleet handed out the whole rate each: in a soak of six daemons an
-// account of 15 a second ran 140 requests in 5 s, where 132 are allowed.
+// many daemons, itself included, of a fleet of that size. Without it each half of a
+// fleet that is cut in two would hand out the whole rate.
 func Share(heard, size int) float64 {
 	if size <= 0 {
 		return 1
--- a/core/crquota/parts.go
+++ b/core/crquota/parts.go
@@ -15,9 +15,7 @@
 
 // partsStart is how many tokens the parts of all daemons hold at first: a quarter
 // of the slack that the users allow an account, since parts may start anew twice
-// in a window in which the account also has up to three new owners. With 17 an
-// account of 15 a second ran 138 requests in 5 s in a soak of six daemons, where
-// 132 are allowed.
+// in a window in which the account also has up to three new owners.
 const partsStart = 5
 
 // Parts keeps this daemon's parts of accounts whose owner is silent. It is safe
--- a/io/crfeed/crfeed.go
+++ b/io/crfeed/crfeed.go
@@ -3,8 +3,7 @@
 //
 // The store counts and bills each call, and its rate does not grow with the
 // fleet. With two readers a domain the calls that a change costs do not grow with
-// the number of daemons: over five days with trouble of 101 daemons in four domains
-// they were 4,471 to 7,266 a day when each read the store, and 1,985 to 3,197 since.
+// the number of daemons.
 //
 // A daemon whose readers do not answer reads the store itself, so that a reader's
 // fault costs calls and no time.
--- a/io/cringress/dispatch.go
+++ b/io/cringress/dispatch.go
@@ -24,8 +24,7 @@
 	offersMost = 8
 	// silentMost bounds the exits that one request finds silent. Each costs its
 	// timeout; where three did not answer, a large part of the fleet is gone or
-	// this machine is cut off, and the caller is told so within 0.6 s, not after
-	// 1.4 s.
+	// this machine is cut off, and the caller is better told so at once.
 	silentMost = 3
 	// comeBack is the least time after which a refused caller may return.
 	comeBack = 250 * time.Millisecond
