--- a/core/crmesh/crmesh_test.go
+++ b/core/crmesh/crmesh_test.go
@@ -203,12 +203,15 @@
 	return ev
 }
 
-// farBeats counts the beats that two peers of another domain get in half a minute in a
-// fleet of a size: one that offers requests all the time, and one that does nothing.
-func farBeats(n int) (asks, rests int) {
-	s := crmesh.New(params())
+// Peers of another domain: one that offers requests all the time, and one that does
+// nothing.
+const asking, resting = "10.1.0.2", "10.1.0.3"
+
+// farBeats plays half a minute of a daemon in a fleet of a size, and counts the beats that
+// the two far peers get.
+func farBeats(n int) (s *crmesh.State, asks, rests int) {
+	s = crmesh.New(params())
 	s.Step(large(n))
-	const asking, resting = "10.1.0.2", "10.1.0.3"
 	count := map[crid.Daemon]int{}
 	for at := time.Duration(0); at < 30*time.Second; at += 100 * time.Millisecond {
 		now := start.Add(at)
@@ -217,17 +220,20 @@
 			count[d]++
 		}
 	}
-	return count[asking], count[resting]
+	return s, count[asking], count[resting]
 }
 
 // Beats of each daemon to all others grow with the square of the fleet, and bytes
 // between domains are dear. In a large one, only who offers requests hears often.
 func TestFarPeersOfALargeFleetHearOftenOnlyIfTheyOffer(t *testing.T) {
 	g := gomega.NewWithT(t)
-	asks, rests := farBeats(300)
+	s, asks, rests := farBeats(300)
 	g.Expect(asks).To(gomega.BeNumerically(">=", 23))
 	g.Expect(rests).To(gomega.BeNumerically("<=", 5))
 	g.Expect(rests).To(gomega.BeNumerically(">=", 4), "it must not count this daemon as silent")
+	urgent := beats(s.Step(crmesh.Nudge{Now: start.Add(30050 * time.Millisecond)}))
+	g.Expect(urgent).To(gomega.ContainElement(crid.Daemon(asking)))
+	g.Expect(urgent).NotTo(gomega.ContainElement(crid.Daemon(resting)))
 }
 
 // A daemon of a large fleet must not spend its processor on beats.
@@ -316,7 +322,7 @@
 // offers as often as ever.
 func TestFarPeersOfAFleetOfAHundredHearSeldomIfTheyOfferNothing(t *testing.T) {
 	g := gomega.NewWithT(t)
-	asks, rests := farBeats(100)
+	_, asks, rests := farBeats(100)
 	g.Expect(asks).To(gomega.BeNumerically(">=", 23))
 	g.Expect(rests).To(gomega.BeNumerically("<=", 6))
 	g.Expect(rests).To(gomega.BeNumerically(">=", 4), "it must not count this daemon as silent")
