--- a/io/crfeed/crfeed.go
+++ b/io/crfeed/crfeed.go
@@ -10,7 +10,7 @@
 //
 // # Usage
 //
-//	feed := crfeed.New(crfeed.Options{Self: self, Store: store, Peers: peers, Readers: readers, Clock: crclock.Now})
+//	feed := crfeed.New(crfeed.Options{Self: self, Store: store, Peers: peers, Readers: readers, Clock: crclock.Now, Coming: coming, Log: log})
 //	items, at, err := feed.Watch(ctx, crwatch.Records, after, wait)
 //	page := feed.Serve(ctx, held, query)
 package crfeed
@@ -26,6 +26,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"camphorroad/core/crid"
+	"camphorroad/io/crlog"
 	"camphorroad/io/croffer"
 	"camphorroad/io/crwatch"
 )
@@ -85,6 +86,7 @@
 	Readers func() []crid.Daemon // of the own domain; none: not known yet
 	Clock   func() crid.Instant
 	Coming  func() bool // others of the own domain are to be heard for the first time
+	Log     *crlog.Logger
 }
 
 // Feed is a store read by as few daemons as possible. It is safe for concurrent
@@ -225,6 +227,7 @@
 		}
 		switch {
 		case err != nil:
+			f.opts.Log.Event(crlog.ReaderSilent, crlog.Fields{"reader": string(d), "scope": q.Scope.String(), "error": err.Error()})
 			f.rest(d)
 		case page.State == croffer.FeedServed:
 			return items, max(page.At, q.After), nil
--- a/io/crlog/catalogue_mesh.go
+++ b/io/crlog/catalogue_mesh.go
@@ -20,6 +20,7 @@
 	PeerCopied      = 616
 	PeerCopyFailed  = 617
 	ReadersChanged  = 618
+	ReaderSilent    = 619
 	PeerSilent      = 620
 	PeerHeard       = 621
 	TargetJudged    = 630
@@ -88,6 +89,11 @@
 			ReadersChanged, LevelInfo, "readers changed",
 			"daemons of the domain came, went, or are turned away by the store", "the daemons named read the store for the domain", none,
 		},
+		{
+			ReaderSilent, LevelWarn, "reader silent",
+			"a reader of the domain did not answer a question about the store", "another one is asked, or the store itself",
+			"look at the network between the machines if it lasts",
+		},
 		{
 			PeerSilent, LevelWarn, "peers silent",
 			"beats of these peers did not come", "their targets are used last", "look at the network between the machines if it lasts",
--- a/io/crmesh/crmesh.go
+++ b/io/crmesh/crmesh.go
@@ -109,10 +109,11 @@
 	return crbudget.New(crbudget.Params{Ratio: b.Ratio, Slack: b.Slack, Window: b.WindowTime()})
 }
 
-func newFeed(opts Options, loop *loop, peers *croffer.Client) *crfeed.Feed {
+func newFeed(opts Options, loop *loop, peers *croffer.Client, l *crlog.Logger) *crfeed.Feed {
 	return crfeed.New(crfeed.Options{
 		Self: crid.Daemon(opts.Settings.Address), Store: opts.Store, Peers: peers, Clock: crclock.Now,
 		Readers: func() []crid.Daemon { return loop.view.Load().Readers }, Coming: func() bool { return loop.view.Load().Coming },
+		Log: l,
 	})
 }
 
--- a/io/crmesh/meters.go
+++ b/io/crmesh/meters.go
@@ -8,6 +8,7 @@
 
 	"camphorroad/core/crpolicy"
 	"camphorroad/io/cringress"
+	"camphorroad/io/crwatch"
 )
 
 // The samples behind the quantiles favour the last five minutes, as the library
@@ -54,16 +55,18 @@
 // gauges registers what is read when the page is asked for.
 func (d *daemon) gauges() {
 	for name, read := range map[string]func() int64{
-		"target.load":         func() int64 { return int64(d.exit.Told().Load) },
-		"target.slots":        func() int64 { return int64(d.exit.Told().Slots) },
-		"target.sick.percent": func() int64 { return int64(d.exit.Told().Sick * 100) },
-		"requests.open":       d.entry.Open,
-		"peers.silent":        func() int64 { return int64(len(d.loop.view.Load().Silent)) },
-		"peers.alive":         func() int64 { return int64(len(d.loop.view.Load().Daemons) - 1) },
-		"plan.version":        d.planVersion,
-		"store.calls.total":   d.feed.Calls,
-		"feed.asked.total":    d.feed.Asked,
-		"store.faults.total":  d.follower.Faults,
+		"target.load":                            func() int64 { return int64(d.exit.Told().Load) },
+		"target.slots":                           func() int64 { return int64(d.exit.Told().Slots) },
+		"target.sick.percent":                    func() int64 { return int64(d.exit.Told().Sick * 100) },
+		"requests.open":                          d.entry.Open,
+		"peers.silent":                           func() int64 { return int64(len(d.loop.view.Load().Silent)) },
+		"peers.alive":                            func() int64 { return int64(len(d.loop.view.Load().Daemons) - 1) },
+		"plan.version":                           d.planVersion,
+		"store.calls.total":                      d.feed.Calls,
+		"feed.asked.total":                       d.feed.Asked,
+		"store.faults.total":                     d.follower.Faults,
+		"store.records.quiet.milliseconds":       func() int64 { return d.follower.Quiet(crwatch.Records).Milliseconds() },
+		"store.configuration.quiet.milliseconds": func() int64 { return d.follower.Quiet(crwatch.Configuration).Milliseconds() },
 	} {
 		// The library refuses only a name that is taken, which none of these is.
 		_ = d.metrics.Register(name, metrics.NewFunctionalGauge(read))
--- a/io/crwatch/crwatch.go
+++ b/io/crwatch/crwatch.go
@@ -112,6 +112,7 @@
 	values map[Scope]map[string]Item
 	at     map[Scope]crid.Revision
 	faults atomic.Int64
+	heard  map[Scope]crid.Instant            // the last answer, or the start of the scope
 	losses int                               // times that the store was found to have lost history
 	cancel map[Scope]context.CancelCauseFunc // of the scopes' watches
 
@@ -127,6 +128,7 @@
 		opts:   opts,
 		values: map[Scope]map[string]Item{Records: {}, Configuration: {}},
 		at:     make(map[Scope]crid.Revision),
+		heard:  make(map[Scope]crid.Instant),
 		cancel: make(map[Scope]context.CancelCauseFunc),
 
 		packs:   make(map[string]packed),
@@ -138,6 +140,7 @@
 // Run follows a scope until the context ends.
 func (f *Follower) Run(ctx context.Context, scope Scope) error {
 	t := &track{Follower: f, scope: scope}
+	t.answered()
 	for ctx.Err() == nil {
 		if err := t.round(ctx); err != nil && ctx.Err() == nil {
 			t.failed(ctx, err)
@@ -150,6 +153,13 @@
 // reads it.
 func (f *Follower) Faults() int64 { return f.faults.Load() }
 
+// Quiet is the time since a scope was read last, from the store or a reader.
+func (f *Follower) Quiet(scope Scope) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.opts.Clock().Sub(f.heard[scope])
+}
+
 // store keeps raw items; whole says that they are all there are.
 func (f *Follower) store(scope Scope, items []Item, at crid.Revision, whole bool) {
 	if whole {
--- a/io/crwatch/track.go
+++ b/io/crwatch/track.go
@@ -155,15 +155,26 @@
 // succeeded notes that the store has answered. Peers are told so only when its answer
 // is taken in: one that asks before would be served a list without targets.
 func (t *track) succeeded() {
+	quiet := t.answered()
 	t.failing, t.pause = 0, 0
 	if !t.told {
 		return
 	}
 	t.told, t.own = false, false
-	t.opts.Log.Event(crlog.StoreBack, crlog.Fields{"scope": t.scope.String()})
+	t.opts.Log.Event(crlog.StoreBack, crlog.Fields{"scope": t.scope.String(), "quiet": rounded(quiet)})
 	t.mark(false, false)
 }
 
+// answered notes an answer, and returns the time since the one before.
+func (t *track) answered() time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.opts.Clock()
+	quiet := now.Sub(t.heard[t.scope])
+	t.heard[t.scope] = now
+	return quiet
+}
+
 func (t *track) failed(ctx context.Context, err error) {
 	t.faults.Add(1)
 	now := t.opts.Clock()
@@ -186,7 +197,9 @@
 	}
 	t.told, t.own = true, !peers
 	t.setAway(t.scope, true)
-	t.opts.Log.Event(crlog.StoreLost, crlog.Fields{"scope": t.scope.String(), "error": err.Error()})
+	t.opts.Log.Event(crlog.StoreLost, crlog.Fields{
+		"scope": t.scope.String(), "error": err.Error(), "quiet": rounded(t.Quiet(t.scope)),
+	})
 	t.mark(true, peers)
 }
 
@@ -213,3 +226,5 @@
 	case <-timer.C:
 	}
 }
+
+func rounded(d time.Duration) string { return d.Round(time.Millisecond).String() }
