Play a fleet's readers in virtual time through silences of the store

The reading side of a fleet (reducer, followers, feeds) runs in virtual time beside a store that answers nobody for a while; a change that it confirms after its return has to be in force at every daemon 2 s later, and not before 3 s after the return.

--- /dev/null
+++ b/io/crfeed/fleet_test.go
@@ -0,0 +1,331 @@
+package crfeed_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"camphorroad/core/crevent"
+	"camphorroad/core/crid"
+	"camphorroad/core/crmesh"
+	"camphorroad/core/crplan"
+	"camphorroad/core/crregistry"
+	"camphorroad/io/crfeed"
+	"camphorroad/io/crlog"
+	"camphorroad/io/croffer"
+	"camphorroad/io/crwatch"
+)
+
+const (
+	nearDelay   = time.Millisecond        // one way, within a domain
+	farDelay    = 3 * time.Millisecond    // one way, between domains
+	storeDelay  = 2 * time.Millisecond    // one way
+	callTimeout = 1500 * time.Millisecond // of a call of the store, beyond its wait
+	startWithin = 300 * time.Millisecond
+	beatNear    = 400 * time.Millisecond
+	beatFar     = time.Second
+	lapse       = 1600 * time.Millisecond
+	tick        = 100 * time.Millisecond
+)
+
+// silence is a time in which the store answers nobody, or not those named. Calls that
+// wait as it begins get no answer either, however long they wait.
+type silence struct {
+	from, until time.Time
+	only        map[crid.Daemon]bool // nil: all
+}
+
+// backing is a store in virtual time.
+type backing struct {
+	mu       sync.Mutex
+	revision crid.Revision
+	records  []crwatch.Item
+	plan     crwatch.Item
+	changed  chan struct{}
+	silences []silence
+}
+
+func newBacking() *backing { return &backing{changed: make(chan struct{})} }
+
+func (b *backing) publish(version int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.revision++
+	b.plan = crwatch.Item{Key: "plan", Value: []byte(strconv.Itoa(version)), Revision: b.revision}
+	close(b.changed)
+	b.changed = make(chan struct{})
+}
+
+// register adds the record of a daemon's target before the fleet starts.
+func (b *backing) register(d *member) {
+	b.revision++
+	b.records = append(b.records, crwatch.Item{Key: string(d.id), Value: []byte(d.domain), Revision: b.revision})
+}
+
+// mute reports whether a call that came at a time gets no answer now.
+func (b *backing) mute(by crid.Daemon, came time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := time.Now()
+	for _, s := range b.silences {
+		if (s.only == nil || s.only[by]) && !now.Before(s.from) && came.Before(s.until) {
+			return true
+		}
+	}
+	return false
+}
+
+func (b *backing) since(scope crwatch.Scope, after crid.Revision) ([]crwatch.Item, crid.Revision, <-chan struct{}) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var out []crwatch.Item
+	for _, i := range b.items(scope) {
+		if i.Revision > after {
+			out = append(out, i)
+		}
+	}
+	return out, b.revision, b.changed
+}
+
+func (b *backing) items(scope crwatch.Scope) []crwatch.Item {
+	if scope == crwatch.Records {
+		return b.records
+	}
+	return []crwatch.Item{b.plan}
+}
+
+// line is a daemon's way to the store.
+type line struct {
+	*backing
+	by crid.Daemon
+}
+
+func (l line) List(ctx context.Context, scope crwatch.Scope) ([]crwatch.Item, crid.Revision, error) {
+	return l.call(ctx, scope, 0, 0)
+}
+
+func (l line) Watch(ctx context.Context, scope crwatch.Scope, after crid.Revision, wait time.Duration) ([]crwatch.Item, crid.Revision, error) {
+	return l.call(ctx, scope, after, wait)
+}
+
+func (l line) call(ctx context.Context, scope crwatch.Scope, after crid.Revision, wait time.Duration) ([]crwatch.Item, crid.Revision, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+callTimeout)
+	defer cancel()
+	time.Sleep(storeDelay)
+	came := time.Now()
+	end := time.NewTimer(wait)
+	defer end.Stop()
+	for {
+		items, at, changed := l.since(scope, after)
+		if len(items) == 0 && wait > 0 {
+			select {
+			case <-ctx.Done():
+				return nil, 0, ctx.Err()
+			case <-changed:
+				continue
+			case <-end.C:
+			}
+		}
+		if l.mute(l.by, came) {
+			<-ctx.Done()
+			return nil, 0, ctx.Err()
+		}
+		time.Sleep(storeDelay)
+		return items, at, ctx.Err()
+	}
+}
+
+type versions struct{}
+
+func (versions) Record(i crwatch.Item) (crregistry.Record, error) {
+	return crregistry.Record{Target: crid.Target("t-" + i.Key), Service: "s", Address: i.Key + ":1", Domain: crid.Domain(i.Value), Slots: 1}, nil
+}
+
+func (versions) Plan(value []byte) (*crplan.Plan, error) {
+	n, err := strconv.ParseUint(string(value), 10, 64)
+	if err != nil {
+		return nil, err
+	}
+	return crplan.New(n, nil, nil, nil, crplan.Limits{})
+}
+
+// member is a daemon of a fleet in virtual time: its control side without traffic.
+type member struct {
+	id       crid.Daemon
+	domain   crid.Domain
+	fleet    *fleet
+	state    *crmesh.State
+	events   chan crevent.Event
+	view     atomic.Pointer[crmesh.View]
+	feed     *crfeed.Feed
+	follower *crwatch.Follower
+	mu       sync.Mutex
+	inForce  map[uint64]time.Time
+}
+
+// fleet is a number of daemons that read one store.
+type fleet struct {
+	store   *backing
+	members map[crid.Daemon]*member
+	began   time.Time
+}
+
+// newFleet returns a fleet with domains of these sizes.
+func newFleet(sizes ...int) *fleet {
+	f := &fleet{store: newBacking(), members: make(map[crid.Daemon]*member), began: time.Now()}
+	for n, size := range sizes {
+		for i := range size {
+			f.add(crid.Daemon(fmt.Sprintf("10.%d.0.%d", n+1, i+1)), crid.Domain("d"+strconv.Itoa(n)))
+		}
+	}
+	f.store.publish(1)
+	return f
+}
+
+func (f *fleet) now() crid.Instant { return crid.Instant(time.Hour + time.Since(f.began)) }
+
+func (f *fleet) add(id crid.Daemon, domain crid.Domain) {
+	m := &member{id: id, domain: domain, fleet: f, events: make(chan crevent.Event, 1024), inForce: make(map[uint64]time.Time)}
+	m.state = crmesh.New(crmesh.Params{
+		Self: id, Domain: domain, Service: "s", Address: string(id) + ":1", Beat: beatNear, Far: beatFar, Lapse: lapse,
+	})
+	m.view.Store(&crmesh.View{Size: 1, Known: 1, Heard: 1})
+	log := crlog.New(io.Discard, "info", string(id))
+	m.feed = crfeed.New(crfeed.Options{
+		Self: id, Store: line{f.store, id}, Peers: m, Clock: f.now, Log: log,
+		Readers: func() []crid.Daemon { return m.view.Load().Readers }, Coming: func() bool { return m.view.Load().Coming },
+	})
+	m.follower = crwatch.New(crwatch.Options{
+		Store: m.feed, Decoder: versions{}, Clock: f.now, Emit: m.emit, Log: log, Lookers: func() int { return m.view.Load().Lookers },
+	})
+	f.members[id] = m
+	f.store.register(m)
+}
+
+// run plays the fleet for a time.
+func (f *fleet) run(t *testing.T, d time.Duration) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), d)
+	defer cancel()
+	var tasks sync.WaitGroup
+	for _, m := range f.members {
+		delay := rand.N(startWithin)
+		tasks.Go(func() { m.loop(ctx) })
+		for _, scope := range []crwatch.Scope{crwatch.Records, crwatch.Configuration} {
+			tasks.Go(func() {
+				time.Sleep(delay)
+				if err := m.follower.Run(ctx, scope); err != nil {
+					t.Error(err)
+				}
+			})
+		}
+	}
+	tasks.Wait()
+	time.Sleep(time.Minute) // what is still on its way
+}
+
+func (m *member) emit(ev crevent.Event) { m.events <- ev }
+
+func (m *member) loop(ctx context.Context) {
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case ev := <-m.events:
+			m.step(ctx, ev)
+		case <-ticker.C:
+			m.step(ctx, crevent.Tick{Now: m.fleet.now()})
+		}
+	}
+}
+
+func (m *member) step(ctx context.Context, ev crevent.Event) {
+	for _, eff := range m.state.Step(ev) {
+		switch eff := eff.(type) {
+		case crmesh.UseView:
+			m.use(eff.View)
+		case crmesh.SendBeat:
+			m.beat(eff)
+		case crmesh.Pull:
+			go m.pull(ctx, eff.From)
+		}
+	}
+}
+
+func (m *member) use(v *crmesh.View) {
+	m.view.Store(v)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if v.Plan != nil && m.inForce[v.Plan.Version()].IsZero() {
+		m.inForce[v.Plan.Version()] = time.Now()
+	}
+}
+
+// took returns when a version or a later one was in force first; zero: never.
+func (m *member) took(version int) time.Time {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var first time.Time
+	for v, at := range m.inForce {
+		if v >= uint64(version) && (first.IsZero() || at.Before(first)) {
+			first = at
+		}
+	}
+	return first
+}
+
+func (m *member) delay(d *member) time.Duration {
+	if m.domain == d.domain {
+		return nearDelay
+	}
+	return farDelay
+}
+
+func (m *member) beat(eff crmesh.SendBeat) {
+	for _, id := range eff.To {
+		d := m.fleet.members[id]
+		b := crmesh.Beat{
+			Incarnation: 1, Target: crid.Target("t-" + m.id), Slots: 1, Stopping: eff.Stopping, Lost: eff.Lost,
+			Version: eff.Version, Revision: eff.Revision,
+		}
+		time.AfterFunc(m.delay(d), func() {
+			select {
+			case d.events <- crmesh.Heard{Now: m.fleet.now(), From: m.id, Beat: b}:
+			default:
+			}
+		})
+	}
+}
+
+func (m *member) pull(ctx context.Context, from crid.Daemon) {
+	d := m.fleet.members[from]
+	have := m.follower.Have()
+	time.Sleep(2 * m.delay(d))
+	if ctx.Err() != nil {
+		return
+	}
+	_ = m.follower.Take(d.follower.Copy(have)) // what this store holds can be decoded
+}
+
+var errSilent = errors.New("no answer")
+
+// Feed implements crfeed.Peers.
+func (m *member) Feed(ctx context.Context, id crid.Daemon, q croffer.FeedQuery) (croffer.FeedPage, error) {
+	d := m.fleet.members[id]
+	if d == nil {
+		return croffer.FeedPage{}, errSilent
+	}
+	time.Sleep(m.delay(d))
+	page := d.feed.Serve(ctx, d.follower, q)
+	time.Sleep(m.delay(d))
+	return page, ctx.Err()
+}
