Renew waiting watches when a peer, or another watch, finds the store silent

Cause, the part that stood: each watch that a silence has swallowed is noticed by its own daemon alone, and by its own scope alone, when its wait (4 s with eight readers) and 1.5 s more are over. Change: a call that times out makes its daemon hold the store for lost at once and send the other scope's watch anew; a peer that newly says that the store is lost, or that holds what this daemon has to fetch, makes it send both anew (effect Renew, once a second at most). A renewed watch waits 200 ms, so that one sent into a silence that goes on costs little. Ruled out: keep-alive of connections. They are set, and the logs show watches that were lost for all their wait beside a store that is silent but connected. The tests of the effect and of the follower fail to build before.

--- a/core/crmesh/crmesh.go
+++ b/core/crmesh/crmesh.go
@@ -36,6 +36,9 @@
 	pullAfter = 600 * time.Millisecond
 	// pullEvery is the least time between two fetches.
 	pullEvery = 400 * time.Millisecond
+	// renewEvery is the least time between two renewals of the watches: each costs
+	// a reader two calls of the store.
+	renewEvery = time.Second
 	// urgentEvery is the least time between two urgent beats. A target whose
 	// judgement trembles would else cost a beat to every peer an answer.
 	urgentEvery = 50 * time.Millisecond
@@ -82,6 +85,7 @@
 	peers    map[crid.Daemon]*peer
 	pulled   crid.Instant
 	pulls    int
+	renewed  crid.Instant
 	urged    crid.Instant
 	nudged   bool
 	stopping bool
@@ -193,6 +197,7 @@
 		s.peers[ev.From] = p
 	}
 	fresh := p.heard == 0 || p.isSilent || !alike(p.beat, ev.Beat)
+	lost := p.heard != 0 && ev.Beat.Lost && !p.beat.Lost
 	p.heard, p.beat, p.isSilent, p.missing, p.dumb = ev.Now, ev.Beat, false, false, false
 	s.noteAhead(ev.Now, p)
 	effects := make([]crevent.Effect, 0, 3)
@@ -202,6 +207,9 @@
 	if fresh {
 		effects = append(effects, s.view(ev.Now))
 	}
+	if lost {
+		effects = append(effects, s.renew(ev.Now)...)
+	}
 	return append(effects, s.pull(ev.Now)...)
 }
 
--- a/core/crmesh/crmesh_test.go
+++ b/core/crmesh/crmesh_test.go
@@ -67,6 +67,16 @@
 	return out
 }
 
+func renewals(effects []crevent.Effect) int {
+	n := 0
+	for _, e := range effects {
+		if _, ok := e.(crmesh.Renew); ok {
+			n++
+		}
+	}
+	return n
+}
+
 func beats(effects []crevent.Effect) []crid.Daemon {
 	var out []crid.Daemon
 	for _, e := range effects {
--- a/core/crmesh/event.go
+++ b/core/crmesh/event.go
@@ -129,6 +129,8 @@
 	}
 	// Pull fetches plan and list from a peer.
 	Pull struct{ From crid.Daemon }
+	// Renew sends the watches anew that wait for changes: they may be deaf.
+	Renew struct{}
 )
 
 // EffectName implements crevent.Effect.
@@ -143,6 +145,9 @@
 // EffectName implements crevent.Effect.
 func (Pull) EffectName() string { return "pull" }
 
+// EffectName implements crevent.Effect.
+func (Renew) EffectName() string { return "renew" }
+
 // View is what traffic reads. It is immutable.
 type View struct {
 	Plan     *crplan.Plan // nil: none yet
--- a/core/crmesh/peer.go
+++ b/core/crmesh/peer.go
@@ -68,7 +68,18 @@
 	}
 	s.pulled = now
 	s.pulls++
-	return []crevent.Effect{Pull{From: best}}
+	return append(s.renew(now), Pull{From: best})
+}
+
+// renew sends this daemon's own watches anew when there is reason to hold them for
+// deaf: a peer finds that the store is silent, or knows what they should have told.
+// Each of them would else find out by itself, when its wait is over.
+func (s *State) renew(now crid.Instant) []crevent.Effect {
+	if s.renewed != 0 && now.Sub(s.renewed) < renewEvery {
+		return nil
+	}
+	s.renewed = now
+	return []crevent.Effect{Renew{}}
 }
 
 // sooner reports whether a peer is fetched from before another one.
--- a/core/crmesh/reader_test.go
+++ b/core/crmesh/reader_test.go
@@ -288,3 +288,29 @@
 	v := view(s.Step(crmesh.Heard{Now: start, From: "10.0.0.3", Beat: crmesh.Beat{Revision: 2}}))
 	g.Expect(v.Coming).To(gomega.BeFalse())
 }
+
+// The store has lost all daemons' watches, and each finds out only when its own wait is over.
+func TestAPeerThatLosesTheStoreRenewsTheWatches(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := crmesh.New(params())
+	s.Step(listed())
+	hear := func(after time.Duration, lost bool) int {
+		return renewals(s.Step(crmesh.Heard{Now: start.Add(after), From: "10.0.0.2", Beat: crmesh.Beat{Lost: lost, Revision: 5}}))
+	}
+	g.Expect(hear(0, true)).To(gomega.BeZero(), "a peer heard for the first time may have lost it long ago")
+	g.Expect(hear(time.Second, false)).To(gomega.BeZero())
+	g.Expect(hear(2*time.Second, true)).To(gomega.Equal(1))
+	g.Expect(hear(2100*time.Millisecond, true)).To(gomega.BeZero(), "told already")
+	g.Expect(hear(2200*time.Millisecond, false)).To(gomega.BeZero())
+	g.Expect(hear(2300*time.Millisecond, true)).To(gomega.BeZero(), "not again at once")
+}
+
+// A peer holds what this daemon's own watch should have told long ago.
+func TestWhatHasToBeFetchedRenewsTheWatches(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := crmesh.New(params())
+	s.Step(listed())
+	newer := crmesh.Heard{Now: start, From: "10.0.0.2", Beat: crmesh.Beat{Version: 9, Revision: 5}}
+	g.Expect(renewals(s.Step(newer))).To(gomega.BeZero())
+	g.Expect(renewals(s.Step(crevent.Tick{Now: start.Add(700 * time.Millisecond)}))).To(gomega.Equal(1))
+}
--- a/io/crfeed/fleet_test.go
+++ b/io/crfeed/fleet_test.go
@@ -257,6 +257,8 @@
 			m.beat(eff)
 		case crmesh.Pull:
 			go m.pull(ctx, eff.From)
+		case crmesh.Renew:
+			m.follower.Renew()
 		}
 	}
 }
--- a/io/crmesh/loop.go
+++ b/io/crmesh/loop.go
@@ -105,6 +105,8 @@
 			d.board.Tell(eff.Target, eff.Told)
 		case crmesh.Pull:
 			go d.pull(ctx, eff.From)
+		case crmesh.Renew:
+			d.follower.Renew()
 		}
 	}
 }
--- a/io/crwatch/crwatch.go
+++ b/io/crwatch/crwatch.go
@@ -114,7 +114,7 @@
 	faults atomic.Int64
 	heard  map[Scope]crid.Instant            // the last answer, or the start of the scope
 	losses int                               // times that the store was found to have lost history
-	cancel map[Scope]context.CancelCauseFunc // of the scopes' watches
+	cancel map[Scope]context.CancelCauseFunc // of the scopes' long watches
 
 	history history           // of the records
 	packs   map[string]packed // by key
@@ -149,6 +149,24 @@
 	return nil
 }
 
+// errRenewed ends a watch that is to be sent anew.
+var errRenewed = errors.New("the watch is sent anew")
+
+// Renew sends the watches anew that wait for changes. One whose answer will never
+// come leaves this daemon deaf until its wait is over.
+func (f *Follower) Renew() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.interrupt(errRenewed)
+}
+
+// interrupt ends the watches that wait. The caller holds the lock.
+func (f *Follower) interrupt(cause error) {
+	for _, cancel := range f.cancel {
+		cancel(cause)
+	}
+}
+
 // Faults is the number of calls that failed, of the store or of a peer that
 // reads it.
 func (f *Follower) Faults() int64 { return f.faults.Load() }
--- a/io/crwatch/track.go
+++ b/io/crwatch/track.go
@@ -19,6 +19,7 @@
 	seen    int // of the losses, when it was listed
 	after   crid.Revision
 	inTurn  bool         // the daemons' watches of this scope end one after the other
+	renewed bool         // the last watch was ended to be sent anew
 	failing crid.Instant // since when calls fail; zero: they do not
 	told    bool         // that the store is away
 	own     bool         // told so by calls of this daemon's own
@@ -30,11 +31,13 @@
 		return t.list(ctx)
 	}
 	items, at, err := t.watch(ctx)
-	if errors.Is(err, ErrCompacted) {
+	switch {
+	case errors.Is(err, errInterrupted):
+		return nil
+	case errors.Is(err, ErrCompacted):
 		t.lostHistory()
 		return nil
-	}
-	if err != nil {
+	case err != nil:
 		return err
 	}
 	t.succeeded()
@@ -60,16 +63,24 @@
 	t.store(t.scope, nil, at, false)
 }
 
-// watch waits for changes, or until another scope finds that history was lost.
+// errInterrupted tells that a watch ended before its time, without an answer.
+var errInterrupted = errors.New("the watch was interrupted")
+
+// watch waits for changes, or until it is interrupted.
 func (t *track) watch(ctx context.Context) ([]Item, crid.Revision, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	t.mu.Lock()
-	t.cancel[t.scope] = cancel
-	t.mu.Unlock()
-	items, at, err := t.opts.Store.Watch(ctx, t.scope, t.after, t.waitTime())
-	if err != nil && errors.Is(context.Cause(ctx), ErrCompacted) {
-		return nil, 0, nil
+	wait := t.waitTime()
+	if wait > waitLeast {
+		t.mu.Lock()
+		t.cancel[t.scope] = cancel
+		t.mu.Unlock()
+	}
+	items, at, err := t.opts.Store.Watch(ctx, t.scope, t.after, wait)
+	cause := context.Cause(ctx)
+	if err != nil && (errors.Is(cause, ErrCompacted) || errors.Is(cause, errRenewed)) {
+		t.renewed = true
+		return nil, 0, errInterrupted
 	}
 	return items, at, err
 }
@@ -82,7 +93,8 @@
 // keep this daemon deaf for seconds after the store is back, beyond the time in
 // which a new configuration has to be in force.
 func (t *track) waitTime() time.Duration {
-	if t.failing != 0 {
+	if t.failing != 0 || t.renewed {
+		t.renewed = false
 		return waitLeast
 	}
 	turn := min(lookEvery*time.Duration(max(t.opts.Lookers(), 1)), waitMost)
@@ -99,11 +111,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.losses++
-	for scope, cancel := range t.cancel {
-		if scope != t.scope {
-			cancel(ErrCompacted)
-		}
-	}
+	t.interrupt(ErrCompacted)
 }
 
 // upToDate reports whether the scope was listed since history was lost last.
@@ -181,7 +189,11 @@
 	if t.failing == 0 {
 		t.failing = now
 	}
-	if now.Sub(t.failing) >= lostAfter || errors.Is(err, ErrAway) {
+	silent := errors.Is(err, context.DeadlineExceeded)
+	if silent {
+		t.Renew()
+	}
+	if silent || now.Sub(t.failing) >= lostAfter || errors.Is(err, ErrAway) {
 		t.lost(err)
 	}
 	t.pause = min(max(2*t.pause, retryFirst), retryMost)
