Draw the wait of each watch, so that readers take turns

Cause: the watches of a fleet are to end one after the other, so that one soon finds out what the store does not tell. A draw after each change was to spread them. A daemon that reads through others used its draw up on a question to them, and as a reader waited a whole turn from then on: all readers of a fleet start to read at one moment, when its start is over, and their watches ended together. Seen in a play in virtual time: after a loss at 0 s the first four watches ended without an answer at 2.71, 2.73, 2.79 and 2.81 s, and none before. Change: each wait is drawn, half a turn to one and a half. Ruled out: turns by rank. A daemon knows the readers of its own domain only. TestWaitsAreDrawnAnew fails before.

--- a/io/crwatch/renew_test.go
+++ b/io/crwatch/renew_test.go
@@ -86,6 +86,24 @@
 	})
 }
 
+// Watches of a fleet that all end at one moment leave it deaf for a whole turn.
+func TestWaitsAreDrawnAnew(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := newMute()
+	play(t, s, 100*turn, func(*crwatch.Follower) {})
+	short, long := 0, 0
+	for _, wait := range s.waits[crwatch.Records] {
+		g.Expect(wait).To(gomega.BeNumerically("~", turn, turn/2))
+		if wait < turn {
+			short++
+		} else {
+			long++
+		}
+	}
+	g.Expect(short).To(gomega.BeNumerically(">", 20))
+	g.Expect(long).To(gomega.BeNumerically(">", 20))
+}
+
 // A watch whose answer is lost keeps its daemon deaf although others know that it is lost.
 func TestRenewSendsWaitingWatchesAnew(t *testing.T) {
 	g := gomega.NewWithT(t)
--- a/io/crwatch/track.go
+++ b/io/crwatch/track.go
@@ -18,7 +18,6 @@
 	listed  bool
 	seen    int // of the losses, when it was listed
 	after   crid.Revision
-	inTurn  bool         // the daemons' watches of this scope end one after the other
 	renewed bool         // the last watch was ended to be sent anew
 	failing crid.Instant // since when calls fail; zero: they do not
 	told    bool         // that the store is away
@@ -48,7 +47,6 @@
 	if len(items) == 0 {
 		t.reached(at)
 	} else {
-		t.inTurn = false
 		t.take(items, at, false)
 	}
 	t.setAway(t.scope, false)
@@ -86,7 +84,9 @@
 }
 
 // waitTime is how long the next watch waits. A change ends all daemons' watches
-// at one moment; the first one after it is drawn, so that they take turns again.
+// at one moment; the waits are drawn, so that they take turns again. Of many watches
+// one soon ends without an answer where the store has lost them all, and its daemon
+// tells the others.
 //
 // While calls fail, a watch is to find out whether the store answers again. One that
 // is sent while the store is silent gets no answer later either, and a long one would
@@ -97,12 +97,8 @@
 		t.renewed = false
 		return waitLeast
 	}
-	turn := min(lookEvery*time.Duration(max(t.opts.Lookers(), 1)), waitMost)
-	if t.inTurn {
-		return turn
-	}
-	t.inTurn = true
-	return waitLeast + rand.N(max(turn-waitLeast, 1))
+	turn := min(lookEvery*time.Duration(max(t.opts.Lookers(), 1)), waitMost*2/3)
+	return turn/2 + rand.N(turn)
 }
 
 // lostHistory has all scopes listed anew: the others' waiting watches may be
@@ -130,7 +126,7 @@
 		return err
 	}
 	t.succeeded()
-	t.listed, t.after, t.seen, t.inTurn = true, at, losses, false
+	t.listed, t.after, t.seen = true, at, losses
 	t.take(items, at, true)
 	t.setAway(t.scope, false)
 	if at == 0 {
