Give a silent watch up after 0.7 s beyond its wait

Cause: a watch got 1.5 s beyond its wait before it counted as failed, half of the three seconds after a silence in which the whole fleet has to be up to date. Change: 0.7 s; the watch after one that was given up gets the client's 1.5 s, and so on by turns, so that a slow store is still read. The slowest that the site files have takes 0.33 s an answer. TestEachOtherWatchOfASilentStoreIsGivenUpEarly fails before.

--- a/io/crfeed/crfeed.go
+++ b/io/crfeed/crfeed.go
@@ -46,6 +46,9 @@
 	// them all. It is a part of the two seconds in which a change must be in
 	// force.
 	gather = 500 * time.Millisecond
+	// answerTime is how long the answer to a watch may take beyond its wait before the
+	// watch is given up early.
+	answerTime = 700 * time.Millisecond
 	// lookTime is the least time between a daemon's own calls while its readers
 	// say that the store is away and it answers this daemon neither.
 	lookTime = 2 * time.Second
@@ -101,6 +104,7 @@
 	looked map[crwatch.Scope]crid.Instant // the last own call while the readers said that the store is away
 	news   map[crwatch.Scope]crid.Instant // when the store told changes last
 	read   map[crwatch.Scope]crid.Instant // the last call
+	gaveUp map[crwatch.Scope]bool         // the last watch was given up early
 	alone  crid.Instant                   // until when no reader is asked
 	ending context.Context                //nolint:containedctx // ends what waits here for peers
 	end    context.CancelFunc
@@ -113,7 +117,8 @@
 	ending, end := context.WithCancel(context.Background())
 	return &Feed{
 		opts: opts, began: opts.Clock(), rests: make(map[crid.Daemon]crid.Instant), looked: make(map[crwatch.Scope]crid.Instant),
-		news: make(map[crwatch.Scope]crid.Instant), read: make(map[crwatch.Scope]crid.Instant), ending: ending, end: end,
+		news: make(map[crwatch.Scope]crid.Instant), read: make(map[crwatch.Scope]crid.Instant), gaveUp: make(map[crwatch.Scope]bool),
+		ending: ending, end: end,
 	}
 }
 
@@ -152,7 +157,7 @@
 		return nil, 0, err
 	}
 	f.call(scope)
-	items, at, err = f.opts.Store.Watch(ctx, scope, after, f.lookWait(scope, wait))
+	items, at, err = f.direct(ctx, scope, after, f.lookWait(scope, wait))
 	f.answered(scope, err)
 	if len(items) > 0 {
 		f.told(scope)
@@ -160,6 +165,29 @@
 	return items, at, err
 }
 
+// direct watches the store itself. A watch that is given up early is followed by one
+// with all the time of the store's client, so that a slow store is still read.
+func (f *Feed) direct(ctx context.Context, scope crwatch.Scope, after crid.Revision, wait time.Duration) ([]crwatch.Item, crid.Revision, error) {
+	early := f.early(scope)
+	if early {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, wait+answerTime)
+		defer cancel()
+	}
+	items, at, err := f.opts.Store.Watch(ctx, scope, after, wait)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.gaveUp[scope] = early && errors.Is(err, context.DeadlineExceeded)
+	return items, at, err
+}
+
+// early reports whether the next watch is to be given up early.
+func (f *Feed) early(scope crwatch.Scope) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return !f.gaveUp[scope]
+}
+
 // pause waits until the store may be watched again after changes.
 func (f *Feed) pause(ctx context.Context, scope crwatch.Scope) error {
 	f.mu.Lock()
--- a/io/crfeed/outage_test.go
+++ b/io/crfeed/outage_test.go
@@ -1,12 +1,19 @@
 package crfeed_test
 
 import (
+	"context"
+	"io"
 	"math/rand/v2"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/onsi/gomega"
+
 	"camphorroad/core/crid"
+	"camphorroad/io/crfeed"
+	"camphorroad/io/crlog"
+	"camphorroad/io/crwatch"
 )
 
 const (
@@ -18,6 +25,8 @@
 	settled = 12 * time.Second
 	// played is the time of a play.
 	played = 35 * time.Second
+	// plays is the number of plays of a test.
+	plays = 20
 )
 
 // lateness is by how much the last daemon was late with a change.
@@ -27,15 +36,33 @@
 	late    time.Duration
 }
 
-// outage plays a fleet whose store falls silent once, with changes in series after
-// its return, and returns the change that was in force last, by its bound.
-func outage(t *testing.T, seed uint64, shortest, longest time.Duration, sizes ...int) lateness {
+// trouble is how often, and for how long, a store falls silent.
+type trouble struct {
+	times             int
+	shortest, longest time.Duration
+}
+
+// silences draws the times in which the store is silent.
+func (o trouble) silences(r *rand.Rand, began time.Time) []silence {
+	draw := func(least, most time.Duration) time.Duration { return least + time.Duration(r.Int64N(int64(most-least))) }
+	at := began.Add(draw(settled, settled+5*time.Second))
+	out := make([]silence, 0, o.times)
+	for range o.times {
+		until := at.Add(draw(o.shortest, o.longest))
+		out = append(out, silence{from: at, until: until})
+		at = until.Add(draw(0, 2*time.Second))
+	}
+	return out
+}
+
+// outage plays a fleet whose store falls silent, with changes in series after its
+// return, and returns the change that was in force last, by its bound.
+func outage(t *testing.T, seed uint64, o trouble, sizes ...int) lateness {
 	t.Helper()
 	r := rand.New(rand.NewPCG(seed, 0))
 	f := newFleet(sizes...)
-	from := f.began.Add(settled + time.Duration(r.Int64N(int64(5*time.Second))))
-	until := from.Add(shortest + time.Duration(r.Int64N(int64(longest-shortest))))
-	f.store.silences = []silence{{from: from, until: until}}
+	f.store.silences = o.silences(r, f.began)
+	until := f.store.silences[o.times-1].until
 	var confirmed []time.Time
 	at := until.Add(100 * time.Millisecond)
 	for at.Before(until.Add(calmTime)) {
@@ -65,11 +92,11 @@
 }
 
 // outages plays a number of outages and reports each in which a change was late.
-func outages(t *testing.T, plays int, shortest, longest time.Duration) {
+func outages(t *testing.T, o trouble) {
 	t.Helper()
 	for seed := range uint64(plays) {
 		var worst lateness
-		synctest.Test(t, func(t *testing.T) { worst = outage(t, seed, shortest, longest, 7, 7, 4, 4) })
+		synctest.Test(t, func(t *testing.T) { worst = outage(t, seed, o, 7, 7, 4, 4) })
 		if worst.late > 0 {
 			t.Errorf("seed %d: %s had version %d in force %v late", seed, worst.daemon, worst.version, worst.late)
 		}
@@ -78,10 +105,38 @@
 
 // Watches sent into a silent store leave their readers deaf long after its return.
 func TestAChangeIsInForceInTimeAfterALongSilence(t *testing.T) {
-	outages(t, 20, 4*time.Second, 7*time.Second)
+	outages(t, trouble{times: 1, shortest: 4 * time.Second, longest: 7 * time.Second})
 }
 
 // Watches that a short silence swallowed leave their readers deaf until their wait is over.
 func TestAChangeIsInForceInTimeAfterAShortSilence(t *testing.T) {
-	outages(t, 20, time.Millisecond, 2*time.Second)
+	outages(t, trouble{times: 1, shortest: time.Millisecond, longest: 2 * time.Second})
+}
+
+// hang answers no watch for as long as its client waits.
+type hang struct{ store }
+
+func (h *hang) Watch(ctx context.Context, _ crwatch.Scope, _ crid.Revision, wait time.Duration) ([]crwatch.Item, crid.Revision, error) {
+	h.calls++
+	ctx, cancel := context.WithTimeout(ctx, wait+callTimeout)
+	defer cancel()
+	<-ctx.Done()
+	return nil, 0, ctx.Err()
+}
+
+// A silent store is noticed late, or a slow one never read, if all watches are given the same time.
+func TestEachOtherWatchOfASilentStoreIsGivenUpEarly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		feed := crfeed.New(crfeed.Options{
+			Self: "self", Store: &hang{}, Peers: &peers{}, Readers: func() []crid.Daemon { return []crid.Daemon{"self"} },
+			Clock: func() crid.Instant { return start }, Coming: func() bool { return false }, Log: crlog.New(io.Discard, "info", "self"),
+		})
+		for _, took := range []time.Duration{1700 * time.Millisecond, 2500 * time.Millisecond, 1700 * time.Millisecond} {
+			began := time.Now()
+			_, _, err := feed.Watch(t.Context(), crwatch.Records, 4, time.Second)
+			g.Expect(err).To(gomega.MatchError(context.DeadlineExceeded))
+			g.Expect(time.Since(began)).To(gomega.Equal(took))
+		}
+	})
 }
