--- a/io/crfeed/outage_test.go
+++ b/io/crfeed/outage_test.go
@@ -44,7 +44,9 @@
 
 // silences draws the times in which the store is silent.
 func (o trouble) silences(r *rand.Rand, began time.Time) []silence {
-	draw := func(least, most time.Duration) time.Duration { return least + time.Duration(r.Int64N(int64(most-least))) }
+	draw := func(least, most time.Duration) time.Duration {
+		return least + time.Duration(r.Int64N(int64(most-least)))
+	}
 	at := began.Add(draw(settled, settled+5*time.Second))
 	out := make([]silence, 0, o.times)
 	for range o.times {
@@ -113,6 +115,11 @@
 	outages(t, trouble{times: 1, shortest: time.Millisecond, longest: 2 * time.Second})
 }
 
+// Pauses after each silent call add up while the store falls silent again and again.
+func TestAChangeIsInForceInTimeAfterSilencesInSeries(t *testing.T) {
+	outages(t, trouble{times: 4, shortest: time.Millisecond, longest: time.Second})
+}
+
 // hang answers no watch for as long as its client waits.
 type hang struct{ store }
 
--- a/io/crwatch/renew_test.go
+++ b/io/crwatch/renew_test.go
@@ -140,3 +140,19 @@
 	}
 	g.Expect(first[crwatch.Records]).To(gomega.BeTemporally("~", first[crwatch.Configuration], 100*time.Millisecond))
 }
+
+// A pause after each watch that found the store silent keeps its daemon deaf after the store's return.
+func TestASilentStoreIsAskedAgainAtOnce(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := newMute()
+	play(t, s, 10*turn, func(*crwatch.Follower) { s.fallSilent() })
+	began, waits := s.began[crwatch.Records], s.waits[crwatch.Records]
+	silent := 0
+	for i := range waits[1:] {
+		if waits[i] == 200*time.Millisecond && waits[i+1] == 200*time.Millisecond {
+			silent++
+			g.Expect(began[i+1].Sub(began[i])).To(gomega.BeNumerically("<=", 1300*time.Millisecond))
+		}
+	}
+	g.Expect(silent).To(gomega.BeNumerically(">", 5))
+}
