Let a settled reader's watch wait 4 s at serve, too

Where a silence of the platform, however short, swallows the watches of a domain's two readers, and of all domains, a change is in force after up to 35 s; the size to design for allows 9 s. Evidence: TestAChangeIsInForceInTimeAfterASilentPlatform, a silence of a second in fleets of 3, 12 and 120, fails before (not in force after 9 s). Change: a settled reader's watch waits 4 s and may take 1.5 s more; the effect tells the time of the whole call, so that shell and reducer give up at one moment. A daemon that reads on its share of the rate spends half of the share on watches, at least 4 s each. Ruled out: 4 s for all that read.

--- a/core/crconfig/effect.go
+++ b/core/crconfig/effect.go
@@ -26,10 +26,11 @@
 const ManifestName = "manifest"
 
 // WatchPlatform asks the shell to wait for a head newer than After. With a
-// Wait of zero it is a plain read.
+// Wait of zero it is a plain read. Timeout bounds the whole call.
 type WatchPlatform struct {
-	After crid.Revision
-	Wait  time.Duration
+	After   crid.Revision
+	Wait    time.Duration
+	Timeout time.Duration
 }
 
 // EffectName implements crevent.Effect.
--- a/core/crconfig/fault_test.go
+++ b/core/crconfig/fault_test.go
@@ -341,3 +341,17 @@
 		t.Errorf("%d calls in one second, more than %d", later, limit)
 	}
 }
+
+// applyTime is the time in which what was published has to be in force everywhere.
+const applyTime = 9 * time.Second
+
+// Watches that a short silence swallowed leave their readers deaf until their wait is over.
+func TestAChangeIsInForceInTimeAfterASilentPlatform(t *testing.T) {
+	for _, n := range []int{3, 12, 120} {
+		f := settled(t, n, 3)
+		f.plat.silent = true
+		f.run(time.Second)
+		f.plat.silent = false
+		f.until(t, f.plat.publish(content{Keys: []string{"new"}}), applyTime)
+	}
+}
--- a/core/crconfig/fleet_test.go
+++ b/core/crconfig/fleet_test.go
@@ -282,6 +282,9 @@
 }
 
 func (f *fleet) reply(d crid.Daemon, a answer) {
+	if f.plat.silent {
+		return
+	}
 	a.away = f.plat.away || f.plat.cutFrom[d]
 	f.post(2*hop, d, a)
 }
@@ -369,6 +372,10 @@
 	if w == nil {
 		return
 	}
+	if f.plat.silent {
+		life.waits = nil
+		return
+	}
 	head := f.plat.head()
 	if f.plat.away || f.plat.cutFrom[d] || head.Rev != w.after || f.now >= w.until {
 		life.waits = nil
--- a/core/crconfig/params.go
+++ b/core/crconfig/params.go
@@ -19,8 +19,9 @@
 	PushBytes    int           // of values in one message
 	PushItems    int           // instances in one message
 	ReadsPerTick int           // platform calls per 50 ms of a settled reader
-	ReadTimeout  time.Duration // of one platform call, beside a watch's wait
-	WatchWait    time.Duration // for which a watch may wait
+	ReadTimeout  time.Duration // of one platform call other than a watch
+	ReaderWait   time.Duration // for which a settled reader's watch waits: a silence leaves its domain deaf for as long
+	AnswerTime   time.Duration // of a watch, beyond its wait
 	Fleet        int           // daemons that may start, or lose their peers, at once
 	PlatformRate int           // platform calls a second that all but the settled readers may make together
 	Settle       time.Duration // for which a rank must last before the watch starts
@@ -46,7 +47,8 @@
 		PushItems:    400,
 		ReadsPerTick: 2,
 		ReadTimeout:  5 * time.Second,
-		WatchWait:    30 * time.Second,
+		ReaderWait:   4 * time.Second,
+		AnswerTime:   1500 * time.Millisecond,
 		Fleet:        6000,
 		PlatformRate: 1200,
 		Settle:       2 * time.Second,
--- a/core/crconfig/platform_test.go
+++ b/core/crconfig/platform_test.go
@@ -12,7 +12,8 @@
 	values  map[crconfig.Digest][]byte
 	list    crinstance.List
 	away    bool
-	back    int // serves a head this many changes old
+	silent  bool // takes calls, and answers none of those that wait or come
+	back    int  // serves a head this many changes old
 	calls   int
 	pages   int // calls that the list takes
 	perSec  map[int]int
--- a/core/crconfig/reader.go
+++ b/core/crconfig/reader.go
@@ -72,7 +72,7 @@
 // on the platform's limit.
 func (s *State) spendOn(cost float64) bool {
 	w := &s.watch
-	if w.reader && !w.limited {
+	if s.isSettled() {
 		if w.budget <= 0 {
 			return false
 		}
@@ -238,16 +238,31 @@
 	if w.busy || now.Before(w.notBefore) || (!w.reader && !starting) || !s.spend() {
 		return
 	}
-	wait := time.Duration(0)
-	if w.reader {
-		wait = s.params.WatchWait
-	}
+	wait := s.watchWait()
+	timeout := wait + s.params.AnswerTime
 	w.busy = true
-	w.due = now.Add(wait + s.params.ReadTimeout)
+	w.due = now.Add(timeout)
 	w.after = max(s.conf.rev, s.list.Revision(), w.seen)
-	s.emit(WatchPlatform{After: w.after, Wait: wait})
+	s.emit(WatchPlatform{After: w.after, Wait: wait, Timeout: timeout})
+}
+
+// watchWait is how long the next watch waits. A daemon that has only a share of the
+// platform's rate spends no more than half of it on watches, since it reads values
+// within the same share.
+func (s *State) watchWait() time.Duration {
+	switch {
+	case s.isSettled():
+		return s.params.ReaderWait
+	case s.watch.reader:
+		half := time.Duration(2 / s.params.share() * float64(time.Second))
+		return max(half, s.params.ReaderWait)
+	}
+	return 0
 }
 
+// isSettled reports whether this daemon is one of the few that read for a domain.
+func (s *State) isSettled() bool { return s.watch.reader && !s.watch.limited }
+
 // watched takes the end of a watch.
 func (s *State) watched(now crid.Instant, ev WatchResult) {
 	w := &s.watch
--- a/io/crplatform/perform.go
+++ b/io/crplatform/perform.go
@@ -15,12 +15,12 @@
 
 // Perform carries out an effect of crconfig that calls the platform, and returns
 // the event that answers it. It reports false for any other effect. It waits for
-// the answer, for at most timeout beyond a watch's own wait, so it belongs in a
+// the answer, for at most timeout or, for a watch, its own, so it belongs in a
 // goroutine of its own.
 func Perform(ctx context.Context, port Port, now Clock, timeout time.Duration, effect crevent.Effect) (crevent.Event, bool) {
 	switch e := effect.(type) {
 	case crconfig.WatchPlatform:
-		ctx, cancel := context.WithTimeout(ctx, e.Wait+timeout)
+		ctx, cancel := context.WithTimeout(ctx, e.Timeout)
 		defer cancel()
 		head, err := port.Watch(ctx, e.After, e.Wait)
 		return crconfig.WatchResult{Now: now(), Head: head, Fault: FaultOf(err)}, true
