Bound the pause of a settled reader at serve by 2 s

Same kind of fault as the pauses at join: after a long outage a reader looks for the platform each 15 to 45 s, so that what is published after its return is in force that much later. Change: settled readers pause 2 s at most; all others as before, since there may be thousands of them. 18 readers and as many spares make at most 36 calls a second.

--- a/core/crconfig/fault_test.go
+++ b/core/crconfig/fault_test.go
@@ -355,3 +355,14 @@
 		f.until(t, f.plat.publish(content{Keys: []string{"new"}}), applyTime)
 	}
 }
+
+// Pauses that grew in a long outage keep all readers away from a platform that is back.
+func TestAChangeIsInForceInTimeAfterALongOutage(t *testing.T) {
+	f := settled(t, 3, 3)
+	for range 12 {
+		f.plat.away = true
+		f.run(2*time.Minute + time.Duration(f.rng.Int64N(int64(time.Minute))))
+		f.plat.away = false
+		f.until(t, f.plat.publish(content{Keys: []string{"new"}}), applyTime)
+	}
+}
--- a/core/crconfig/params.go
+++ b/core/crconfig/params.go
@@ -29,6 +29,7 @@
 	Ask          int           // peers asked by a fresh daemon
 	Backoff      time.Duration // after a first failure of the platform or of all peers
 	BackoffMax   time.Duration // after many
+	ReaderPause  time.Duration // the most that a reader pauses after a failed watch: its domain waits for it
 	BehindMax    time.Duration // for which a peer's newer configuration may be missing before keys are distrusted
 }
 
@@ -56,6 +57,7 @@
 		Ask:          8,
 		Backoff:      time.Second,
 		BackoffMax:   30 * time.Second,
+		ReaderPause:  2 * time.Second,
 		BehindMax:    9 * time.Second,
 	}
 }
--- a/core/crconfig/reader.go
+++ b/core/crconfig/reader.go
@@ -301,7 +301,11 @@
 		s.report(NumberPlatformAway, "inforce", rev(s.conf.rev))
 	}
 	w.away = true
-	w.notBefore = now.Add(s.backoff(w.fails))
+	pause := s.backoff(w.fails)
+	if s.isSettled() {
+		pause = min(pause, s.params.ReaderPause)
+	}
+	w.notBefore = now.Add(pause)
 	w.fails++
 }
 
