Ask listed owners that were not heard yet, in place of owning their accounts

Cause: a daemon that has just started has the list and has heard nobody yet, or a few. It chose the owners of accounts among those that it had heard, itself first of all, and granted from a fresh bucket with the whole rate; where beats are lost it went on for seconds. With two rolling stops there is always such a daemon. Ruled out: the level of fresh buckets. Change: a view names as possible owners the daemons that are heard and those that a record names and whose first beat may still come; a token is asked of these. They are members, too, so that a third daemon is asked before taking over from one of them. A daemon that hears nobody goes by itself, as before. The reducer's test fails before.

--- a/core/crmesh/crmesh.go
+++ b/core/crmesh/crmesh.go
@@ -277,13 +277,16 @@
 		if p.isSilent {
 			v.Silent[d] = true
 		}
-		if p.heard == 0 || p.beat.Stopping {
+		if p.beat.Stopping {
 			continue
 		}
-		if !p.isSilent {
+		if p.heard != 0 && !p.isSilent {
 			v.Daemons = append(v.Daemons, d)
 		}
-		if !p.isSilent || p.recorded {
+		if p.mayBeUp() {
+			v.Owners = append(v.Owners, d)
+		}
+		if p.mayBeUp() || p.recorded {
 			v.Members = append(v.Members, d)
 		}
 	}
@@ -292,9 +295,14 @@
 	// once more to its own callers.
 	if !s.stopping || len(v.Daemons) == 0 {
 		v.Daemons = append(v.Daemons, s.params.Self)
+		v.Owners = append(v.Owners, s.params.Self)
 		v.Members = append(v.Members, s.params.Self)
 	}
+	if len(v.Daemons) <= 1 {
+		v.Owners = slices.Clone(v.Daemons) // nobody is heard who could be asked
+	}
 	slices.Sort(v.Daemons)
+	slices.Sort(v.Owners)
 	slices.Sort(v.Members)
 	return UseView{View: v}
 }
--- a/core/crmesh/event.go
+++ b/core/crmesh/event.go
@@ -155,7 +155,8 @@
 	Targets  map[crid.Service][]crplace.Candidate
 	Own      *crregistry.Record // the record of this daemon's target; nil: none
 	Daemons  []crid.Daemon      // this one and the peers that are alive, but for those that stop
-	Members  []crid.Daemon      // as Daemons, and those that were heard before and should be there
+	Owners   []crid.Daemon      // as Daemons, and those whose first beat may still come
+	Members  []crid.Daemon      // as Owners, and those that a record names and that are not heard
 	Size     int                // daemons of the fleet, alive or not, and seeds
 	Known    int                // of these, without seeds that no record names and nobody hears
 	Heard    int                // of these, without those that are silent or were never heard in time
--- a/core/crmesh/peer.go
+++ b/core/crmesh/peer.go
@@ -130,6 +130,16 @@
 	return p.listed && (p.recorded || !s.listed || (p.heard != 0 && !p.isSilent))
 }
 
+// mayBeUp reports whether a peer is heard, or a record names it and its first beat may
+// still come. A daemon that has just started would else take itself for the owner of
+// accounts whose owner it has not heard yet.
+func (p *peer) mayBeUp() bool {
+	if p.heard == 0 {
+		return p.recorded && !p.missing
+	}
+	return !p.isSilent
+}
+
 // overdue reports whether a peer should have been heard by now and never was.
 func (s *State) overdue(now crid.Instant, p *peer) bool {
 	return p.heard == 0 && now.Sub(p.since) > silentBeats*s.idle(p)
--- a/core/crmesh/reader_test.go
+++ b/core/crmesh/reader_test.go
@@ -21,10 +21,12 @@
 	states map[crid.Daemon]*crmesh.State
 	view   map[crid.Daemon]*crmesh.View
 	dead   map[crid.Daemon]bool
+	params map[crid.Daemon]crmesh.Params
+	list   crmesh.Listed
 }
 
 func newDomains(n int) *domainOf {
-	f := &domainOf{states: make(map[crid.Daemon]*crmesh.State), view: make(map[crid.Daemon]*crmesh.View), dead: make(map[crid.Daemon]bool)}
+	f := &domainOf{states: make(map[crid.Daemon]*crmesh.State), view: make(map[crid.Daemon]*crmesh.View), dead: make(map[crid.Daemon]bool), params: make(map[crid.Daemon]crmesh.Params)}
 	ev := crmesh.Listed{Now: start, Revision: 5}
 	for i := range n {
 		address := fmt.Sprintf("10.0.1.%d:80", i)
@@ -35,8 +37,9 @@
 		p := params()
 		p.Seeds, p.Address, p.Self, p.Domain = nil, address, crmesh.DaemonOf(address), crid.Domain("ab"[i%2:i%2+1])
 		f.names = append(f.names, p.Self)
-		f.states[p.Self] = crmesh.New(p)
+		f.states[p.Self], f.params[p.Self] = crmesh.New(p), p
 	}
+	f.list = ev
 	for _, d := range f.names {
 		f.step(d, ev)
 	}
@@ -314,3 +317,20 @@
 	g.Expect(renewals(s.Step(newer))).To(gomega.BeZero())
 	g.Expect(renewals(s.Step(crevent.Tick{Now: start.Add(700 * time.Millisecond)}))).To(gomega.Equal(1))
 }
+
+// A daemon that has just started grants the tokens of accounts that a peer owns which it has not heard yet.
+func TestAFreshDaemonCountsOnListedPeersThatItHasNotHeardYet(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f := newDomains(6)
+	f.run(start, 3*time.Second)
+	fresh := f.names[2]
+	s := crmesh.New(f.params[fresh])
+	s.Step(f.list)
+	v := views(s.Step(crmesh.Heard{Now: start, From: f.names[0], Beat: crmesh.Beat{Incarnation: 1, Revision: 5}}))
+	g.Expect(v[len(v)-1].Owners).To(gomega.Equal(f.view[f.names[0]].Owners))
+	g.Expect(v[len(v)-1].Members).To(gomega.Equal(f.view[f.names[0]].Members))
+	for at := time.Duration(0); at < 10*time.Second; at += 100 * time.Millisecond {
+		v = append(v, views(s.Step(crevent.Tick{Now: start.Add(at)}))...)
+	}
+	g.Expect(v[len(v)-1].Owners).To(gomega.Equal([]crid.Daemon{fresh}), "they were never heard")
+}
