Hand out a part of a rate while nobody is heard

Change: such a daemon hands out the share of one of the daemons that it knows of. Its first near beat comes within 0.4 s; the accounts that it owns have less until then. The test of the sum fails to build before; six daemons handed out the rate six times.

--- a/core/crmesh/event.go
+++ b/core/crmesh/event.go
@@ -6,6 +6,7 @@
 	"camphorroad/core/crid"
 	"camphorroad/core/crplace"
 	"camphorroad/core/crplan"
+	"camphorroad/core/crquota"
 	"camphorroad/core/crregistry"
 )
 
@@ -166,3 +167,13 @@
 	Silent   map[crid.Daemon]bool
 	Stopping bool
 }
+
+// Share is the part of an account's rate that this daemon hands out as its owner. While
+// it hears nobody it may be one of many that have just started, and each would hand out
+// the whole rate to its own callers.
+func (v *View) Share() float64 {
+	if len(v.Daemons) <= 1 {
+		return crquota.Share(1, v.Known)
+	}
+	return crquota.Share(v.Heard, v.Known)
+}
--- a/core/crmesh/reader_test.go
+++ b/core/crmesh/reader_test.go
@@ -334,3 +334,16 @@
 	}
 	g.Expect(v[len(v)-1].Owners).To(gomega.Equal([]crid.Daemon{fresh}), "they were never heard")
 }
+
+// All daemons start at one time, and each hands out the whole rate of the accounts to its own callers.
+func TestDaemonsThatHearNobodyHandOutTheRateOnce(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f := newDomains(6)
+	sum := 0.0
+	for _, d := range f.names {
+		sum += f.view[d].Share()
+	}
+	g.Expect(sum).To(gomega.BeNumerically("~", 1, 0.11))
+	f.run(start, 3*time.Second)
+	g.Expect(f.view[f.names[0]].Share()).To(gomega.Equal(1.0))
+}
--- a/io/crmesh/quota.go
+++ b/io/crmesh/quota.go
@@ -63,7 +63,7 @@
 	if !known || a.Rate <= 0 {
 		return true, 0
 	}
-	share := crquota.Share(v.Heard, v.Known)
+	share := v.Share()
 	return m.meter.Take(crclock.Now(), a.Name, a.Rate*share, a.Burst*share)
 }
 
