--- a/io/crclock/crclock.go
+++ b/io/crclock/crclock.go
@@ -7,6 +7,7 @@
 package crclock
 
 import (
+	"context"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -30,3 +31,15 @@
 }
 
 var processStart = time.Now()
+
+// Sleep waits for a time, or until the context ends, and returns its error then.
+func Sleep(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-timer.C:
+		return nil
+	}
+}
--- a/io/crentry/crentry.go
+++ b/io/crentry/crentry.go
@@ -22,6 +22,7 @@
 	"camphorroad/core/crroute"
 	"camphorroad/core/crview"
 	"camphorroad/io/crhop"
+	"camphorroad/io/crlink"
 )
 
 // Hop forwards one attempt.
@@ -117,12 +118,7 @@
 	// Without full duplex net/http reads the rest of a body before it writes
 	// the answer, and a refusal would wait for a slow caller's upload.
 	_ = http.NewResponseController(w).EnableFullDuplex()
-	if len(r.TransferEncoding) > 0 {
-		// net/http drops a length that stands beside the chunks. Another parser on the
-		// way may have gone by it, and what it took for the rest of this request
-		// would be served here as the next one of somebody else.
-		w.Header().Set("Connection", "close")
-	}
+	crlink.CloseAfterChunks(w, r)
 	body := newBody(w, r, e.opts.Replay, e.opts.Idle)
 	defer body.close()
 	if refused := e.gate(r, n); refused != nil {
--- a/io/crfeed/crfeed.go
+++ b/io/crfeed/crfeed.go
@@ -26,6 +26,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"camphorroad/core/crid"
+	"camphorroad/io/crclock"
 	"camphorroad/io/crlog"
 	"camphorroad/io/croffer"
 	"camphorroad/io/crwatch"
@@ -151,7 +152,7 @@
 		return items, at, err
 	}
 	if f.settling(scope) {
-		return nil, after, sleep(ctx, settleStep)
+		return nil, after, crclock.Sleep(ctx, settleStep)
 	}
 	if err := f.pause(ctx, scope); err != nil {
 		return nil, 0, err
@@ -197,7 +198,7 @@
 	if !ok || left <= 0 {
 		return nil
 	}
-	return sleep(ctx, left)
+	return crclock.Sleep(ctx, left)
 }
 
 // settling reports whether this daemon is new, knows no other reader yet, and has just
@@ -220,17 +221,6 @@
 	f.read[scope] = f.opts.Clock()
 }
 
-func sleep(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
-}
-
 // told notes that the store has told changes.
 func (f *Feed) told(scope crwatch.Scope) {
 	f.mu.Lock()
--- a/io/cringress/cringress.go
+++ b/io/cringress/cringress.go
@@ -27,6 +27,7 @@
 	"camphorroad/core/crpolicy"
 	"camphorroad/io/crdialect"
 	"camphorroad/io/cregress"
+	"camphorroad/io/crlink"
 	"camphorroad/io/crlog"
 	"camphorroad/io/croffer"
 )
@@ -116,12 +117,7 @@
 	e.open.Add(1)
 	defer e.open.Add(-1)
 	started := e.opts.Clock()
-	if len(r.TransferEncoding) > 0 {
-		// net/http drops a length that stands beside the chunks. Another parser on the
-		// way may have gone by it, and what it took for the rest of this request
-		// would be served here as the next one of somebody else.
-		w.Header().Set("Connection", "close")
-	}
+	crlink.CloseAfterChunks(w, r)
 	q := &request{Entry: e, started: started, http: r, view: e.view.Load()}
 	answer := q.handle()
 	e.opts.Meter.Answered(q.class(), answer.status, answer.own, e.opts.Clock().Sub(started))
--- a/io/crlink/crlink.go
+++ b/io/crlink/crlink.go
@@ -331,3 +331,13 @@
 	}
 	return parts
 }
+
+// CloseAfterChunks has the connection of a request in chunks end with its answer.
+// net/http drops a length that stands beside the chunks. Another parser on the way
+// may have gone by it, and what it took for the rest of this request would be
+// served here as the next one of somebody else.
+func CloseAfterChunks(w http.ResponseWriter, r *http.Request) {
+	if len(r.TransferEncoding) > 0 {
+		w.Header().Set("Connection", "close")
+	}
+}
--- a/io/crwatch/track.go
+++ b/io/crwatch/track.go
@@ -8,6 +8,7 @@
 
 	"camphorroad/core/crid"
 	"camphorroad/core/crmesh"
+	"camphorroad/io/crclock"
 	"camphorroad/io/crlog"
 )
 
@@ -77,7 +78,7 @@
 	items, at, err := t.opts.Store.Watch(ctx, t.scope, t.after, wait)
 	cause := context.Cause(ctx)
 	if err != nil && (errors.Is(cause, ErrCompacted) || errors.Is(cause, errRenewed)) {
-		t.renewed = true
+		t.renewed = errors.Is(cause, errRenewed)
 		return nil, 0, errInterrupted
 	}
 	return items, at, err
@@ -132,7 +133,7 @@
 	if at == 0 {
 		// The store told no revision to watch from.
 		t.listed = false
-		wait(ctx, retryFirst)
+		return crclock.Sleep(ctx, retryFirst)
 	}
 	return nil
 }
@@ -194,7 +195,7 @@
 		t.lost(err)
 	}
 	t.pause = min(max(2*t.pause, retryFirst), retryMost)
-	wait(ctx, t.pause/2+rand.N(t.pause/2+1))
+	_ = crclock.Sleep(ctx, t.pause/2+rand.N(t.pause/2+1)) // Run notices the end of the context
 }
 
 // lost notes that the store cannot be read: once as peers say, and once more as
@@ -227,13 +228,4 @@
 	t.opts.Emit(crmesh.StoreBack{Now: now})
 }
 
-func wait(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 func rounded(d time.Duration) string { return d.Round(time.Millisecond).String() }
