Draw the first wait after a change from a short range again

Cause: a change ends all readers' watches at one moment, and half a second later all watch again. A silence that begins just then swallows them all. Ruled out: watches of the records. Those that were sent before the silence and end after it are answered, so that they found nothing. TestTheFirstWatchAfterNewsIsShort fails before. The play in virtual time of a silence behind a change (new) passes before and after.

--- a/io/crfeed/fleet_test.go
+++ b/io/crfeed/fleet_test.go
@@ -40,6 +40,7 @@
 type silence struct {
 	from, until time.Time
 	only        map[crid.Daemon]bool // nil: all
+	spares      bool                 // calls that came before it, and end after it, are answered
 }
 
 // backing is a store in virtual time.
@@ -75,6 +76,9 @@
 	defer b.mu.Unlock()
 	now := time.Now()
 	for _, s := range b.silences {
+		if s.spares && came.Before(s.from) && !now.Before(s.until) {
+			continue
+		}
 		if (s.only == nil || s.only[by]) && !now.Before(s.from) && came.Before(s.until) {
 			return true
 		}
--- a/io/crwatch/track.go
+++ b/io/crwatch/track.go
@@ -19,6 +19,7 @@
 	listed  bool
 	seen    int // of the losses, when it was listed
 	after   crid.Revision
+	changed bool         // the last watch brought a change, as those of the other daemons did
 	renewed bool         // the last watch was ended to be sent anew
 	failing crid.Instant // since when calls fail; zero: they do not
 	told    bool         // that the store is away
@@ -48,6 +49,7 @@
 	if len(items) == 0 {
 		t.reached(at)
 	} else {
+		t.changed = true
 		t.take(items, at, false)
 	}
 	t.setAway(t.scope, false)
@@ -85,9 +87,9 @@
 }
 
 // waitTime is how long the next watch waits. A change ends all daemons' watches
-// at one moment; the waits are drawn, so that they take turns again. Of many watches
-// one soon ends without an answer where the store has lost them all, and its daemon
-// tells the others.
+// at one moment; the waits are drawn, so that they take turns again, and the first
+// one is short: a silence right after the change swallows all those that follow it,
+// and the one that ends first finds that out for all daemons.
 //
 // While calls fail, a watch is to find out whether the store answers again. One that
 // is sent while the store is silent gets no answer later either, and a long one would
@@ -99,6 +101,10 @@
 		return waitLeast
 	}
 	turn := min(lookEvery*time.Duration(max(t.opts.Lookers(), 1)), waitMost*2/3)
+	if t.changed {
+		t.changed = false
+		return waitLeast + rand.N(max(turn-waitLeast, 1))
+	}
 	return turn/2 + rand.N(turn)
 }
 
@@ -127,7 +133,7 @@
 		return err
 	}
 	t.succeeded()
-	t.listed, t.after, t.seen = true, at, losses
+	t.listed, t.after, t.seen, t.changed = true, at, losses, true
 	t.take(items, at, true)
 	t.setAway(t.scope, false)
 	if at == 0 {
