--- a/core/crquota/way.go
+++ b/core/crquota/way.go
@@ -26,7 +26,8 @@
 }
 
 // Decide returns what a daemon does about a token of an account. Members are the
-// daemons that should be there, and heard those of them that this one hears.
+// daemons that should be there, and heard those of them that this one hears or
+// expects to hear soon.
 //
 // A cut between two machines leaves both alive. Where the next owner did not hear
 // the first one, and took its place, both handed out the whole rate, each to the
--- a/io/crfeed/outage_test.go
+++ b/io/crfeed/outage_test.go
@@ -128,7 +128,7 @@
 }
 
 // A change ends all watches at one moment, and a silence right after it swallows all those that follow.
-func TestAChangeIsInForceInTimeAfterASilenceBehindAnother(t *testing.T) {
+func TestAChangeIsInForceInTimeAfterASilenceBehindAChange(t *testing.T) {
 	outages(t, trouble{times: 1, shortest: time.Second, longest: 2 * time.Second, changed: true})
 }
 
