Draw the first long watch after a renewal from the short range

Cause: a renewal ends all daemons' watches at one moment, as a change does. Each is sent anew for 0.2 s and then for half a turn to one and a half, 2 to 6 s with eight readers. A silence that begins just then swallows them all, and nobody finds it out until the first of them ends. Trace of: renewed at 17.20 s, long watches from 17.41 s on into a silence from 17.58 to 18.31 s, the first given up at 20.26 s, a change of 18.41 s in force everywhere at 21.40 s. Ruled out: that the configuration's watches alone were swallowed, and told to peers by beats only (both scopes' watches went); pauses between calls (the calls that failed were followed at once). Change: what does after a change is done after a renewal, too. TestTheFirstLongWatchAfterARenewalIsShort fails before.

--- a/io/crwatch/renew_test.go
+++ b/io/crwatch/renew_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -135,6 +136,23 @@
 	}
 }
 
+// A renewal ends all daemons' watches together, and a silence right after it swallows all those that follow.
+func TestTheFirstLongWatchAfterARenewalIsShort(t *testing.T) {
+	g := gomega.NewWithT(t)
+	for range 20 {
+		s := newMute()
+		play(t, s, 10*turn, func(f *crwatch.Follower) {
+			f.Renew()
+			synctest.Wait()
+		})
+		for scope, waits := range s.waits {
+			at := slices.Index(waits, 200*time.Millisecond)
+			g.Expect(at).To(gomega.BeNumerically(">=", 0))
+			g.Expect(waits[at+1]).To(gomega.BeNumerically("<=", turn), "of the %v", scope)
+		}
+	}
+}
+
 // One scope's watch finds the store silent, and the other one stays deaf until its own wait is over.
 func TestASilentWatchRenewsTheOther(t *testing.T) {
 	g := gomega.NewWithT(t)
--- a/io/crwatch/track.go
+++ b/io/crwatch/track.go
@@ -19,7 +19,7 @@
 	listed  bool
 	seen    int // of the losses, when it was listed
 	after   crid.Revision
-	changed bool         // the last watch brought a change, as those of the other daemons did
+	aligned bool         // the last watch ended together with those of the other daemons
 	renewed bool         // the last watch was ended to be sent anew
 	failing crid.Instant // since when calls fail; zero: they do not
 	told    bool         // that the store is away
@@ -49,7 +49,7 @@
 	if len(items) == 0 {
 		t.reached(at)
 	} else {
-		t.changed = true
+		t.aligned = true
 		t.take(items, at, false)
 	}
 	t.setAway(t.scope, false)
@@ -87,9 +87,9 @@
 }
 
 // waitTime is how long the next watch waits. A change ends all daemons' watches
-// at one moment; the waits are drawn, so that they take turns again, and the first
-// one is short: a silence right after the change swallows all those that follow it,
-// and the one that ends first finds that out for all daemons.
+// at one moment, and so does a renewal; the waits are drawn, so that they take turns
+// again, and the first one is short: a silence right after that moment swallows all
+// those that follow it, and the one that ends first finds that out for all daemons.
 //
 // While calls fail, a watch is to find out whether the store answers again. One that
 // is sent while the store is silent gets no answer later either, and a long one would
@@ -97,12 +97,12 @@
 // which a new configuration has to be in force.
 func (t *track) waitTime() time.Duration {
 	if t.failing != 0 || t.renewed {
-		t.renewed = false
+		t.renewed, t.aligned = false, true
 		return waitLeast
 	}
 	turn := min(lookEvery*time.Duration(max(t.opts.Lookers(), 1)), waitMost*2/3)
-	if t.changed {
-		t.changed = false
+	if t.aligned {
+		t.aligned = false
 		return waitLeast + rand.N(max(turn-waitLeast, 1))
 	}
 	return turn/2 + rand.N(turn)
@@ -133,7 +133,7 @@
 		return err
 	}
 	t.succeeded()
-	t.listed, t.after, t.seen, t.changed = true, at, losses, true
+	t.listed, t.after, t.seen, t.aligned = true, at, losses, true
 	t.take(items, at, true)
 	t.setAway(t.scope, false)
 	if at == 0 {
