Use the possible owners when a daemon decides about a token

The shell went on choosing among the daemons heard: the list had no reader. Cause of its being missed: the test asked for the list, not for what is done with it. Change: the view decides itself (TokenStep), and the shell asks the view. The test now asks for the step of a daemon that has just started: it asks the listed owner. It fails with the daemons heard in place of the possible owners.

--- a/core/crmesh/event.go
+++ b/core/crmesh/event.go
@@ -168,6 +168,11 @@
 	Stopping bool
 }
 
+// TokenStep is what a daemon with this view does about a token of an account.
+func (v *View) TokenStep(a crid.Account, self crid.Daemon, by crquota.Asked) crquota.Step {
+	return crquota.Decide(a, v.Members, v.Owners, self, by)
+}
+
 // Share is the part of an account's rate that this daemon hands out as its owner. While
 // it hears nobody it may be one of many that have just started, and each would hand out
 // the whole rate to its own callers.
--- a/core/crmesh/reader_test.go
+++ b/core/crmesh/reader_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strconv"
 	"testing"
 	"time"
 
@@ -11,6 +12,7 @@
 	"camphorroad/core/crevent"
 	"camphorroad/core/crid"
 	"camphorroad/core/crmesh"
+	"camphorroad/core/crquota"
 	"camphorroad/core/crregistry"
 )
 
@@ -327,6 +329,15 @@
 	s := crmesh.New(f.params[fresh])
 	s.Step(f.list)
 	v := views(s.Step(crmesh.Heard{Now: start, From: f.names[0], Beat: crmesh.Beat{Incarnation: 1, Revision: 5}}))
+	for n := range 20 {
+		a := crid.Account("account-" + strconv.Itoa(n))
+		step := v[len(v)-1].TokenStep(a, fresh, crquota.ByCaller)
+		if owner := crquota.Owner(a, f.names); owner != fresh {
+			g.Expect(step).To(gomega.Equal(crquota.Step{To: owner, As: crquota.ByPeer}))
+		} else {
+			g.Expect(step).To(gomega.Equal(crquota.Step{Grant: true}))
+		}
+	}
 	g.Expect(v[len(v)-1].Owners).To(gomega.Equal(f.view[f.names[0]].Owners))
 	g.Expect(v[len(v)-1].Members).To(gomega.Equal(f.view[f.names[0]].Members))
 	for at := time.Duration(0); at < 10*time.Second; at += 100 * time.Millisecond {
--- a/io/crmesh/quota.go
+++ b/io/crmesh/quota.go
@@ -38,8 +38,7 @@
 
 // decide returns what this daemon does about a token of an account.
 func (m *ownerMeter) decide(name crid.Account, by crquota.Asked) crquota.Step {
-	v := m.loop.view.Load()
-	return crquota.Decide(name, v.Members, v.Daemons, m.self, by)
+	return m.loop.view.Load().TokenStep(name, m.self, by)
 }
 
 // answer gives a token of an account to a peer, unless another daemon has to be
