Look at a kept connection before a request is written on it

What callers saw (serve): a request that may run once, sent on a kept connection that the upstream had closed a moment before, was answered with 504 and an unknown outcome. Cause: net/http notices the end of a kept connection on a goroutine of its own. Where that one has not run yet, the request is written into the closed connection; whether the upstream has read it can't be known then, so that nothing sends it again. Ruled out: load alone (the requests failed at once), and a bound that is too short. Change: the connection is looked at without waiting when it is handed out, as join's pool does already (crlink.Quiet, one function for both now). One that has ended, or has bytes that nobody asked for, is closed before anything is written. The request has provably not left, and goes out on another connection. The look no longer takes the read lock of the connection, which net/http holds: TestQuietDoesNotWaitForAReader times out with the lock.

--- a/io/crexit/conn.go
+++ b/io/crexit/conn.go
@@ -20,16 +20,26 @@
 // whether anything of a request can have left.
 type countedConn struct {
 	net.Conn
-	writes atomic.Int64
+	writes  atomic.Int64
+	retired atomic.Bool
 }
 
 // Write implements net.Conn. It counts before it writes: a write that is not
 // counted has not begun.
 func (c *countedConn) Write(p []byte) (int, error) {
+	if c.retired.Load() {
+		return 0, net.ErrClosed
+	}
 	c.writes.Add(1)
 	return c.Conn.Write(p)
 }
 
+// retire closes the connection for good; nothing is written on it from then on.
+func (c *countedConn) retire() {
+	c.retired.Store(true)
+	_ = c.Close()
+}
+
 // newTransport returns a pool of at most so many connections; zero: no bound.
 func newTransport(connections int) *http.Transport {
 	dialer := &net.Dialer{Timeout: upstreamConnect}
--- a/io/crexit/run.go
+++ b/io/crexit/run.go
@@ -16,6 +16,7 @@
 	"camphorroad/core/crpolicy"
 	"camphorroad/core/crslot"
 	"camphorroad/io/crhop"
+	"camphorroad/io/crlink"
 )
 
 // Headers that the exit sets towards the upstream, in their canonical form. The
@@ -171,11 +172,17 @@
 // staleTries bounds the tries on kept connections that turn out closed.
 const staleTries = 3
 
-// gotConn is called on the goroutine of RoundTrip.
+// gotConn is called on the goroutine of RoundTrip, before the request is written. A kept
+// connection may have been closed by the upstream without net/http having noticed yet,
+// and what is written then is lost.
 func (r *run) gotConn(info httptrace.GotConnInfo) {
 	r.conn, _ = info.Conn.(*countedConn)
-	if r.conn != nil {
-		r.written = r.conn.writes.Load()
+	if r.conn == nil {
+		return
+	}
+	r.written = r.conn.writes.Load()
+	if info.Reused && !crlink.Quiet(r.conn.Conn) {
+		r.conn.retire()
 	}
 }
 
--- a/io/crlink/crlink.go
+++ b/io/crlink/crlink.go
@@ -196,13 +196,13 @@
 	_ = c.net.Close() // nothing more is sent or read on it
 }
 
-// quiet reports whether nothing has come on an unused connection: neither its
-// end nor bytes that nobody asked for.
-func (c *Conn) quiet() bool {
-	if c.br.Buffered() > 0 {
-		return false
-	}
-	sc, ok := c.net.(syscall.Conn)
+// quiet reports whether nothing has come on an unused connection.
+func (c *Conn) quiet() bool { return c.br.Buffered() == 0 && Quiet(c.net) }
+
+// Quiet reports whether nothing has come on a connection that nobody has read: neither
+// its end nor bytes that were not asked for. It does not wait for a reader.
+func Quiet(conn net.Conn) bool {
+	sc, ok := conn.(syscall.Conn)
 	if !ok {
 		return true
 	}
@@ -211,11 +211,10 @@
 		return false
 	}
 	quiet := false
-	err = raw.Read(func(fd uintptr) bool {
+	err = raw.Control(func(fd uintptr) {
 		var b [1]byte
 		_, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
 		quiet = errors.Is(err, unix.EAGAIN)
-		return true
 	})
 	return err == nil && quiet
 }
--- a/io/crlink/crlink_test.go
+++ b/io/crlink/crlink_test.go
@@ -123,6 +123,29 @@
 	g.Expect(again.Runs()).To(gomega.HaveLen(1))
 }
 
+// Another goroutine waits for the next bytes of a connection, and a look at it waits behind that one.
+func TestQuietDoesNotWaitForAReader(t *testing.T) {
+	g := gomega.NewWithT(t)
+	ln, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	defer ln.Close()
+	conn, err := crlink.Dialer(time.Second).DialContext(t.Context(), "tcp", ln.Addr().String())
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	defer conn.Close()
+	peer, err := ln.Accept()
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	read := make(chan error, 1)
+	go func() {
+		_, err := conn.Read(make([]byte, 1))
+		read <- err
+	}()
+	quiet := func() bool { return crlink.Quiet(conn) }
+	g.Consistently(quiet, 100*time.Millisecond).Should(gomega.BeTrue())
+	g.Expect(peer.Close()).To(gomega.Succeed())
+	g.Eventually(quiet).Should(gomega.BeFalse())
+	g.Eventually(read).Should(gomega.Receive(gomega.HaveOccurred()))
+}
+
 // The caller leaves while its request runs. The target has to learn it, or it
 // works on for nobody.
 func TestAContextThatEndsStopsTheTarget(t *testing.T) {
