Report the daemons' warnings with a spec that fails

Change: a failed spec reports the lines above information of all daemons' logs, and the spec on shedding what its refusals said. Bounds are as before.

--- a/e2e/fleet_test.go
+++ b/e2e/fleet_test.go
@@ -7,6 +7,7 @@
 	"context"
 	"fmt"
 	"os"
+	"strings"
 	"testing"
 	"time"
 
@@ -44,13 +45,17 @@
 }
 
 // startFleet starts a fleet and ends it with the spec. A daemon that panicked or
-// found a data race fails the spec, whatever its callers saw.
+// found a data race fails the spec, whatever its callers saw. A spec that fails
+// reports the warnings of all daemons.
 func startFleet(opts ...crfleet.Option) *crfleet.Fleet {
 	f, err := crfleet.New(context.Background(), opts...)
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(func() {
 		f.Close()
 		for _, d := range f.Daemons() {
+			if CurrentSpecReport().Failed() {
+				AddReportEntry(d.Name()+" warned", warnings(d.Log()))
+			}
 			Expect(d.Log()).NotTo(ContainSubstring("DATA RACE"), d.Name())
 			Expect(d.Log()).NotTo(ContainSubstring("panic:"), d.Name())
 		}
@@ -58,6 +63,28 @@
 	return f
 }
 
+// warnings are the lines of a daemon's log above the level of information.
+func warnings(log string) string {
+	var out strings.Builder
+	for line := range strings.Lines(log) {
+		if !strings.Contains(line, `"level":"info"`) {
+			out.WriteString(line)
+		}
+	}
+	return out.String()
+}
+
+// refusals counts the answers of a status by what they said.
+func refusals(told []crload.Told, status int) string {
+	counts := make(map[string]int)
+	for _, t := range told {
+		if t.Status == status {
+			counts[fmt.Sprintf("%s %s %s", t.Method, t.Result, t.Reason)]++
+		}
+	}
+	return fmt.Sprint(counts)
+}
+
 // must is for steps that a spec takes for granted.
 func must(err error) { ExpectWithOffset(1, err).NotTo(HaveOccurred()) }
 
--- a/e2e/leave_test.go
+++ b/e2e/leave_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -133,17 +134,16 @@
 		wait := timeline(at, f.Target(2).Drain)
 		report := run(leavePlan(a, 7, f.URLs()))
 		wait()
-		late, shed := 0, 0
-		for _, t := range report.Told() {
-			if t.At > at+newWorkEnds {
-				late++
-				if t.Status == http.StatusServiceUnavailable {
-					shed++
-				}
+		late := slices.DeleteFunc(report.Told(), func(t crload.Told) bool { return t.At <= at+newWorkEnds })
+		shed := 0
+		for _, t := range late {
+			if t.Status == http.StatusServiceUnavailable {
+				shed++
 			}
 		}
-		AddReportEntry("shed after a few seconds", fmt.Sprintf("%d of %d", shed, late))
-		Expect(float64(shed)).To(BeNumerically("<=", 0.02*float64(late)))
+		AddReportEntry("shed after a few seconds", fmt.Sprintf("%d of %d", shed, len(late)))
+		AddReportEntry("by what they said", refusals(late, http.StatusServiceUnavailable))
+		Expect(float64(shed)).To(BeNumerically("<=", 0.02*float64(len(late))))
 	})
 })
 
