Count an account's failures by how often others fail there

Cause: the failures of an account that all others contradict hardly count, and others contradicted them only if less than a twentieth of their own attempts failed. A busy machine brings a time-out or two, and with 13 to 30 attempts that is more: all the account's failures counted then. Failures of any kind bore out wrong answers, too. Evidence: counts at the ejection, trial build: the account 11 of 11 wrong within 2 s, the others 2 of 30 failed, none wrong; booking-1 out as "wrong" for 5 s. Another: 9 of 9, 8 of them wrong, the others 2 of 33. Ruled out: the poison account's group shared with another (all others' groups were well); the longest span (there the others contradicted it, 2 of 131). Change: a group of accounts counts with as many failures as it would have if it failed as often as the others there, and two more; wrong answers by the others' wrong answers, and one more. There is no share any more below which others contradict and above which they do not. TestPoisonBesideAFewOtherFailuresEjectsNothing fails before.

--- a/core/crhealth/evidence.go
+++ b/core/crhealth/evidence.go
@@ -13,9 +13,9 @@
 
 // The bounds of corroboration.
 const (
-	otherLeast   = 5    // attempts of the others that can contradict one account
-	otherBadRate = 0.05 // bad share of the others below which they contradict it
-	loneBad      = 2    // bad attempts of a contradicted account that still count
+	otherLeast = 5 // attempts of the others that can contradict one account
+	loneBad    = 2 // bad attempts of a contradicted account that still count
+	loneWrong  = 1 // wrong ones
 )
 
 // evidenceOf sums up a target's window over the shortest span that is enough.
@@ -39,20 +39,17 @@
 	return e
 }
 
-// borneOut counts bad attempts, but hardly those of one group of accounts that
-// all others contradict.
+// borneOut counts bad and wrong attempts, each group of accounts with hardly more than
+// it would have if it failed as often as all others there.
 //
 // A caller may send requests that fail or stall on any target. If they counted
 // fully, the targets they happened to reach would be ejected one after another,
-// for a fault of the caller. Nobody else would see these targets fail.
+// for a fault of the caller. Nobody else would see these targets fail so often.
 func borneOut(c *counts, total tally) (bad, wrong uint32) {
 	for i, own := range c.groups {
-		others := total.without(own)
-		contradicted := i != 0 && others.n >= otherLeast && others.badRate() < otherBadRate
-		if contradicted {
-			bad += min(own.bad, loneBad)
-			wrong += min(own.wrong, loneBad-1)
-			continue
+		if others := total.without(own); i != 0 && others.n >= otherLeast {
+			own.bad = min(own.bad, loneBad+likely(own.n, others.badRate()))
+			own.wrong = min(own.wrong, loneWrong+likely(own.n, others.wrongRate()))
 		}
 		bad += own.bad
 		wrong += own.wrong
@@ -60,6 +57,9 @@
 	return bad, wrong
 }
 
+// likely is how many of n attempts fail at a rate.
+func likely(n uint32, rate float64) uint32 { return uint32(float64(n) * rate) }
+
 // seenByMost reports whether the daemons with traffic on the target see it fail
 // about alike: of those that would, were the failures spread evenly over all
 // attempts, more than half do.
--- a/core/crhealth/fault_test.go
+++ b/core/crhealth/fault_test.go
@@ -142,6 +142,26 @@
 	}
 }
 
+// A few failures of other accounts, as on a busy machine, bear out all those of one.
+func TestPoisonBesideAFewOtherFailuresEjectsNothing(t *testing.T) {
+	t.Parallel()
+	for _, result := range []Result{ResultWrong, ResultFailed} {
+		w := beacon(DefaultParams())
+		w.perStep = 1
+		for _, target := range w.targets {
+			w.acts[target] = endsWith(ResultFailed, 0.05)
+		}
+		w.acts[sick] = func(now time.Duration, account crid.Account, rng *rand.Rand) (Result, time.Duration) {
+			if account == "a3" {
+				return result, 0
+			}
+			return endsWith(ResultFailed, 0.05)(now, account, rng)
+		}
+		w.run(2 * time.Minute)
+		gomega.NewWithT(t).Expect(w.ejected).To(gomega.BeEmpty(), "%v", result)
+	}
+}
+
 // A one-way cut keeps three of fifteen entries from a target's answers. They
 // avoid it by themselves; the twelve others still have good use of it.
 func TestOneWayCutOfAFewEntriesEjectsNothing(t *testing.T) {
--- a/core/crhealth/sample.go
+++ b/core/crhealth/sample.go
@@ -77,11 +77,15 @@
 	return tally{n: t.n - o.n, bad: t.bad - o.bad, wrong: t.wrong - o.wrong}
 }
 
-func (t tally) badRate() float64 {
+func (t tally) badRate() float64 { return t.share(t.bad) }
+
+func (t tally) wrongRate() float64 { return t.share(t.wrong) }
+
+func (t tally) share(count uint32) float64 {
 	if t.n == 0 {
 		return 0
 	}
-	return float64(t.bad) / float64(t.n)
+	return float64(count) / float64(t.n)
 }
 
 // counts is the merged evidence on one target over some time.
