Move the making of certificates out of the command line

lab/crfleet and tests of io/crentry, crexit and crpeer imported command/cert and its factory to have certificates written: the command line stands on these, not below them. No decision and nothing of `join` is touched.

--- a/command/serve/serve_test.go
+++ b/command/serve/serve_test.go
@@ -7,9 +7,9 @@
 	"strings"
 	"testing"
 
-	"camphorroad/command/cert"
 	"camphorroad/command/factory"
 	"camphorroad/command/serve"
+	"camphorroad/io/crcert"
 )
 
 const settings = `name = "a"
@@ -30,7 +30,7 @@
 		dir := t.TempDir()
 		var out bytes.Buffer
 		f := &factory.Factory{Out: &out, ErrOut: &out}
-		if err := cert.NewDev(dir, "a", "b").Run(f); err != nil {
+		if err := crcert.Issue(dir, "a", "b"); err != nil {
 			t.Fatal(err)
 		}
 		file := filepath.Join(dir, "daemon.toml")
--- a/io/crentry/path_test.go
+++ b/io/crentry/path_test.go
@@ -16,8 +16,6 @@
 	"github.com/onsi/gomega"
 	"github.com/quic-go/quic-go"
 
-	"camphorroad/command/cert"
-	"camphorroad/command/factory"
 	"camphorroad/core/crevent"
 	"camphorroad/core/crforward"
 	"camphorroad/core/crid"
@@ -25,6 +23,7 @@
 	"camphorroad/core/crpolicy"
 	"camphorroad/core/crroute"
 	"camphorroad/core/crview"
+	"camphorroad/io/crcert"
 	"camphorroad/io/crclock"
 	"camphorroad/io/crentry"
 	"camphorroad/io/crexit"
@@ -157,7 +156,7 @@
 
 func (p *path) sessions() *crhop.Client {
 	dir := p.t.TempDir()
-	p.Expect(cert.NewDev(dir, "entry", "exit").Run(&factory.Factory{Out: io.Discard, ErrOut: io.Discard})).To(gomega.Succeed())
+	p.Expect(crcert.Issue(dir, "entry", "exit")).To(gomega.Succeed())
 	listen := func(name string) *crpeer.Transport {
 		id, err := crpeer.LoadIdentity(filepath.Join(dir, name+".pem"), filepath.Join(dir, name+".key"), filepath.Join(dir, "ca.pem"))
 		p.Expect(err).NotTo(gomega.HaveOccurred())
--- a/io/crentry/tls_test.go
+++ b/io/crentry/tls_test.go
@@ -11,8 +11,7 @@
 
 	"github.com/onsi/gomega"
 
-	"camphorroad/command/cert"
-	"camphorroad/command/factory"
+	"camphorroad/io/crcert"
 	"camphorroad/io/crentry"
 )
 
@@ -22,9 +21,8 @@
 func TestCallersOverTLSAndRotation(t *testing.T) {
 	g := gomega.NewWithT(t)
 	dir, next := t.TempDir(), t.TempDir()
-	out := &factory.Factory{Out: io.Discard, ErrOut: io.Discard}
-	g.Expect(cert.NewDev(dir, "old").Run(out)).To(gomega.Succeed())
-	g.Expect(cert.NewDev(next, "new").Run(out)).To(gomega.Succeed())
+	g.Expect(crcert.Issue(dir, "old")).To(gomega.Succeed())
+	g.Expect(crcert.Issue(next, "new")).To(gomega.Succeed())
 	certPath, keyPath := filepath.Join(dir, "old.pem"), filepath.Join(dir, "old.key")
 	c, err := crentry.LoadCertificate(certPath, keyPath)
 	g.Expect(err).NotTo(gomega.HaveOccurred())
--- a/io/crexit/hop_test.go
+++ b/io/crexit/hop_test.go
@@ -16,12 +16,11 @@
 	"github.com/onsi/gomega"
 	"github.com/quic-go/quic-go"
 
-	"camphorroad/command/cert"
-	"camphorroad/command/factory"
 	"camphorroad/core/crevent"
 	"camphorroad/core/crforward"
 	"camphorroad/core/crid"
 	"camphorroad/core/crpolicy"
+	"camphorroad/io/crcert"
 	"camphorroad/io/crclock"
 	"camphorroad/io/crexit"
 	"camphorroad/io/crhop"
@@ -64,8 +63,7 @@
 	srv := httptest.NewServer(upstream)
 	tb.Cleanup(srv.Close)
 	dir := tb.TempDir()
-	f := &factory.Factory{Out: io.Discard, ErrOut: io.Discard}
-	g.Expect(cert.NewDev(dir, "entry", "exit").Run(f)).To(gomega.Succeed())
+	g.Expect(crcert.Issue(dir, "entry", "exit")).To(gomega.Succeed())
 	pulse := crforward.NewPulse(time.Hour, crclock.Now())
 	exit := crexit.New(crexit.Options{
 		Targets: []crexit.Spec{{Name: "t", Service: svc.Name, Addr: strings.TrimPrefix(srv.URL, "http://")}},
--- a/io/crpeer/bench_test.go
+++ b/io/crpeer/bench_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"path/filepath"
 	"runtime"
 	"syscall"
@@ -12,11 +11,10 @@
 
 	"github.com/quic-go/quic-go"
 
-	"camphorroad/command/cert"
-	"camphorroad/command/factory"
 	"camphorroad/core/crevent"
 	"camphorroad/core/crid"
 	"camphorroad/core/crmember"
+	"camphorroad/io/crcert"
 	"camphorroad/io/crwire"
 )
 
@@ -40,7 +38,7 @@
 		names = append(names, fmt.Sprintf("peer-%03d", i))
 	}
 	dir := b.TempDir()
-	if err := cert.NewDev(dir, names...).Run(&factory.Factory{Out: io.Discard, ErrOut: io.Discard}); err != nil {
+	if err := crcert.Issue(dir, names...); err != nil {
 		b.Fatal(err)
 	}
 	var all []*Transport
--- a/io/crpeer/peer_test.go
+++ b/io/crpeer/peer_test.go
@@ -22,10 +22,9 @@
 	"github.com/quic-go/quic-go"
 	"go.uber.org/goleak"
 
-	"camphorroad/command/cert"
-	"camphorroad/command/factory"
 	"camphorroad/core/crevent"
 	"camphorroad/core/crid"
+	"camphorroad/io/crcert"
 	"camphorroad/io/crpeer"
 	"camphorroad/io/crwire"
 )
@@ -88,8 +87,7 @@
 func authority(t *testing.T, names ...string) string {
 	t.Helper()
 	dir := t.TempDir()
-	out := &factory.Factory{Out: io.Discard, ErrOut: io.Discard}
-	gomega.NewWithT(t).Expect(cert.NewDev(dir, names...).Run(out)).To(gomega.Succeed())
+	gomega.NewWithT(t).Expect(crcert.Issue(dir, names...)).To(gomega.Succeed())
 	return dir
 }
 
--- a/lab/crfleet/daemon.go
+++ b/lab/crfleet/daemon.go
@@ -5,7 +5,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -14,8 +13,7 @@
 	"syscall"
 	"time"
 
-	"camphorroad/command/cert"
-	"camphorroad/command/factory"
+	"camphorroad/io/crcert"
 )
 
 // Errors of a daemon's process.
@@ -81,7 +79,7 @@
 	if d.admin, err = freeTCP(); err != nil {
 		return nil, err
 	}
-	if err := cert.NewDev(f.dir, d.name).Run(&factory.Factory{Out: io.Discard, ErrOut: io.Discard}); err != nil {
+	if err := crcert.Issue(f.dir, d.name); err != nil {
 		return nil, err
 	}
 	return d, f.links.add(d.name, d.peer)
