Answer what is in progress before a stopping daemon ends

Cause: a stopping daemon takes callers until they have seen its ready page, and lets what is in progress end, up to its grace. A request that came 1.3 s after the order, with a route's time of more than the 4.5 s that were left, waited at a target that did not answer; at the end of the grace its connection was closed without a word (608, open 1). Evidence: log of sidecar-ne-c-25: stopping 20.902 s, the request 22.203 s, refused by two exits, sent to a third, "stop cut requests" 26.753 s. Ruled out: the exit that it was sent to (it ran on); a time-out that is late (the request's own was not up). Change: 80 ms before the end of the grace the entry ends what is in progress, so that it is answered with what is known: 502 or 504, or 503 where nothing took it. TestAPlannedStopAnswersWhatDoesNotEndInTime fails before: no answer. The other two tests of planned stops pass, three times, with the race detector.

--- a/io/cringress/cringress.go
+++ b/io/cringress/cringress.go
@@ -74,14 +74,17 @@
 
 // Entry serves callers.
 type Entry struct {
-	opts Options
-	view atomic.Pointer[crmesh.View]
-	open atomic.Int64
+	opts   Options
+	view   atomic.Pointer[crmesh.View]
+	open   atomic.Int64
+	ending context.Context //nolint:containedctx // ends what is in progress
+	end    context.CancelFunc
 }
 
 // New returns an entry that refuses all until Use.
 func New(opts Options) *Entry {
 	e := &Entry{opts: opts}
+	e.ending, e.end = context.WithCancel(context.Background())
 	e.view.Store(&crmesh.View{})
 	return e
 }
@@ -92,6 +95,10 @@
 // Open is the number of requests in progress.
 func (e *Entry) Open() int64 { return e.open.Load() }
 
+// End answers what is in progress with what is known of it by now. The process is about
+// to end, and its callers would get no word at all.
+func (e *Entry) End() { e.end() }
+
 // reply is the final answer to a caller.
 type reply struct {
 	status   int
@@ -161,6 +168,7 @@
 	}
 	ctx, cancel := context.WithTimeout(q.http.Context(), q.deadline.Sub(q.opts.Clock()))
 	defer cancel()
+	defer context.AfterFunc(q.ending, cancel)()
 	answer := q.dispatch(ctx)
 	if q.isCall() && answer.status >= http.StatusInternalServerError {
 		q.opts.Local.CallFailed()
--- a/io/crmesh/crmesh_test.go
+++ b/io/crmesh/crmesh_test.go
@@ -357,6 +357,30 @@
 	g.Expect(m.log.String()).NotTo(gomega.ContainSubstring(`"event":608`))
 }
 
+// A stopping daemon's time is up before that of a request, and its caller gets no word at all.
+func TestAPlannedStopAnswersWhatDoesNotEndInTime(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f := newFleet(t, 2)
+	m := f.machines[0]
+	m.end()
+	m.cfg.Bounds.Grace = 1.6
+	m.start()
+	f.settle()
+	for _, other := range f.machines {
+		other.target.Set(crtarget.Behaviour{Work: 4 * time.Second})
+	}
+	got := make(chan answer, 2)
+	for range 2 {
+		go func() { got <- m.call(http.MethodPost, "/hold/", "k1") }()
+	}
+	g.Eventually(func() int { return len(m.target.Runs()) + len(f.machines[1].target.Runs()) }).Should(gomega.Equal(2))
+	m.end()
+	for range 2 {
+		g.Expect((<-got).status).To(gomega.BeElementOf(http.StatusBadGateway, http.StatusGatewayTimeout))
+	}
+	g.Expect(m.log.String()).NotTo(gomega.ContainSubstring(`"event":608`))
+}
+
 // A daemon is told to stop while its target is the only one that serves. The target
 // would lie idle until the next daemon has started; what ends before this one does
 // is still taken.
--- a/io/crmesh/daemon.go
+++ b/io/crmesh/daemon.go
@@ -37,6 +37,9 @@
 	// reserve is kept of the grace, to end before the kill. What is still at a target
 	// then is cut, so that it is no more than ending takes.
 	reserve = 150 * time.Millisecond
+	// lastWord is the time before the end at which callers are told what is known of
+	// requests that are still in progress.
+	lastWord = 80 * time.Millisecond
 	// drainPoll is the time between looks at what is still in progress.
 	drainPoll = 20 * time.Millisecond
 	// headerTime is how long a peer or caller may take for a request's head.
@@ -195,7 +198,10 @@
 	time.Sleep(min(settle, grace/2))
 	d.exit.Stop()
 	d.loop.emit(crmesh.Nudge{Now: crclock.Now()})
-	ctx, cancel := context.WithTimeout(context.Background(), grace-time.Since(began))
+	left := grace - time.Since(began)
+	last := time.AfterFunc(left-lastWord, d.entry.End)
+	defer last.Stop()
+	ctx, cancel := context.WithTimeout(context.Background(), left)
 	defer cancel()
 	err := s.caller.Shutdown(ctx)
 	for err == nil && !d.exit.Idle() && ctx.Err() == nil {
