io/crfeed: New daemons read the store through their seeds

Cause: a daemon knows no reader of its domain when it starts, so it listed and watched the store itself: nine calls or more for each of 353 daemons, at each start of the fleet.

Change: while it is new and knows no reader, a daemon reads through its seeds. A seed watches the store itself while it is new. Any daemon with a copy serves a complete list, packed as a whole; watches are served only by what reads the store itself, so that no two daemons wait for each other. Without an answer of the seeds for a second a daemon reads the store itself. A reader answers the first heartbeat of a new daemon of its domain at once, so that it finds its reader within 200 ms. Feed pages have a field more: daemons of an older version do not decode them and read the store themselves.

--- a/core/crmesh/crmesh.go
+++ b/core/crmesh/crmesh.go
@@ -16,6 +16,7 @@
 package crmesh
 
 import (
+	"slices"
 	"strings"
 	"time"
 
@@ -230,6 +231,9 @@
 	}
 	changed := p.lastReceived == 0 || p.unresponsive || !sameRole(p.heartbeat, ev.Heartbeat)
 	newlyUnavailable := p.lastReceived != 0 && ev.Heartbeat.StoreUnavailable && !p.heartbeat.StoreUnavailable
+	if p.heartbeat.Incarnation != ev.Heartbeat.Incarnation && s.sameDomain(p) && slices.Contains(s.readers(), s.params.Self) {
+		p.lastSent = 0 // a new daemon reads the store directly until it knows a reader
+	}
 	p.lastReceived, p.heartbeat, p.unresponsive, p.overdue, p.requestsUnanswered = ev.Now, ev.Heartbeat, false, false, false
 	s.trackNewer(ev.Now, p)
 	effects := make([]crevent.Effect, 0, 3)
--- a/core/crmesh/size_test.go
+++ b/core/crmesh/size_test.go
@@ -55,3 +55,16 @@
 	v := views(s.Step(crmesh.RecordsChanged{Now: start.Add(time.Second), Revision: 6}))
 	g.Expect(v).To(gomega.HaveLen(1))
 }
+
+// A new daemon reads the store directly until it knows a reader of its domain. A reader
+// must not wait for its next heartbeat to that daemon.
+func TestReaderAnswersNewDaemonAtOnce(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := crmesh.New(params())
+	s.Step(recordsListed())
+	s.Step(crmesh.HeartbeatReceived{Now: start, From: "10.0.0.3", Heartbeat: crmesh.Heartbeat{Incarnation: 1, RecordRevision: 5}})
+	s.Step(crevent.Tick{Now: start})
+	restarted := crmesh.HeartbeatReceived{Now: start.Add(10 * time.Millisecond), From: "10.0.0.3", Heartbeat: crmesh.Heartbeat{Incarnation: 2}}
+	s.Step(restarted)
+	g.Expect(heartbeats(s.Step(crevent.Tick{Now: start.Add(20 * time.Millisecond)}))).To(gomega.Equal([]crid.Daemon{"10.0.0.3"}))
+}
--- a/io/crfeed/crfeed.go
+++ b/io/crfeed/crfeed.go
@@ -9,6 +9,10 @@
 // A daemon whose readers do not answer reads the store directly, so that the failure of
 // a reader causes more calls but no delay.
 //
+// A new daemon does not know the readers of its domain yet. It reads through its seeds,
+// which read the store directly while they are new. So a fleet whose daemons all start at
+// once does not call the store once for each of them.
+//
 // [Feed] implements [crwatch.Store] for the follower of io/crwatch, which keeps the
 // local copy. [Feed.Serve] answers the queries of peers from that copy; io/croffer
 // carries queries and answers between daemons.
@@ -66,16 +70,6 @@
 	// answered it although its readers report the store as unavailable. A store that
 	// rejects some machines does so for seconds.
 	directTime = 10 * time.Second
-	// startupTime is how long a daemon counts as new. When all daemons start at the same
-	// time, the readers are not determined yet, and each daemon receives the others'
-	// targets one by one. If each of them watched the store like a reader during this
-	// time, that would cost more calls than the rest of a day.
-	startupTime = 6 * time.Second
-	// startupInterval is the time between two calls of a new daemon that has found no
-	// other reader. It is a part of the time within which a change must be in force.
-	startupInterval = 1500 * time.Millisecond
-	// startupPollInterval is the time between two checks for readers during startup.
-	startupPollInterval = 100 * time.Millisecond
 )
 
 // Peers queries other daemons.
@@ -92,6 +86,7 @@
 // Options are the dependencies of a feed.
 type Options struct {
 	Self           crid.Daemon
+	Seeds          []crid.Daemon // the same at all daemons, usually
 	Store          crwatch.Store
 	Peers          Peers
 	Readers        func() []crid.Daemon // of the own domain; empty: not determined yet
@@ -113,7 +108,9 @@
 	lastCall      map[crwatch.Scope]crid.Instant
 	timedOutEarly map[crwatch.Scope]bool // the last watch was abandoned early
 	directUntil   crid.Instant           // until when the store is read directly
-	stopping      context.Context        //nolint:containedctx // ends the pending queries of peers
+	packed        packedList
+	seedWatches   atomic.Int64
+	stopping      context.Context //nolint:containedctx // ends the pending queries of peers
 	stop          context.CancelFunc
 }
 
@@ -207,18 +204,6 @@
 	return crclock.Sleep(ctx, left)
 }
 
-// startingUp reports whether this daemon is new, has found no other reader yet, and has
-// called the store for the scope within startupInterval.
-func (f *Feed) startingUp(scope crwatch.Scope) bool {
-	f.mu.Lock()
-	last, now := f.lastCall[scope], f.opts.Clock()
-	f.mu.Unlock()
-	if now.Sub(f.started) >= startupTime || now.Sub(last) >= startupInterval || !f.opts.ReadersPending() {
-		return false
-	}
-	return !slices.ContainsFunc(f.opts.Readers(), func(d crid.Daemon) bool { return d != f.opts.Self })
-}
-
 // recordCall counts a direct call of the store.
 func (f *Feed) recordCall(scope crwatch.Scope) {
 	f.storeCalls.Add(1)
@@ -240,6 +225,9 @@
 // readThrough queries the readers one after the other until one has the answer. It
 // returns errReadDirectly if the store has to be called directly.
 func (f *Feed) readThrough(ctx context.Context, q croffer.FeedQuery) ([]crwatch.Item, crid.Revision, error) {
+	if f.readsThroughSeeds() {
+		return f.readFromSeeds(ctx, q)
+	}
 	unavailable := false
 	for _, d := range f.readersToQuery() {
 		page, err := f.query(ctx, d, q)
@@ -248,7 +236,7 @@
 		}
 		var items []crwatch.Item
 		if err == nil {
-			items, err = crwatch.Decompress(page.Items)
+			items, err = unpack(page)
 		}
 		switch {
 		case err != nil:
@@ -348,24 +336,15 @@
 	return true
 }
 
-// Serve answers the query of a daemon that reads through this one. A daemon that is not
-// a reader must not serve: two daemons that read through each other would both wait
-// forever.
+// Serve answers the query of a daemon that reads through this one.
 func (f *Feed) Serve(ctx context.Context, source Source, q croffer.FeedQuery) croffer.FeedPage {
-	if !slices.Contains(f.opts.Readers(), f.opts.Self) {
+	if !q.Full && !f.servesWatches() {
 		return croffer.FeedPage{State: croffer.FeedNotReader}
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer context.AfterFunc(f.stopping, cancel)()
-	var items []crwatch.Item
-	var revision crid.Revision
-	var err error
-	if q.Full {
-		items, revision, err = source.Snapshot(q.Scope)
-	} else {
-		items, revision, err = source.ChangesAfter(ctx, q.Scope, q.After, min(q.Wait, readerWait))
-	}
+	page, err := f.answer(ctx, source, q)
 	switch {
 	case errors.Is(err, crwatch.ErrCompacted):
 		return croffer.FeedPage{State: croffer.FeedCompacted}
@@ -374,5 +353,14 @@
 	case err != nil:
 		return croffer.FeedPage{State: croffer.FeedUnavailable}
 	}
-	return croffer.FeedPage{State: croffer.FeedServed, Items: items, Revision: revision}
+	return page
+}
+
+func (f *Feed) answer(ctx context.Context, source Source, q croffer.FeedQuery) (croffer.FeedPage, error) {
+	if q.Full {
+		return f.serveList(source, q.Scope)
+	}
+	defer f.countWatch()()
+	items, revision, err := source.ChangesAfter(ctx, q.Scope, q.After, min(q.Wait, readerWait))
+	return croffer.FeedPage{State: croffer.FeedServed, Items: items, Revision: revision}, err
 }
--- a/io/crfeed/fleet_test.go
+++ b/io/crfeed/fleet_test.go
@@ -51,6 +51,7 @@
 	plan     crwatch.Item
 	changed  chan struct{}
 	outages  []outage
+	calls    int
 }
 
 func newVirtualStore() *virtualStore { return &virtualStore{changed: make(chan struct{})} }
@@ -105,6 +106,21 @@
 	return []crwatch.Item{s.plan}
 }
 
+// count counts a call and returns the time at which it was received.
+func (s *virtualStore) count() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls++
+	return time.Now()
+}
+
+// callCount returns the number of calls received so far.
+func (s *virtualStore) callCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
 // storeClient is a daemon's client of the store.
 type storeClient struct {
 	*virtualStore
@@ -123,7 +139,7 @@
 	ctx, cancel := context.WithTimeout(ctx, wait+callTimeout)
 	defer cancel()
 	time.Sleep(storeDelay)
-	receivedAt := time.Now()
+	receivedAt := c.count()
 	waitTimer := time.NewTimer(wait)
 	defer waitTimer.Stop()
 	for {
@@ -179,12 +195,19 @@
 type fleet struct {
 	store   *virtualStore
 	members map[crid.Daemon]*member
+	seeds   []crid.Daemon
+	failed  map[crid.Daemon]bool // daemons that do not run
 	started time.Time
 }
 
 // newFleet returns a fleet with one domain per size.
-func newFleet(sizes ...int) *fleet {
-	f := &fleet{store: newVirtualStore(), members: make(map[crid.Daemon]*member), started: time.Now()}
+func newFleet(sizes ...int) *fleet { return newSeededFleet(nil, sizes...) }
+
+// newSeededFleet returns a fleet whose daemons all have the given seeds.
+func newSeededFleet(seeds []crid.Daemon, sizes ...int) *fleet {
+	f := &fleet{
+		store: newVirtualStore(), members: make(map[crid.Daemon]*member), seeds: seeds, failed: make(map[crid.Daemon]bool), started: time.Now(),
+	}
 	for n, size := range sizes {
 		for i := range size {
 			f.add(crid.Daemon(fmt.Sprintf("10.%d.0.%d", n+1, i+1)), crid.Domain("d"+strconv.Itoa(n)))
@@ -199,12 +222,12 @@
 func (f *fleet) add(id crid.Daemon, domain crid.Domain) {
 	m := &member{id: id, domain: domain, fleet: f, events: make(chan crevent.Event, 1024), inForce: make(map[uint64]time.Time)}
 	m.state = crmesh.New(crmesh.Params{
-		Self: id, Domain: domain, Service: "s", Address: string(id) + ":1", LocalInterval: localInterval, RemoteInterval: remoteInterval, RecordGrace: recordGrace,
+		Self: id, Domain: domain, Service: "s", Address: string(id) + ":1", Seeds: f.seeds, LocalInterval: localInterval, RemoteInterval: remoteInterval, RecordGrace: recordGrace,
 	})
-	m.view.Store(&crmesh.View{Size: 1, Confirmed: 1, Reachable: 1})
+	m.view.Store(&crmesh.View{Size: 1, Confirmed: 1, Reachable: 1, ReadersPending: true})
 	log := crlog.New(io.Discard, "info", string(id))
 	m.feed = crfeed.New(crfeed.Options{
-		Self: id, Store: storeClient{f.store, id}, Peers: m, Clock: f.now, Log: log,
+		Self: id, Seeds: f.seeds, Store: storeClient{f.store, id}, Peers: m, Clock: f.now, Log: log,
 		Readers: func() []crid.Daemon { return m.view.Load().Readers }, ReadersPending: func() bool { return m.view.Load().ReadersPending },
 	})
 	m.follower = crwatch.New(crwatch.Options{
@@ -221,6 +244,9 @@
 	defer cancel()
 	var tasks sync.WaitGroup
 	for _, m := range f.members {
+		if f.failed[m.id] {
+			continue
+		}
 		delay := rand.N(maxStartDelay)
 		tasks.Go(func() { m.run(ctx) })
 		for _, scope := range []crwatch.Scope{crwatch.Records, crwatch.Configuration} {
@@ -301,6 +327,9 @@
 func (m *member) sendHeartbeats(eff crmesh.SendHeartbeats) {
 	for _, id := range eff.To {
 		d := m.fleet.members[id]
+		if m.fleet.failed[id] {
+			continue
+		}
 		b := crmesh.Heartbeat{
 			Incarnation: 1, Target: crid.Target("t-" + m.id), Slots: 1, Stopping: eff.Stopping, StoreUnavailable: eff.StoreUnavailable,
 			PlanVersion: eff.PlanVersion, RecordRevision: eff.RecordRevision,
@@ -329,7 +358,7 @@
 // Feed implements crfeed.Peers.
 func (m *member) Feed(ctx context.Context, id crid.Daemon, q croffer.FeedQuery) (croffer.FeedPage, error) {
 	d := m.fleet.members[id]
-	if d == nil {
+	if d == nil || m.fleet.failed[id] {
 		return croffer.FeedPage{}, errNoAnswer
 	}
 	time.Sleep(m.delay(d))
--- a/io/crmesh/crmesh.go
+++ b/io/crmesh/crmesh.go
@@ -116,7 +116,7 @@
 
 func newFeed(opts Options, loop *loop, peers *croffer.Client, l *crlog.Logger) *crfeed.Feed {
 	return crfeed.New(crfeed.Options{
-		Self: crid.Daemon(opts.Settings.Address), Store: opts.Store, Peers: peers, Clock: crclock.Now,
+		Self: crid.Daemon(opts.Settings.Address), Seeds: seeds(opts.Settings), Store: opts.Store, Peers: peers, Clock: crclock.Now,
 		Readers: func() []crid.Daemon { return loop.view.Load().Readers }, ReadersPending: func() bool { return loop.view.Load().ReadersPending },
 		Log: l,
 	})
--- a/io/crmesh/loop.go
+++ b/io/crmesh/loop.go
@@ -47,7 +47,7 @@
 		events: make(chan crevent.Event, eventQueueSize),
 		log:    l,
 	}
-	lp.view.Store(&crmesh.View{Size: 1, Confirmed: 1, Reachable: 1})
+	lp.view.Store(&crmesh.View{Size: 1, Confirmed: 1, Reachable: 1, ReadersPending: true})
 	return lp
 }
 
--- a/io/croffer/feed.go
+++ b/io/croffer/feed.go
@@ -37,4 +37,5 @@
 	State    FeedState
 	Items    []crwatch.Item // large values are compressed
 	Revision crid.Revision  // After of the next query
+	Packed   []byte         // a list of records, in place of Items; see crwatch.Pack
 }
--- a/io/crwatch/compress.go
+++ b/io/crwatch/compress.go
@@ -7,6 +7,8 @@
 	"fmt"
 	"io"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"camphorroad/core/crid"
 )
 
@@ -44,25 +46,58 @@
 	if c, ok := f.compressed[i.Key]; ok && c.revision == i.Revision {
 		return c.value
 	}
+	value := compress(i.Value)
+	f.compressed[i.Key] = compressedValue{revision: i.Revision, value: value}
+	return value
+}
+
+func compress(data []byte) []byte {
 	var b bytes.Buffer
 	// A bytes.Buffer accepts every write, and the level is a valid one.
 	w, _ := flate.NewWriter(&b, flate.BestSpeed)
-	_, _ = w.Write(i.Value)
+	_, _ = w.Write(data)
 	_ = w.Close()
-	f.compressed[i.Key] = compressedValue{revision: i.Revision, value: b.Bytes()}
 	return b.Bytes()
 }
 
+func decompress(data []byte) ([]byte, error) {
+	out, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(data)), maxDecompressedBytes+1))
+	if err == nil && len(out) > maxDecompressedBytes {
+		err = errDecompressedSize
+	}
+	return out, err
+}
+
+// Pack encodes and compresses a list of items as a whole. Records are small and alike, so
+// that a list of hundreds shrinks to a fraction, and each by itself does not.
+func Pack(items []Item) ([]byte, error) {
+	data, err := cbor.Marshal(items)
+	if err != nil {
+		return nil, fmt.Errorf("pack %d items: %w", len(items), err)
+	}
+	return compress(data), nil
+}
+
+// Unpack is the inverse of Pack, and decompresses the values of the items.
+func Unpack(packed []byte) ([]Item, error) {
+	data, err := decompress(packed)
+	if err != nil {
+		return nil, fmt.Errorf("unpack a list of items: %w", err)
+	}
+	var items []Item
+	if err := cbor.Unmarshal(data, &items); err != nil {
+		return nil, fmt.Errorf("unpack a list of items: %w", err)
+	}
+	return Decompress(items)
+}
+
 // Decompress decompresses the compressed values of items in place.
 func Decompress(items []Item) ([]Item, error) {
 	for n, i := range items {
 		if !i.Compressed {
 			continue
 		}
-		value, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(i.Value)), maxDecompressedBytes+1))
-		if err == nil && len(value) > maxDecompressedBytes {
-			err = errDecompressedSize
-		}
+		value, err := decompress(i.Value)
 		if err != nil {
 			return nil, fmt.Errorf("decompress %s: %w", i.Key, err)
 		}
