Offers ask for a free slot before they wait in a queue

Cause: in a fleet of hundreds an entry sends one target a request a minute and hears of its load seconds later, so that requests queue at targets that it takes for idle while others have free slots. The count of requests sent was also reduced twice, by the report with a response and by the end of the request.

Change: an offer to a target that the entry takes for having room asks for a free slot. The exit refuses it otherwise (ReasonBusy), reports its load, and the entry asks another one, three times at most; then the request waits in a queue. A busy target is not excluded from that. The request for a free slot is in the URI of the offer, so that daemons of the version before queue the request as they did. The load of a target is taken down only if its last report did not replace the count.

--- a/core/crgate/crgate.go
+++ b/core/crgate/crgate.go
@@ -43,6 +43,9 @@
 	ReasonDisplaced
 	// ReasonLeaving means that the target or its daemon is stopping.
 	ReasonLeaving
+	// ReasonBusy means that no slot is free, and that the entry wants no place in the
+	// queue.
+	ReasonBusy
 	// ReasonCancelled means that the entry cancelled the request or never sent
 	// it.
 	ReasonCancelled
@@ -57,6 +60,8 @@
 		return "displaced"
 	case ReasonLeaving:
 		return "leaving"
+	case ReasonBusy:
+		return "busy"
 	case ReasonCancelled:
 		return "withdrawn"
 	}
@@ -94,6 +99,7 @@
 	Nested      bool         // a running request, which holds a slot in the fleet, waits for this one
 	Priority    int          // 0 is the most urgent
 	LatestStart crid.Instant // latest useful start
+	FreeSlot    bool         // refuse the request rather than queue it
 }
 
 // Ticket represents an admitted request, first in the queue and then in a slot.
@@ -168,6 +174,9 @@
 		return nil, &Refusal{reason: ReasonLeaving}
 	}
 	g.sweep(now)
+	if req.FreeSlot && (len(g.waiting) > 0 || len(g.running) >= g.slots) {
+		return nil, &Refusal{reason: ReasonBusy, retryAfter: g.estimateWait(now, len(g.waiting))}
+	}
 	at := g.insertPosition(req)
 	if wait := g.estimateWait(now, at); now.Add(wait) > req.LatestStart {
 		return nil, &Refusal{reason: ReasonFull, retryAfter: g.estimateWait(now, len(g.waiting)), estimatedWait: wait, maxWait: req.LatestStart.Sub(now)}
--- a/core/crgate/crgate_test.go
+++ b/core/crgate/crgate_test.go
@@ -188,3 +188,18 @@
 	capacity := slots * float64(time.Minute) / float64(serviceTime)
 	g.Expect(float64(served[true]+served[false])/capacity).To(gomega.BeNumerically(">", 0.93), "use of the slots")
 }
+
+// A request for a free slot waits behind others while another target has one.
+func TestRequestForFreeSlotIsNotQueued(t *testing.T) {
+	g := gomega.NewWithT(t)
+	gate := crgate.New(2)
+	first := admit(t, gate, 1, time.Second)
+	admit(t, gate, 1, time.Second)
+	_, refusal := gate.Admit(start, crgate.Request{Priority: 0, LatestStart: start.Add(time.Minute), FreeSlot: true})
+	g.Expect(refusal.Reason()).To(gomega.Equal(crgate.ReasonBusy))
+	g.Expect(gate.Load().Waiting).To(gomega.Equal(0))
+	gate.Release(start, first, time.Second)
+	ticket, refusal := gate.Admit(start, crgate.Request{Priority: 2, LatestStart: start.Add(time.Minute), FreeSlot: true})
+	g.Expect(refusal).To(gomega.BeNil())
+	g.Expect(granted(ticket)).To(gomega.BeTrue())
+}
--- a/core/crplace/choose.go
+++ b/core/crplace/choose.go
@@ -37,8 +37,20 @@
 	// trialInterval is the minimum time between two trials of one target by this
 	// daemon.
 	trialInterval = 700 * time.Millisecond
+	// maxBusyRefusals is the number of targets that may refuse one request because all of
+	// their slots are taken. After that it waits in the queue of a target.
+	maxBusyRefusals = 3
 )
 
+// FreeSlotOnly reports whether the exit should refuse the request if no slot is free,
+// rather than queue it. In a large fleet an entry sends one target a request a minute, and
+// its load reports are seconds old: a target that it takes for idle may have a queue, while
+// another one has free slots. An offer takes milliseconds, and a place in a queue hundreds
+// of them. busy is the number of exits that refused the request for this reason.
+func (c Choice) FreeSlotOnly(busy int) bool {
+	return !c.LastResort && !c.Trial && c.Utilization < 1 && busy < maxBusyRefusals
+}
+
 // scoredCandidate is a candidate with its state and score.
 type scoredCandidate struct {
 	Candidate
--- a/core/crplace/crplace_test.go
+++ b/core/crplace/crplace_test.go
@@ -214,3 +214,39 @@
 	c, _ := b.Choose(start, all, idempotent(sequence(0.9)))
 	g.Expect(c.Target).To(gomega.Equal(crid.Target("t0")))
 }
+
+// An entry with outdated reports takes full targets for idle. Its request asks three of them for
+// a free slot and then waits in a queue, rather than being refused by all.
+func TestRequestAsksForFreeSlotBeforeItWaits(t *testing.T) {
+	g := gomega.NewWithT(t)
+	b := crplace.NewBalancer()
+	all := candidates("a", "a", "a", "a", "a")
+	refused := map[crid.Target]bool{}
+	busy := 0
+	for {
+		c, ok := b.Choose(start, all, onceOnly(sequence(0.1, 0.3, 0.5, 0.7, 0.9)))
+		g.Expect(ok).To(gomega.BeTrue())
+		if !c.FreeSlotOnly(busy) {
+			break
+		}
+		g.Expect(refused).NotTo(gomega.HaveKey(c.Target))
+		refused[c.Target] = true
+		busy++
+		b.Report(c.Target, crplace.LoadReport{Load: 6, Slots: 4})
+	}
+	g.Expect(busy).To(gomega.Equal(3))
+}
+
+// A request whose target is known to be full, or unhealthy, gains nothing from a free slot.
+func TestRequestWaitsAtOnceIfNoTargetHasRoom(t *testing.T) {
+	g := gomega.NewWithT(t)
+	b := crplace.NewBalancer()
+	all := candidates("a")
+	b.Report("t0", crplace.LoadReport{Load: 4, Slots: 4})
+	c, _ := b.Choose(start, all, onceOnly(sequence(0.1)))
+	g.Expect(c.FreeSlotOnly(0)).To(gomega.BeFalse())
+	b.Report("t0", crplace.LoadReport{Load: 1, Slots: 4, UnhealthyProb: 0.9})
+	c, _ = b.Choose(start, all, onceOnly(sequence(0.1)))
+	g.Expect(c.LastResort).To(gomega.BeTrue())
+	g.Expect(c.FreeSlotOnly(0)).To(gomega.BeFalse())
+}
--- a/io/cregress/cregress.go
+++ b/io/cregress/cregress.go
@@ -210,7 +210,7 @@
 	if latestStart != 0 {
 		start = min(start, latestStart)
 	}
-	ticket, refused := x.gate.Admit(now, crgate.Request{Kind: o.Kind(), Nested: o.Nested, Priority: o.Priority, LatestStart: start})
+	ticket, refused := x.gate.Admit(now, crgate.Request{Kind: o.Kind(), Nested: o.Nested, Priority: o.Priority, LatestStart: start, FreeSlot: o.FreeSlot})
 	if refused != nil {
 		return x.refuse(now, o, refusal{
 			reason: refused.Reason().String(), retryAfter: refused.RetryAfter(), wait: refused.EstimatedWait(), maxWait: refused.MaxWait(),
--- a/io/cringress/dispatch.go
+++ b/io/cringress/dispatch.go
@@ -53,8 +53,10 @@
 // dispatch is the state of one request while targets are tried.
 type dispatch struct {
 	*request
-	tried        []crid.Target // targets that it was offered to
+	tried        []crid.Target // targets that it was offered to, without busy ones
 	offers       int
+	busy         int  // exits that refused it because no slot was free
+	lastReported bool // the last exit refused it and reported the target's load
 	unresponsive int            // exits that did not reply to an offer
 	refusals     map[string]int // counts of the reasons why targets did not run it
 	sent         int            // number of targets that it was sent to
@@ -103,10 +105,11 @@
 		})
 	}
 	d.offers++
-	d.tried = append(d.tried, choice.Target)
 	d.opts.Balancer.Begin(choice.Target)
-	defer d.opts.Balancer.End(choice.Target)
 	result, ok := d.try(ctx, choice)
+	if !d.lastReported {
+		d.opts.Balancer.End(choice.Target)
+	}
 	if !ok {
 		if d.retrying {
 			d.opts.Budget.Refund(now, d.service, retryCost)
@@ -129,8 +132,9 @@
 	o := croffer.Offer{
 		ID: d.info.ID, From: d.opts.Self, Target: c.Target, Service: d.service, Class: d.route.Class, Priority: d.priority(),
 		TimeLeft: d.deadline.Sub(now), ObjectiveLeft: d.route.Objective - now.Sub(d.started), LastResort: c.LastResort, Retry: d.retrying,
-		RouteObjective: d.route.Objective, Nested: d.isNested(),
+		RouteObjective: d.route.Objective, Nested: d.isNested(), FreeSlot: c.FreeSlotOnly(d.busy),
 	}
+	d.lastReported = false
 	if c.Daemon == d.opts.Self {
 		return d.tryLocal(ctx, o)
 	}
@@ -139,6 +143,7 @@
 		if ctx.Err() == nil {
 			d.unresponsive++
 			d.countRefusal("silent")
+			d.tried = append(d.tried, c.Target)
 			d.opts.Balancer.NoResponse(d.opts.Clock(), c.Target)
 		}
 		return croffer.Result{}, false
@@ -164,10 +169,18 @@
 	if r.Reason != "no such target here" {
 		d.opts.Balancer.Report(o.Target, r.LoadReport)
 	}
-	if !r.Accepted {
-		d.countRefusal(r.Reason)
-		d.recordRetryAfter(r.RetryAfter)
+	if r.Accepted {
+		d.tried = append(d.tried, o.Target)
+		return
+	}
+	d.lastReported = r.Reason != "no such target here"
+	d.countRefusal(r.Reason)
+	d.recordRetryAfter(r.RetryAfter)
+	if r.Reason == croffer.ReasonBusy {
+		d.busy++ // it may still wait in the queue there
+		return
 	}
+	d.tried = append(d.tried, o.Target)
 }
 
 // countRefusal counts a reason why a target did not run the request.
--- a/io/croffer/client.go
+++ b/io/croffer/client.go
@@ -87,14 +87,18 @@
 	if err != nil {
 		return Reply{}, nil, err
 	}
+	uri := PathOffer
+	if o.FreeSlot {
+		uri += "?" + queryFreeSlot
+	}
 	var reply Reply
-	err = exchange(ctx, conn, PathOffer, body, &reply)
+	err = exchange(ctx, conn, uri, body, &reply)
 	if err != nil && conn.Reused() && ctx.Err() == nil {
 		// The peer may have closed the idle connection, for example at a restart.
 		if conn, err = pool.Dial(ctx); err != nil {
 			return Reply{}, nil, err
 		}
-		err = exchange(ctx, conn, PathOffer, body, &reply)
+		err = exchange(ctx, conn, uri, body, &reply)
 	}
 	if err != nil {
 		return Reply{}, nil, err
--- a/io/croffer/croffer.go
+++ b/io/croffer/croffer.go
@@ -18,6 +18,7 @@
 	"context"
 	"time"
 
+	"camphorroad/core/crgate"
 	"camphorroad/core/crid"
 	"camphorroad/core/crpace"
 	"camphorroad/core/crplace"
@@ -39,8 +40,15 @@
 	Retry          bool          // the request was sent to another target before
 	RouteObjective time.Duration // latency objective of the route
 	Nested         bool          // the caller is a target of the fleet, and one of its requests waits for this one
+
+	// FreeSlot asks the exit to refuse the request if no slot is free. It is sent in the
+	// URI, so that daemons of a version without it accept the offer and queue the request.
+	FreeSlot bool `cbor:"-"`
 }
 
+// ReasonBusy is the reason with which an exit refuses an offer that asks for a free slot.
+var ReasonBusy = crgate.ReasonBusy.String()
+
 // Kind returns the kind of the request, by which its duration is estimated.
 func (o Offer) Kind() crpace.Kind { return crpace.Kind{Class: o.Class, Objective: o.RouteObjective} }
 
--- a/io/croffer/server.go
+++ b/io/croffer/server.go
@@ -19,6 +19,9 @@
 	PathFeed  = "/feed"
 )
 
+// queryFreeSlot is the query of an offer that asks for a free slot.
+const queryFreeSlot = "slot=free"
+
 // maxBodyBytes bounds the body of a peer's request, which may contain a caller's
 // request with its body.
 const maxBodyBytes = 64 << 20
@@ -35,6 +38,7 @@
 	mux.HandleFunc("POST "+PathOffer, func(w http.ResponseWriter, r *http.Request) {
 		var o Offer
 		if readRequest(w, r, &o) {
+			o.FreeSlot = r.URL.RawQuery == queryFreeSlot
 			writeResponse(w, exit.Offer(clock(), o))
 		}
 	})
--- a/lab/crexperiment/crexperiment.go
+++ b/lab/crexperiment/crexperiment.go
@@ -85,16 +85,17 @@
 
 // Experiment is the configuration of a simulation.
 type Experiment struct {
-	Name     string    `toml:"name"`
-	Seeds    []uint64  `toml:"seeds"`
-	Length   Duration  `toml:"length"`
-	Load     float64   `toml:"load"` // factor on the rates of the kinds
-	Domains  int       `toml:"domains"`
-	Delay    Duration  `toml:"delay"` // one-way delay between domains
-	Policies []string  `toml:"policies"`
-	Services []Service `toml:"service"`
-	Kinds    []Kind    `toml:"kind"`
-	Faults   Faults    `toml:"sick"`
+	Name      string    `toml:"name"`
+	Seeds     []uint64  `toml:"seeds"`
+	Length    Duration  `toml:"length"`
+	Load      float64   `toml:"load"` // factor on the rates of the kinds
+	Domains   int       `toml:"domains"`
+	Delay     Duration  `toml:"delay"`     // one-way delay between domains
+	Heartbeat Duration  `toml:"heartbeat"` // between load reports of an exit
+	Policies  []string  `toml:"policies"`
+	Services  []Service `toml:"service"`
+	Kinds     []Kind    `toml:"kind"`
+	Faults    Faults    `toml:"sick"`
 }
 
 // Load reads and checks an experiment file. The error names the file, and the line and
@@ -105,7 +106,7 @@
 		return nil, fmt.Errorf("%w: %w", ErrExperiment, err)
 	}
 	defer func() { _ = f.Close() }() // opened for reading only
-	x := &Experiment{Load: 1, Domains: 1, Seeds: []uint64{1}, Policies: PolicyNames()}
+	x := &Experiment{Load: 1, Domains: 1, Heartbeat: Duration(time.Second), Seeds: []uint64{1}, Policies: PolicyNames()}
 	if err := toml.NewDecoder(f).DisallowUnknownFields().Decode(x); err != nil {
 		return nil, fmt.Errorf("%w: %s: %s", ErrExperiment, file, describeError(err))
 	}
--- a/lab/crexperiment/crexperiment_test.go
+++ b/lab/crexperiment/crexperiment_test.go
@@ -97,3 +97,22 @@
 		x.Run()
 	}
 }
+
+// In a fleet of hundreds, load reports are seconds old when an entry uses them. Requests must not
+// queue at a target that the entry takes for idle while others have free slots: the share that is
+// late may exceed that of complete information by 0.015.
+func TestStaleLoadReportsDoNotDelayRequests(t *testing.T) {
+	g := gomega.NewWithT(t)
+	x, err := crexperiment.Load("testdata/large.toml")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	x.Load, x.Length, x.Policies = 1.8, crexperiment.Duration(6*time.Second), []string{"product", "oracle"}
+	late := make(map[string]float64)
+	for _, r := range x.Run() {
+		n, requests := 0, 0
+		for _, c := range r.Kinds {
+			n, requests = n+c.Late, requests+c.Requests
+		}
+		late[r.Policy] = float64(n) / float64(requests)
+	}
+	g.Expect(late["product"]).To(gomega.BeNumerically("<=", late["oracle"]+0.015), "%v", late)
+}
--- a/lab/crexperiment/request.go
+++ b/lab/crexperiment/request.go
@@ -23,7 +23,9 @@
 	nested   bool
 	started  crid.Instant
 	deadline crid.Instant
-	tried    []crid.Target
+	tried    []crid.Target // without busy ones
+	offers   int
+	busy     int // exits that refused it because no slot was free
 	attempts int
 	executed bool
 	done     func(ok bool)
@@ -34,6 +36,7 @@
 	*request
 	exit       *exit
 	lastResort bool
+	freeSlot   bool
 	ticket     *crgate.Ticket
 	ended      bool
 }
@@ -57,7 +60,7 @@
 
 func (r *request) next() {
 	e, w := r.entry, r.entry.world
-	if w.now >= r.deadline || len(r.tried) >= maxOffers {
+	if w.now >= r.deadline || r.offers >= maxOffers {
 		r.finish(false)
 		return
 	}
@@ -70,8 +73,8 @@
 		return
 	}
 	x := w.services[r.kind.Service][slices.IndexFunc(w.services[r.kind.Service], func(x *exit) bool { return x.target == choice.Target })]
-	r.tried = append(r.tried, choice.Target)
-	s := &attempt{request: r, exit: x, lastResort: choice.LastResort}
+	r.offers++
+	s := &attempt{request: r, exit: x, lastResort: choice.LastResort, freeSlot: choice.FreeSlotOnly(r.busy)}
 	w.after(w.delay(e, x), s.offer)
 }
 
@@ -95,15 +98,24 @@
 	}
 	if s.accepts() {
 		ticket, refusal := x.gate.Admit(w.now, crgate.Request{
-			Kind: timing.Kind, Nested: s.nested, Priority: s.kind.Priority, LatestStart: x.gate.LatestStart(w.now, timing),
+			Kind: timing.Kind, Nested: s.nested, Priority: s.kind.Priority, LatestStart: x.gate.LatestStart(w.now, timing), FreeSlot: s.freeSlot,
 		})
+		if refusal != nil && refusal.Reason() == crgate.ReasonBusy {
+			s.busy++
+			s.respond(s.next)
+			return
+		}
+		s.tried = append(s.tried, x.target)
 		if refusal == nil {
 			s.ticket = ticket
 			x.waiting = append(x.waiting, s)
 			x.runAdmitted()
 			return
 		}
+		s.respond(s.next)
+		return
 	}
+	s.tried = append(s.tried, x.target)
 	s.respond(s.next)
 }
 
--- a/lab/crexperiment/world.go
+++ b/lab/crexperiment/world.go
@@ -15,15 +15,14 @@
 )
 
 const (
-	startTime         = crid.Instant(time.Hour) // virtual time at the start
-	heartbeatInterval = time.Second             // between load reports of an exit
-	sweepInterval     = 100 * time.Millisecond  // between sweeps of the gates and samples of detection
-	localDelay        = 100 * time.Microsecond  // one-way delay within a domain
-	failureDelay      = 3 * time.Millisecond    // after which an unhealthy target fails a request
-	retryRatio        = 0.2                     // of retries to requests
-	retrySlack        = 60                      // retries beyond the ratio, of the whole fleet
-	budgetWindow      = 10 * time.Second        // of the retry budget
-	maxAttempts       = 2                       // of one request, the first included
+	startTime     = crid.Instant(time.Hour) // virtual time at the start
+	sweepInterval = 100 * time.Millisecond  // between sweeps of the gates and samples of detection
+	localDelay    = 100 * time.Microsecond  // one-way delay within a domain
+	failureDelay  = 3 * time.Millisecond    // after which an unhealthy target fails a request
+	retryRatio    = 0.2                     // of retries to requests
+	retrySlack    = 60                      // retries beyond the ratio, of the whole fleet
+	budgetWindow  = 10 * time.Second        // of the retry budget
+	maxAttempts   = 2                       // of one request, the first included
 )
 
 // event is a scheduled function. Events of the same instant run in the order of scheduling.
@@ -151,7 +150,7 @@
 		if w.x.Faults.Share > 0 {
 			x.startPhase(time.Duration(w.rng.Float64() * float64(w.x.Faults.Every)))
 		}
-		w.after(time.Duration(w.rng.Float64()*float64(heartbeatInterval)), x.heartbeat)
+		w.after(time.Duration(w.rng.Float64()*float64(w.x.Heartbeat)), x.heartbeat)
 	}
 }
 
@@ -210,7 +209,7 @@
 
 func (x *exit) heartbeat() {
 	x.broadcast()
-	x.world.after(heartbeatInterval, x.heartbeat)
+	x.world.after(time.Duration(x.world.x.Heartbeat), x.heartbeat)
 }
 
 // broadcast sends the load report of the target to all entries.
