--- a/io/cringress/dispatch.go
+++ b/io/cringress/dispatch.go
@@ -55,8 +55,8 @@
 	*request
 	tried        []crid.Target // targets that it was offered to, without busy ones
 	offers       int
-	busy         int  // exits that refused it because no slot was free
-	lastReported bool // the last exit refused it and reported the target's load
+	busy         int            // exits that refused it because no slot was free
+	lastReported bool           // the last exit refused it and reported the target's load
 	unresponsive int            // exits that did not reply to an offer
 	refusals     map[string]int // counts of the reasons why targets did not run it
 	sent         int            // number of targets that it was sent to
