core/crplace: A request leaves its domain after two busy targets

Change: after two refusals for want of a slot the request is offered to all domains alike, after five it waits. Those refusals do not count towards the eight offers.

--- a/core/crplace/choose.go
+++ b/core/crplace/choose.go
@@ -39,16 +39,19 @@
 	trialInterval = 700 * time.Millisecond
 	// maxBusyRefusals is the number of targets that may refuse one request because all of
 	// their slots are taken. After that it waits in the queue of a target.
-	maxBusyRefusals = 3
+	maxBusyRefusals = 5
+	// maxLocalBusyRefusals is the number of such refusals after which the request is offered
+	// to all domains alike: its own domain is probably full, and others often are not.
+	maxLocalBusyRefusals = 2
 )
 
 // FreeSlotOnly reports whether the exit should refuse the request if no slot is free,
 // rather than queue it. In a large fleet an entry sends one target a request a minute, and
 // its load reports are seconds old: a target that it takes for idle may have a queue, while
 // another one has free slots. An offer takes milliseconds, and a place in a queue hundreds
-// of them. busy is the number of exits that refused the request for this reason.
-func (c Choice) FreeSlotOnly(busy int) bool {
-	return !c.LastResort && !c.Trial && c.Utilization < 1 && busy < maxBusyRefusals
+// of them.
+func (c Choice) FreeSlotOnly() bool {
+	return !c.LastResort && !c.Trial && c.Utilization < 1 && c.busy < maxBusyRefusals
 }
 
 // scoredCandidate is a candidate with its state and score.
@@ -59,10 +62,13 @@
 	unhealthyProb float64
 	avoided       bool
 	score         float64
+	busy          int // see Request.Busy
 }
 
 func (v scoredCandidate) choice(trial, lastResort bool) Choice {
-	return Choice{Candidate: v.Candidate, Trial: trial, LastResort: lastResort, UnhealthyProb: v.unhealthyProb, Utilization: v.utilization}
+	return Choice{
+		Candidate: v.Candidate, Trial: trial, LastResort: lastResort, UnhealthyProb: v.unhealthyProb, Utilization: v.utilization, busy: v.busy,
+	}
 }
 
 // Choose returns the target to offer a request to, or false if none is left.
@@ -82,7 +88,7 @@
 		return v.choice(false, true), true
 	}
 	local := filter(healthy, func(v scoredCandidate) bool { return v.Domain == req.Domain && v.utilization < lowUtilization })
-	if len(local) > 0 {
+	if len(local) > 0 && req.Busy < maxLocalBusyRefusals {
 		return best(local, req).choice(false, false), true
 	}
 	free := filter(healthy, func(v scoredCandidate) bool { return v.utilization < 1 })
@@ -106,7 +112,7 @@
 		if s.reported && s.report.Closed {
 			continue
 		}
-		v := scoredCandidate{Candidate: c, state: s, unhealthyProb: s.report.UnhealthyProb}
+		v := scoredCandidate{Candidate: c, state: s, unhealthyProb: s.report.UnhealthyProb, busy: req.Busy}
 		slots := c.Slots
 		if s.reported && s.report.Slots > 0 {
 			slots = s.report.Slots
--- a/core/crplace/crplace.go
+++ b/core/crplace/crplace.go
@@ -49,6 +49,7 @@
 	Unresponsive func(crid.Daemon) bool // whether no message of a daemon arrived recently
 	NoRetry      bool                   // no retry is left if the target fails the request
 	Nested       bool                   // another request, which holds a slot, waits for this one
+	Busy         int                    // exits that refused it because no slot was free
 }
 
 // firstTry reports whether the request is idempotent and has not been refused by any
@@ -62,6 +63,7 @@
 	LastResort    bool    // no better target is left: the exit should accept the request although the target is unhealthy
 	UnhealthyProb float64 // by the newest report
 	Utilization   float64 // share of the slots taken, by the newest report and the requests sent since
+	busy          int     // see Request.Busy
 }
 
 // Reason returns the kind of the choice, for logs.
--- a/io/cringress/dispatch.go
+++ b/io/cringress/dispatch.go
@@ -18,9 +18,9 @@
 )
 
 const (
-	// maxOffers bounds the offers of one request: with a third of the targets
-	// unhealthy but not known to be, eight refusals in a row are rarer than one in
-	// ten thousand.
+	// maxOffers bounds the offers of one request, without those for a free slot that were
+	// refused: with a third of the targets unhealthy but not known to be, eight refusals
+	// in a row are rarer than one in ten thousand.
 	maxOffers = 8
 	// maxUnresponsive bounds the exits that do not reply to offers of one request. Each
 	// costs a timeout. If three did not reply, a large part of the fleet is down or
@@ -41,7 +41,7 @@
 // tried, or the deadline has passed.
 func (q *request) dispatch(ctx context.Context) response {
 	d := &dispatch{request: q, response: refusal(http.StatusServiceUnavailable, "no target takes it", minRetryAfter)}
-	for d.offers < maxOffers && d.unresponsive < maxUnresponsive && ctx.Err() == nil {
+	for d.offers-d.busy < maxOffers && d.unresponsive < maxUnresponsive && ctx.Err() == nil {
 		if !d.tryNext(ctx) {
 			break
 		}
@@ -88,7 +88,7 @@
 	}
 	choice, ok := d.opts.Balancer.Choose(now, d.view.Targets[d.service], crplace.Request{
 		Class: d.route.Class, Domain: d.opts.Domain, Tried: d.tried, Rand: rand.Float64,
-		Unresponsive: func(id crid.Daemon) bool { return d.view.Unresponsive[id] }, NoRetry: !d.couldRetry(now), Nested: d.isNested(),
+		Unresponsive: func(id crid.Daemon) bool { return d.view.Unresponsive[id] }, NoRetry: !d.couldRetry(now), Nested: d.isNested(), Busy: d.busy,
 	})
 	if !ok {
 		return false
@@ -132,7 +132,7 @@
 	o := croffer.Offer{
 		ID: d.info.ID, From: d.opts.Self, Target: c.Target, Service: d.service, Class: d.route.Class, Priority: d.priority(),
 		TimeLeft: d.deadline.Sub(now), ObjectiveLeft: d.route.Objective - now.Sub(d.started), LastResort: c.LastResort, Retry: d.retrying,
-		RouteObjective: d.route.Objective, Nested: d.isNested(), FreeSlot: c.FreeSlotOnly(d.busy),
+		RouteObjective: d.route.Objective, Nested: d.isNested(), FreeSlot: c.FreeSlotOnly(),
 	}
 	d.lastReported = false
 	if c.Daemon == d.opts.Self {
--- a/lab/crexperiment/world.go
+++ b/lab/crexperiment/world.go
@@ -164,10 +164,21 @@
 	return time.Duration(w.rng.ExpFloat64() * float64(mean))
 }
 
+// drawEntry draws the entry of a request. With a skew above 1, requests of other domains are
+// moved to the first one.
+func (w *world) drawEntry() *entry {
+	for {
+		e := w.entries[w.rng.IntN(len(w.entries))]
+		if w.x.Skew <= 1 || e.domain == w.entries[0].domain || w.rng.Float64() < 1/w.x.Skew {
+			return e
+		}
+	}
+}
+
 func (w *world) scheduleArrival(k *Kind) {
 	gap := time.Duration(float64(time.Second) / (k.Rate * w.x.Load))
 	w.after(w.exponential(gap), func() {
-		e := w.entries[w.rng.IntN(len(w.entries))]
+		e := w.drawEntry()
 		e.start(k, w.now.Add(time.Duration(k.Timeout)), false, func(bool) {})
 		w.scheduleArrival(k)
 	})
