core/crbudget: More of the fleet's budget is usable, urgent retries first

Change: 0.85 of the limit is used for services that targets do not call; those that they call keep 0.6, since the calls of retried requests are only estimated. Less urgent requests leave as much of the budget as more urgent ones have spent in the window, up to half of it.

--- a/core/crbudget/crbudget.go
+++ b/core/crbudget/crbudget.go
@@ -7,11 +7,15 @@
 // fraction of the requests that entered at this daemon, and an equal part of the slack. The sum
 // over all daemons therefore stays within the limit whatever the other daemons do.
 //
+// A part of the budget is kept for urgent requests while they need it. When a service rejects half
+// of its requests, the budget covers a third of the retries, and without this order the less urgent
+// requests would use it as well as the others.
+//
 // # Usage
 //
 //	b := crbudget.New(crbudget.Params{Ratio: 0.2, Slack: 56, Window: 10 * time.Second})
 //	b.RecordRequest(now, service)
-//	if b.Spend(now, service, fleetSize, 1) { ... }
+//	if b.Spend(now, crbudget.Retry{Service: service, Priority: 1, FleetSize: fleetSize, Cost: 1}) { ... }
 package crbudget
 
 import (
@@ -21,10 +25,25 @@
 	"camphorroad/core/crid"
 )
 
-// safetyFactor is the fraction of the fleet's limit that is used. The rest covers the calls that
-// retried requests make: they are charged where they enter, by an estimated fraction, and when they
-// alone exceed a daemon's part, the other daemons do not reduce their retries.
-const safetyFactor = 0.6
+const (
+	// safetyFactor is the fraction of the fleet's limit that is used. The windows of the daemons
+	// slide by a tenth of their length, in which the limit may be exceeded by as much.
+	safetyFactor = 0.85
+	// calledSafetyFactor is used for a service that targets call. The rest covers the calls that
+	// retried requests make: they are charged where they enter, by an estimated fraction, and when
+	// they alone exceed a daemon's part, the other daemons do not reduce their retries.
+	calledSafetyFactor = 0.6
+	// maxReservedShare is the largest share of the budget that is kept for more urgent requests.
+	maxReservedShare = 0.5
+)
+
+// Retry is one more attempt of a request.
+type Retry struct {
+	Service   crid.Service
+	Priority  int // 0 is the most urgent
+	FleetSize int
+	Cost      float64 // requests that may arrive because of it
+}
 
 // Params are the limit of the fleet.
 type Params struct {
@@ -49,19 +68,20 @@
 func (b *Budget) RecordRequest(now crid.Instant, s crid.Service) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.window(s).add(now, b.params.Window, 1, 0)
+	b.window(s).at(now, b.params.Window).requests++
 }
 
-// Affords reports whether the budget covers one more retry of the given cost.
-func (b *Budget) Affords(now crid.Instant, s crid.Service, fleetSize int, cost float64) bool {
+// Affords reports whether the budget covers a retry.
+func (b *Budget) Affords(now crid.Instant, r Retry) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.affords(now, s, fleetSize, cost)
+	return b.affords(now, r)
 }
 
-func (b *Budget) affords(now crid.Instant, s crid.Service, fleetSize int, cost float64) bool {
-	spent, allowed := b.balance(now, s, fleetSize)
-	return spent+cost <= allowed
+func (b *Budget) affords(now crid.Instant, r Retry) bool {
+	spent, allowed := b.balance(now, r.Service, r.FleetSize)
+	reserved := min(b.window(r.Service).spentAbove(r.Priority), maxReservedShare*allowed)
+	return spent+reserved+r.Cost <= allowed
 }
 
 // Balance returns what was spent of this daemon's part in the window that ends now, and the part.
@@ -73,20 +93,23 @@
 
 func (b *Budget) balance(now crid.Instant, s crid.Service, fleetSize int) (spent, allowed float64) {
 	w := b.window(s)
-	w.add(now, b.params.Window, 0, 0)
+	w.at(now, b.params.Window)
+	factor := safetyFactor
+	if w.calls() > 0 {
+		factor = calledSafetyFactor
+	}
 	slack := b.params.Slack / float64(max(fleetSize, 1))
-	return w.spent(), safetyFactor * (b.params.Ratio*w.requests() + slack)
+	return w.spent(), factor * (b.params.Ratio*w.requests() + slack)
 }
 
-// Spend takes the cost of one more retry, or returns false when the budget does not cover it.
-// The cost is the number of requests that may arrive because of the retry.
-func (b *Budget) Spend(now crid.Instant, s crid.Service, fleetSize int, cost float64) bool {
+// Spend takes the cost of a retry, or returns false when the budget does not cover it.
+func (b *Budget) Spend(now crid.Instant, r Retry) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if !b.affords(now, s, fleetSize, cost) {
+	if !b.affords(now, r) {
 		return false
 	}
-	b.window(s).add(now, b.params.Window, 0, cost)
+	b.window(r.Service).at(now, b.params.Window).spend(r.Priority, r.Cost)
 	return true
 }
 
@@ -95,12 +118,16 @@
 func (b *Budget) Charge(now crid.Instant, s crid.Service, cost float64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.window(s).add(now, b.params.Window, 0, cost)
+	iv := b.window(s).at(now, b.params.Window)
+	iv.charged += cost
+	iv.calls++
 }
 
 // Refund returns the cost of a retry that did not reach a target.
-func (b *Budget) Refund(now crid.Instant, s crid.Service, cost float64) {
-	b.Charge(now, s, -cost)
+func (b *Budget) Refund(now crid.Instant, r Retry) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.window(r.Service).at(now, b.params.Window).spend(r.Priority, -r.Cost)
 }
 
 func (b *Budget) window(s crid.Service) *window {
@@ -112,12 +139,32 @@
 	return w
 }
 
-// intervals is the number of intervals of a window, which slides by one interval at a time.
-const intervals = 10
+const (
+	// intervals is the number of intervals of a window, which slides by one interval at a time.
+	intervals = 10
+	// priorities is the number of priorities that are told apart. Less urgent ones count as the
+	// last.
+	priorities = 4
+)
 
 type interval struct {
-	index          int64
-	requests, cost float64
+	index           int64
+	requests, calls float64 // calls are requests of targets
+	charged         float64
+	byPriority      [priorities]float64 // cost of the retries
+}
+
+func (iv *interval) spend(priority int, cost float64) { iv.byPriority[priorityIndex(priority)] += cost }
+
+func priorityIndex(priority int) int { return min(max(priority, 0), priorities-1) }
+
+// spentAbove is the cost of the retries that are more urgent than a priority.
+func (iv *interval) spentAbove(priority int) float64 {
+	total := 0.0
+	for _, cost := range iv.byPriority[:priorityIndex(priority)] {
+		total += cost
+	}
+	return total
 }
 
 // window sums the requests and the cost in the intervals of a sliding window.
@@ -126,24 +173,34 @@
 	ring    [intervals]interval
 }
 
-func (w *window) add(now crid.Instant, length time.Duration, requests, cost float64) {
+// at returns the current interval.
+func (w *window) at(now crid.Instant, length time.Duration) *interval {
 	w.current = int64(now) / max(int64(length)/intervals, 1)
 	iv := &w.ring[w.current%intervals]
 	if iv.index != w.current {
 		*iv = interval{index: w.current}
 	}
-	iv.requests += requests
-	iv.cost += cost
+	return iv
 }
 
-func (w *window) requests() float64 { return w.sum(func(iv interval) float64 { return iv.requests }) }
-func (w *window) spent() float64    { return w.sum(func(iv interval) float64 { return iv.cost }) }
+func (w *window) requests() float64 { return w.sum(func(iv *interval) float64 { return iv.requests }) }
+func (w *window) calls() float64    { return w.sum(func(iv *interval) float64 { return iv.calls }) }
+
+func (w *window) spent() float64 {
+	return w.sum(func(iv *interval) float64 {
+		return iv.charged + iv.spentAbove(priorities) + iv.byPriority[priorities-1]
+	})
+}
+
+func (w *window) spentAbove(priority int) float64 {
+	return w.sum(func(iv *interval) float64 { return iv.spentAbove(priority) })
+}
 
-func (w *window) sum(of func(interval) float64) float64 {
+func (w *window) sum(of func(*interval) float64) float64 {
 	total := 0.0
-	for _, iv := range w.ring {
-		if w.current-iv.index < intervals {
-			total += of(iv)
+	for i := range w.ring {
+		if w.current-w.ring[i].index < intervals {
+			total += of(&w.ring[i])
 		}
 	}
 	return total
--- a/io/cringress/dispatch.go
+++ b/io/cringress/dispatch.go
@@ -10,6 +10,7 @@
 	"strings"
 	"time"
 
+	"camphorroad/core/crbudget"
 	"camphorroad/core/crid"
 	"camphorroad/core/crplace"
 	"camphorroad/core/crpolicy"
@@ -93,7 +94,7 @@
 	if !ok {
 		return false
 	}
-	if d.retrying && !d.opts.Budget.Spend(now, d.service, d.view.Size, retryCost) {
+	if d.retrying && !d.opts.Budget.Spend(now, d.retry()) {
 		spent, allowed := d.opts.Budget.Balance(now, d.service, d.view.Size)
 		d.response.budget = fmt.Sprintf("%.1f of %.1f", spent, allowed)
 		return false
@@ -112,17 +113,22 @@
 	}
 	if !ok {
 		if d.retrying {
-			d.opts.Budget.Refund(now, d.service, retryCost)
+			d.opts.Budget.Refund(now, d.retry())
 		}
 		return true
 	}
 	return d.handleResult(ctx, choice, result)
 }
 
+// retry is a retry of the request, as the budget counts it.
+func (d *dispatch) retry() crbudget.Retry {
+	return crbudget.Retry{Service: d.service, Priority: d.priority(), FleetSize: d.view.Size, Cost: retryCost}
+}
+
 // couldRetry reports whether the request could be retried on a further target if the next
 // one fails.
 func (d *dispatch) couldRetry(now crid.Instant) bool {
-	return d.mayRunAgain() && d.sent+1 < d.route.MaxTargets && d.opts.Budget.Affords(now, d.service, d.view.Size, retryCost)
+	return d.mayRunAgain() && d.sent+1 < d.route.MaxTargets && d.opts.Budget.Affords(now, d.retry())
 }
 
 // try offers the request to a target and sends it if the exit accepts. It reports false
