core/crmesh: A joining daemon owns accounts from its first heartbeat

A record makes its daemon a possible owner at once, so a fifth of the accounts passed to daemons that did not serve yet; and a new daemon, before the first heartbeat of a peer, grants only the fraction of the rate of a lone daemon (1.1/438).

Change: a peer whose record appears more than 6 s after this daemon first listed the records is an owner only from its first heartbeat on; it stays a member, so that the owner before it still asks a third daemon. A daemon that a peer has selected as the owner grants the rate of the daemons that it expects, not of a lone one.

The two new tests fail on the code before.

--- a/core/crmesh/crmesh.go
+++ b/core/crmesh/crmesh.go
@@ -66,6 +66,9 @@
 	// minIntervalPerPeer, multiplied by the number of peers, is the minimum time between
 	// heartbeats to one peer. So a daemon of a large fleet sends no more than 250 a second.
 	minIntervalPerPeer = 4 * time.Millisecond
+	// startupTime is how long records that appear may belong to daemons that started
+	// together with this one.
+	startupTime = 6 * time.Second
 	// viewIntervalPerPeer, multiplied by the number of peers, is the minimum time between
 	// two views that differ only in the state of peers. When all daemons of a fleet of
 	// hundreds start, or a third of them lose the store, such changes arrive faster than
@@ -94,7 +97,8 @@
 	plan             *crplan.Plan
 	registry         *crregistry.Registry
 	hasRecords       bool
-	storeUnavailable bool // this daemon's own calls to the store fail
+	listedAt         crid.Instant // when the records were first listed
+	storeUnavailable bool         // this daemon's own calls to the store fail
 	peers            map[crid.Daemon]*peer
 	sorted           []*peer               // the peers by name; nil: to be sorted again
 	ahead            map[crid.Daemon]*peer // peers that have reported a plan or records that this daemon lacks
@@ -187,7 +191,9 @@
 		return nil
 	}
 	s.registry.Replace(ev.Now, ev.Changes, ev.Revision)
-	s.hasRecords = true
+	if !s.hasRecords {
+		s.hasRecords, s.listedAt = true, ev.Now
+	}
 	return s.syncPeers(ev.Now)
 }
 
@@ -210,6 +216,7 @@
 		if p == nil {
 			p = s.addPeer(d)
 			p.knownSince = now
+			p.joined = now.Sub(s.listedAt) > startupTime
 		}
 		p.known, p.hasRecord = true, true
 		p.domain = r.Domain
--- a/core/crmesh/event.go
+++ b/core/crmesh/event.go
@@ -177,9 +177,10 @@
 
 // RateFraction returns the fraction of an account's rate that this daemon grants as its
 // owner. A daemon that receives no heartbeats may be one of many that have just started,
-// each of which would grant the whole rate to its own callers.
-func (v *View) RateFraction() float64 {
-	if len(v.Live) <= 1 {
+// each of which would grant the whole rate to its own callers. If a peer requests the
+// token, that peer has selected this daemon as the owner.
+func (v *View) RateFraction(forPeer bool) float64 {
+	if len(v.Live) <= 1 && !forPeer {
 		return crquota.RateFraction(1, v.Confirmed)
 	}
 	return crquota.RateFraction(v.Reachable, v.Confirmed)
--- a/core/crmesh/peer.go
+++ b/core/crmesh/peer.go
@@ -27,6 +27,7 @@
 	unansweredSince    crid.Instant // when it first left a token request unanswered after its latest heartbeat; zero: never
 	knownSince         crid.Instant // when it became known
 	requestsUnanswered bool         // unresponsive because it answers no token requests
+	joined             bool         // its record appeared while this daemon was running
 	overdue            bool         // its first heartbeat has not arrived within the time after which other peers count as unresponsive
 }
 
@@ -144,10 +145,12 @@
 
 // mayBeUp reports whether a peer's heartbeats arrive, or a record names it and its first
 // heartbeat is not overdue. Without the latter, a daemon that has just started would act
-// as the owner of accounts whose owner has not sent it a heartbeat yet.
+// as the owner of accounts whose owner has not sent it a heartbeat yet. A peer whose
+// record is new to a fleet that runs has just started itself: it may not serve yet, and
+// becomes the owner of its accounts with its first heartbeat.
 func (p *peer) mayBeUp() bool {
 	if p.lastReceived == 0 {
-		return p.hasRecord && !p.overdue
+		return p.hasRecord && !p.overdue && !p.joined
 	}
 	return !p.unresponsive
 }
--- a/core/crmesh/reader_test.go
+++ b/core/crmesh/reader_test.go
@@ -354,9 +354,9 @@
 	c := newCluster(6)
 	sum := 0.0
 	for _, d := range c.names {
-		sum += c.view[d].RateFraction()
+		sum += c.view[d].RateFraction(false)
 	}
 	g.Expect(sum).To(gomega.BeNumerically("~", 1, 0.11))
 	c.run(start, 3*time.Second)
-	g.Expect(c.view[c.names[0]].RateFraction()).To(gomega.Equal(1.0))
+	g.Expect(c.view[c.names[0]].RateFraction(false)).To(gomega.Equal(1.0))
 }
--- a/core/crmesh/size_test.go
+++ b/core/crmesh/size_test.go
@@ -9,6 +9,7 @@
 	"camphorroad/core/crevent"
 	"camphorroad/core/crid"
 	"camphorroad/core/crmesh"
+	"camphorroad/core/crregistry"
 )
 
 // countViews returns the number of views that events cause, and the last one.
@@ -68,3 +69,28 @@
 	s.Step(restarted)
 	g.Expect(heartbeats(s.Step(crevent.Tick{Now: start.Add(20 * time.Millisecond)}))).To(gomega.Equal([]crid.Daemon{"10.0.0.3"}))
 }
+
+// A daemon joins a fleet that runs. Until it serves, it would refuse the requests of all accounts
+// that pass to it.
+func TestJoiningDaemonOwnsAccountsFromItsFirstHeartbeat(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s, _ := largeState(30)
+	now := start.Add(time.Minute)
+	record := &crregistry.Record{Target: "t30", Service: "booking", Address: "10.9.0.30:80", Domain: "a", Slots: 5}
+	v := views(s.Step(crmesh.RecordsChanged{Now: now, Revision: 6, Changes: []crregistry.Change{{Key: "t30", Revision: 6, Record: record}}}))[0]
+	g.Expect(v.Owners).NotTo(gomega.ContainElement(crid.Daemon("10.9.0.30")))
+	g.Expect(v.Members).To(gomega.ContainElement(crid.Daemon("10.9.0.30")))
+	v = views(s.Step(received("10.9.0.30", 29, now.Add(time.Second), false)))[0]
+	g.Expect(v.Owners).To(gomega.ContainElement(crid.Daemon("10.9.0.30")))
+}
+
+// A new daemon is asked for tokens by its peers before their heartbeats arrive. Nearly all
+// requests of its accounts would be refused if it granted a lone daemon's fraction.
+func TestNewOwnerGrantsTheRateToItsPeers(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := crmesh.New(params())
+	v := views(s.Step(recordsListed()))[0]
+	g.Expect(v.Live).To(gomega.HaveLen(1))
+	g.Expect(v.RateFraction(true)).To(gomega.Equal(1.0))
+	g.Expect(v.RateFraction(false)).To(gomega.BeNumerically("<", 0.5))
+}
--- a/io/crmesh/quota.go
+++ b/io/crmesh/quota.go
@@ -49,13 +49,13 @@
 	if action := l.decide(name, origin); action.To != "" || !action.Grant {
 		return false, 0, false
 	}
-	ok, wait = l.take(name)
+	ok, wait = l.take(name, true)
 	return ok, wait, true
 }
 
 // take takes a token from an account's bucket. It grants a token for an account that is
 // not in this daemon's plan, since the daemon that sends the request has a newer plan.
-func (l *ownerLimiter) take(name crid.Account) (ok bool, wait time.Duration) {
+func (l *ownerLimiter) take(name crid.Account, forPeer bool) (ok bool, wait time.Duration) {
 	v := l.loop.view.Load()
 	if v.Plan == nil {
 		return true, 0
@@ -64,7 +64,7 @@
 	if !known || a.Rate <= 0 {
 		return true, 0
 	}
-	fraction := v.RateFraction()
+	fraction := v.RateFraction(forPeer)
 	return l.limiter.Take(crclock.Now(), a.Name, a.Rate*fraction, a.Burst*fraction)
 }
 
@@ -140,7 +140,7 @@
 		ok, wait, err = q.request(ctx, tokenRoute{to: action.To, origin: action.Origin}, a)
 	}
 	if err != nil && action.Grant {
-		ok, wait = q.owner.take(a)
+		ok, wait = q.owner.take(a, false)
 		return ok, wait, nil
 	}
 	return ok, wait, err
