io/crfeed: A new fleet reads through its seeds until its readers are settled

Change: a daemon reads through its seeds for its first 3.5 s, whatever it knows; then the readers read directly, and the others change to them within three more seconds, each at a moment of its own. A seed that fails or serves no watches is not asked again, and a seed that hangs costs one timeout. A reader that gets its answers from a seed serves no watches.

--- a/io/crfeed/crfeed.go
+++ b/io/crfeed/crfeed.go
@@ -109,6 +109,9 @@
 	timedOutEarly map[crwatch.Scope]bool // the last watch was abandoned early
 	directUntil   crid.Instant           // until when the store is read directly
 	packed        packedList
+	throughSeeds  atomic.Bool          // the last answer came from a seed
+	failedSeeds   map[crid.Daemon]bool // seeds that did not answer
+	idleSeeds     map[crid.Daemon]bool // seeds that serve no watches
 	seedWatches   atomic.Int64
 	stopping      context.Context //nolint:containedctx // ends the pending queries of peers
 	stop          context.CancelFunc
@@ -122,6 +125,7 @@
 	return &Feed{
 		opts: opts, started: opts.Clock(), backoffUntil: make(map[crid.Daemon]crid.Instant), lastProbe: make(map[crwatch.Scope]crid.Instant),
 		lastChange: make(map[crwatch.Scope]crid.Instant), lastCall: make(map[crwatch.Scope]crid.Instant), timedOutEarly: make(map[crwatch.Scope]bool),
+		failedSeeds: make(map[crid.Daemon]bool), idleSeeds: make(map[crid.Daemon]bool),
 		stopping: stopping, stop: stop,
 	}
 }
@@ -207,6 +211,7 @@
 // recordCall counts a direct call of the store.
 func (f *Feed) recordCall(scope crwatch.Scope) {
 	f.storeCalls.Add(1)
+	f.throughSeeds.Store(false)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.lastCall[scope] = f.opts.Clock()
@@ -226,7 +231,10 @@
 // returns errReadDirectly if the store has to be called directly.
 func (f *Feed) readThrough(ctx context.Context, q croffer.FeedQuery) ([]crwatch.Item, crid.Revision, error) {
 	if f.readsThroughSeeds() {
-		return f.readFromSeeds(ctx, q)
+		items, revision, err := f.readFromSeeds(ctx, q)
+		if !errors.Is(err, errReadDirectly) {
+			return items, revision, err
+		}
 	}
 	unavailable := false
 	for _, d := range f.readersToQuery() {
@@ -268,7 +276,7 @@
 // is a reader itself.
 func (f *Feed) readersToQuery() []crid.Daemon {
 	readers := f.opts.Readers()
-	if slices.Contains(readers, f.opts.Self) {
+	if slices.Contains(readers, f.opts.Self) || f.watchesForOthers() {
 		return nil
 	}
 	f.mu.Lock()
--- a/io/crfeed/fleet_test.go
+++ b/io/crfeed/fleet_test.go
@@ -197,6 +197,7 @@
 	members map[crid.Daemon]*member
 	seeds   []crid.Daemon
 	failed  map[crid.Daemon]bool // daemons that do not run
+	hung    map[crid.Daemon]bool // daemons that do not answer queries
 	started time.Time
 }
 
@@ -206,7 +207,7 @@
 // newSeededFleet returns a fleet whose daemons all have the given seeds.
 func newSeededFleet(seeds []crid.Daemon, sizes ...int) *fleet {
 	f := &fleet{
-		store: newVirtualStore(), members: make(map[crid.Daemon]*member), seeds: seeds, failed: make(map[crid.Daemon]bool), started: time.Now(),
+		store: newVirtualStore(), members: make(map[crid.Daemon]*member), seeds: seeds, failed: make(map[crid.Daemon]bool), hung: make(map[crid.Daemon]bool), started: time.Now(),
 	}
 	for n, size := range sizes {
 		for i := range size {
@@ -361,6 +362,10 @@
 	if d == nil || m.fleet.failed[id] {
 		return croffer.FeedPage{}, errNoAnswer
 	}
+	if m.fleet.hung[id] {
+		<-ctx.Done()
+		return croffer.FeedPage{}, ctx.Err()
+	}
 	time.Sleep(m.delay(d))
 	page := d.feed.Serve(ctx, d.follower, q)
 	time.Sleep(m.delay(d))
--- a/io/crfeed/startup.go
+++ b/io/crfeed/startup.go
@@ -29,14 +29,28 @@
 	// directly. All daemons of a fleet start within a few hundred milliseconds, and a seed
 	// on a busy machine takes as long again to list the store.
 	seedPatience = time.Second
+	// minSeedTime is how long a new daemon reads through its seeds at least, and
+	// seedTimeSpread the time within which the daemons of a fleet change to their readers.
+	minSeedTime    = 3500 * time.Millisecond
+	seedTimeSpread = 1500 * time.Millisecond
+	// seedServiceTime is how long a seed watches the store for new daemons.
+	seedServiceTime = 8 * time.Second
 	// maxSeedWatches bounds the watches that a seed serves. In a fleet of thousands the
 	// other new daemons call the store at startupInterval.
-	maxSeedWatches = 256
+	maxSeedWatches = 400
 )
 
 // isNew reports whether this daemon started within startupTime.
 func (f *Feed) isNew() bool { return f.opts.Clock().Sub(f.started) < startupTime }
 
+// watchesForOthers reports whether this daemon is a seed of a fleet that starts.
+func (f *Feed) watchesForOthers() bool {
+	return f.isSeed() && f.opts.Clock().Sub(f.started) < seedServiceTime
+}
+
+// patienceOver reports whether seedPatience has passed since the start.
+func (f *Feed) patienceOver() bool { return f.opts.Clock().Sub(f.started) >= seedPatience }
+
 func (f *Feed) isSeed() bool { return slices.Contains(f.opts.Seeds, f.opts.Self) }
 
 // knowsReader reports whether a reader other than this daemon is known.
@@ -56,17 +70,32 @@
 	return f.opts.Clock().Sub(f.lastCall[scope]) < startupInterval
 }
 
-// readsThroughSeeds reports whether this daemon is new and reads through its seeds,
-// since it knows no reader of its domain yet.
+// readsThroughSeeds reports whether this daemon has just started and reads through its
+// seeds. The records of a fleet that starts appear one by one, and until they are complete
+// its daemons do not agree on their readers. The readers read directly first; each other
+// daemon changes to them at another moment.
 func (f *Feed) readsThroughSeeds() bool {
-	return len(f.opts.Seeds) > 0 && !f.isSeed() && f.isNew() && !f.knowsReader() && f.opts.ReadersPending()
+	if len(f.opts.Seeds) == 0 || f.isSeed() {
+		return false
+	}
+	age := f.opts.Clock().Sub(f.started)
+	if slices.Contains(f.opts.Readers(), f.opts.Self) {
+		return age < minSeedTime
+	}
+	spread := time.Duration(xxhash.Sum64String(string(f.opts.Self)) % uint64(seedTimeSpread))
+	return age < minSeedTime+readerWait/2+spread
 }
 
-// seedsToQuery returns the seeds in an order that depends on this daemon.
-func (f *Feed) seedsToQuery() []crid.Daemon {
+// seedsToQuery returns the seeds that may answer a query, in an order that depends on this
+// daemon.
+func (f *Feed) seedsToQuery(q croffer.FeedQuery) []crid.Daemon {
 	n := len(f.opts.Seeds)
 	first := int(xxhash.Sum64String(string(f.opts.Self)) % uint64(n))
-	return slices.Concat(f.opts.Seeds[first:], f.opts.Seeds[:first])
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.DeleteFunc(slices.Concat(f.opts.Seeds[first:], f.opts.Seeds[:first]), func(d crid.Daemon) bool {
+		return f.failedSeeds[d] || (!q.Full && f.idleSeeds[d])
+	})
 }
 
 // readFromSeeds queries the seeds until one answers. Those of a fleet that starts have
@@ -74,20 +103,25 @@
 // It returns errReadDirectly if no seed answers.
 func (f *Feed) readFromSeeds(ctx context.Context, q croffer.FeedQuery) ([]crwatch.Item, crid.Revision, error) {
 	for {
-		for _, d := range f.seedsToQuery() {
+		for _, d := range f.seedsToQuery(q) {
+			if q.Full && f.patienceOver() {
+				break
+			}
 			page, err := f.query(ctx, d, q)
 			if ctx.Err() != nil {
 				return nil, 0, ctx.Err()
 			}
 			if err == nil && page.State == croffer.FeedServed {
 				f.recordRead(q.Scope)
+				f.throughSeeds.Store(true)
 				return f.decode(d, q, page)
 			}
 			if err == nil && page.State == croffer.FeedCompacted {
 				return nil, 0, crwatch.ErrCompacted
 			}
+			f.recordSeedFailure(d, q, err)
 		}
-		if !q.Full || !f.readsThroughSeeds() || f.opts.Clock().Sub(f.started) >= seedPatience {
+		if !q.Full || f.patienceOver() {
 			return nil, 0, errReadDirectly
 		}
 		if err := crclock.Sleep(ctx, startupPollInterval); err != nil {
@@ -96,6 +130,19 @@
 	}
 }
 
+// recordSeedFailure excludes a seed from queries that it did not answer or does not serve.
+// Before seedPatience is over, it may not have started yet.
+func (f *Feed) recordSeedFailure(d crid.Daemon, q croffer.FeedQuery, err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	switch {
+	case err != nil:
+		f.failedSeeds[d] = f.patienceOver()
+	case !q.Full:
+		f.idleSeeds[d] = true
+	}
+}
+
 // decode returns the content of a page. If it cannot be decoded, this daemon reads the
 // store directly.
 func (f *Feed) decode(from crid.Daemon, q croffer.FeedQuery, page croffer.FeedPage) ([]crwatch.Item, crid.Revision, error) {
@@ -126,10 +173,10 @@
 // domain or as a seed of a fleet that starts. No other daemon serves watches: two daemons
 // that read through each other would both wait forever.
 func (f *Feed) servesWatches() bool {
-	if f.isSeed() && f.isNew() && !f.knowsReader() {
+	if f.watchesForOthers() {
 		return f.seedWatches.Load() < maxSeedWatches
 	}
-	return slices.Contains(f.opts.Readers(), f.opts.Self) && !f.readsThroughSeeds()
+	return slices.Contains(f.opts.Readers(), f.opts.Self) && !f.throughSeeds.Load()
 }
 
 // packedList is the list of a scope at a revision, packed for transfer. When a fleet
--- a/io/crfeed/startup_test.go
+++ b/io/crfeed/startup_test.go
@@ -53,3 +53,15 @@
 		expectPlanWithin(t, f, maxStartDelay+1500*time.Millisecond)
 	})
 }
+
+// The seeds accept queries and do not answer. A new daemon must not wait for one after the other.
+func TestDaemonsStartWhileTheirSeedsHang(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newSeededFleet(startSeeds, startSizes...)
+		for _, d := range startSeeds {
+			f.hung[d] = true
+		}
+		f.run(t, 12*time.Second)
+		expectPlanWithin(t, f, maxStartDelay+2*time.Second)
+	})
+}
