core/crmesh: Owners that never sent a heartbeat are replaced when they do not answer

Records still named a hundred machines that had left; new daemons take recorded peers for possible owners until their first heartbeat is overdue, which takes 26 s at 353 daemons, and unanswered token requests counted only against peers that had sent one. All accounts of these owners got fallback buckets, a 353rd of the rate.

Change: a peer without heartbeats also counts as unresponsive after a second of unanswered token requests, and is no owner until its first heartbeat.

The new test fails on the code before.

--- a/core/crmesh/peer.go
+++ b/core/crmesh/peer.go
@@ -122,7 +122,7 @@
 // sent no heartbeat for unansweredTimeout.
 func (s *State) handleUnanswered(ev TokenRequestUnanswered) []crevent.Effect {
 	p := s.peers[ev.Peer]
-	if p == nil || p.unresponsive || p.lastReceived == 0 {
+	if p == nil || p.unresponsive {
 		return nil
 	}
 	if p.unansweredSince == 0 || p.lastReceived > p.unansweredSince {
@@ -150,7 +150,7 @@
 // becomes the owner of its accounts with its first heartbeat.
 func (p *peer) mayBeUp() bool {
 	if p.lastReceived == 0 {
-		return p.hasRecord && !p.overdue && !p.joined
+		return p.hasRecord && !p.overdue && !p.joined && !p.unresponsive
 	}
 	return !p.unresponsive
 }
--- a/core/crmesh/size_test.go
+++ b/core/crmesh/size_test.go
@@ -94,3 +94,34 @@
 	g.Expect(v.RateFraction(true)).To(gomega.Equal(1.0))
 	g.Expect(v.RateFraction(false)).To(gomega.BeNumerically("<", 0.5))
 }
+
+// After a loss of power, records still name machines that do not come back. Accounts whose owner
+// is one of them must pass to the next owner when it answers no token requests, long before its
+// first heartbeat is overdue.
+func TestOwnerWithoutHeartbeatsIsReplacedWhenItDoesNotAnswer(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := crmesh.New(params())
+	v := views(s.Step(largeFleet(353)))[0]
+	s.Step(crmesh.HeartbeatReceived{Now: start, From: "10.1.0.5", Heartbeat: crmesh.Heartbeat{Incarnation: 1}})
+	v = lastView(v, s.Step(crevent.Tick{Now: start.Add(200 * time.Millisecond)}))
+	const dead = crid.Daemon("10.1.0.2")
+	g.Expect(v.Owners).To(gomega.ContainElement(dead))
+	for at := time.Duration(0); at <= 1100*time.Millisecond; at += 100 * time.Millisecond {
+		now := start.Add(time.Second + at)
+		v = lastView(v, s.Step(crmesh.TokenRequestUnanswered{Now: now, Peer: dead}))
+		v = lastView(v, s.Step(crevent.Tick{Now: now}))
+	}
+	v = lastView(v, s.Step(crevent.Tick{Now: start.Add(2300 * time.Millisecond)}))
+	g.Expect(v.Owners).NotTo(gomega.ContainElement(dead))
+	g.Expect(v.Members).To(gomega.ContainElement(dead))
+	v = lastView(v, s.Step(crmesh.HeartbeatReceived{Now: start.Add(3 * time.Second), From: dead, Heartbeat: crmesh.Heartbeat{Incarnation: 1}}))
+	g.Expect(v.Owners).To(gomega.ContainElement(dead))
+}
+
+// lastView returns the last view among the effects, or v if there is none.
+func lastView(v *crmesh.View, effects []crevent.Effect) *crmesh.View {
+	if vs := views(effects); len(vs) > 0 {
+		return vs[len(vs)-1]
+	}
+	return v
+}
