core/crmesh: Partners in other domains, rare heartbeats to all others there

Cause: a daemon of the large deployment sent 33 heartbeats a second to idle peers of other domains, one each 8.8 s to each.

Change: in a fleet of more than 40 each daemon has about two partners in each other domain, by a symmetric hash of both names, and sends them heartbeats each second; all others get one each 100 ms times the number of peers. The share of a domain that can be reached is estimated by its partners. Between 40 and 125 daemons idle peers got one each 60 ms times the peers, up to 7.5 s.

--- a/core/crmesh/crmesh.go
+++ b/core/crmesh/crmesh.go
@@ -46,16 +46,14 @@
 	// target whose health flaps would cost a heartbeat to every peer for each response.
 	urgentInterval = 50 * time.Millisecond
 	// idleIntervalPerPeer, multiplied by the number of peers, is the minimum time between
-	// heartbeats to a peer of another domain that has made no recent offer. Otherwise each
-	// daemon would send a heartbeat a second to all others, which in a fleet of hundreds is
-	// nine tenths of all bytes between domains. Such a peer gets the rest of the state with
-	// its next offer.
-	idleIntervalPerPeer = 25 * time.Millisecond
-	// shortIdleIntervalPerPeer is used instead, up to a product of maxShortIdleInterval. It
-	// reduces these heartbeats in a fleet of a hundred as well, where the failure of a
-	// daemon is still detected within three of them.
-	shortIdleIntervalPerPeer = 60 * time.Millisecond
-	maxShortIdleInterval     = 7500 * time.Millisecond
+	// heartbeats to a peer of another domain that is no partner and has made no recent
+	// offer. So a daemon sends ten of them a second, however large the fleet is. Otherwise
+	// they would be nine tenths of all bytes between domains. Such a peer gets the state of
+	// the target with its next offer, and detects a failure when an offer or a token request
+	// gets no answer.
+	idleIntervalPerPeer = 100 * time.Millisecond
+	// smallIdleIntervalPerPeer is used in a fleet without partners.
+	smallIdleIntervalPerPeer = 60 * time.Millisecond
 	// interestDuration is how long a peer that made an offer counts as interested in the
 	// state of this daemon's target.
 	interestDuration = 10 * time.Second
@@ -221,6 +219,7 @@
 		p.known, p.hasRecord = true, true
 		p.domain = r.Domain
 	}
+	s.syncPartners()
 	return []crevent.Effect{s.publishView(now)}
 }
 
--- a/core/crmesh/peer.go
+++ b/core/crmesh/peer.go
@@ -27,6 +27,7 @@
 	unansweredSince    crid.Instant // when it first left a token request unanswered after its latest heartbeat; zero: never
 	knownSince         crid.Instant // when it became known
 	requestsUnanswered bool         // unresponsive because it answers no token requests
+	partner            bool         // see arePartners
 	joined             bool         // its record appeared while this daemon was running
 	overdue            bool         // its first heartbeat has not arrived within the time after which other peers count as unresponsive
 }
@@ -181,8 +182,7 @@
 	if s.sameDomain(p) {
 		return max(s.params.LocalInterval, s.minInterval())
 	}
-	n := time.Duration(len(s.peers))
-	return max(s.params.RemoteInterval, s.minInterval(), idleIntervalPerPeer*n, min(shortIdleIntervalPerPeer*n, maxShortIdleInterval))
+	return s.remoteInterval(p)
 }
 
 // minInterval bounds the processor time that heartbeats take in a large fleet.
--- a/core/crmesh/view.go
+++ b/core/crmesh/view.go
@@ -61,6 +61,7 @@
 		StoreReaders:   s.storeReaders(),
 		ReadersPending: s.readersPending(),
 	}
+	s.countReachable(v)
 	for _, p := range s.sortedPeers() {
 		s.addToView(v, p)
 	}
@@ -78,16 +79,10 @@
 }
 
 // addToView adds a peer to a view. The peers are added in the order of their names.
-func (s *State) addToView(v *View, p *peer) {
+func (*State) addToView(v *View, p *peer) {
 	if p.known {
 		v.Size++
 	}
-	if s.isMember(p) {
-		v.Confirmed++
-		if !p.unresponsive && !p.overdue {
-			v.Reachable++
-		}
-	}
 	if p.unresponsive {
 		v.Unresponsive[p.name] = true
 	}
