io/crfeed: Pages of several records are packed

Change: pages of four records or more are packed as a whole, lists and changes alike; the last page of each kind is kept, since a seed serves the same one to many.

The new test expects a quarter of the size of the values.

--- a/io/crfeed/crfeed.go
+++ b/io/crfeed/crfeed.go
@@ -108,10 +108,10 @@
 	lastCall      map[crwatch.Scope]crid.Instant
 	timedOutEarly map[crwatch.Scope]bool // the last watch was abandoned early
 	directUntil   crid.Instant           // until when the store is read directly
-	packed        packedList
-	throughSeeds  atomic.Bool          // the last answer came from a seed
-	failedSeeds   map[crid.Daemon]bool // seeds that did not answer
-	idleSeeds     map[crid.Daemon]bool // seeds that serve no watches
+	packed        map[bool]packedPage    // the last packed list (true) and changes (false)
+	throughSeeds  atomic.Bool            // the last answer came from a seed
+	failedSeeds   map[crid.Daemon]bool   // seeds that did not answer
+	idleSeeds     map[crid.Daemon]bool   // seeds that serve no watches
 	seedWatches   atomic.Int64
 	stopping      context.Context //nolint:containedctx // ends the pending queries of peers
 	stop          context.CancelFunc
@@ -125,6 +125,7 @@
 	return &Feed{
 		opts: opts, started: opts.Clock(), backoffUntil: make(map[crid.Daemon]crid.Instant), lastProbe: make(map[crwatch.Scope]crid.Instant),
 		lastChange: make(map[crwatch.Scope]crid.Instant), lastCall: make(map[crwatch.Scope]crid.Instant), timedOutEarly: make(map[crwatch.Scope]bool),
+		packed:      make(map[bool]packedPage),
 		failedSeeds: make(map[crid.Daemon]bool), idleSeeds: make(map[crid.Daemon]bool),
 		stopping: stopping, stop: stop,
 	}
@@ -365,10 +366,19 @@
 }
 
 func (f *Feed) answer(ctx context.Context, source Source, q croffer.FeedQuery) (croffer.FeedPage, error) {
+	// Any daemon with a copy serves a list: one that continues from an outdated list gets
+	// the changes since with its first watch.
 	if q.Full {
-		return f.serveList(source, q.Scope)
+		items, revision, err := source.Snapshot(q.Scope)
+		if err != nil {
+			return croffer.FeedPage{}, err
+		}
+		return f.page(q, items, revision)
 	}
 	defer f.countWatch()()
 	items, revision, err := source.ChangesAfter(ctx, q.Scope, q.After, min(q.Wait, readerWait))
-	return croffer.FeedPage{State: croffer.FeedServed, Items: items, Revision: revision}, err
+	if err != nil {
+		return croffer.FeedPage{}, err
+	}
+	return f.page(q, items, revision)
 }
--- a/io/crfeed/startup.go
+++ b/io/crfeed/startup.go
@@ -179,31 +179,36 @@
 	return slices.Contains(f.opts.Readers(), f.opts.Self) && !f.throughSeeds.Load()
 }
 
-// packedList is the list of a scope at a revision, packed for transfer. When a fleet
-// starts, a seed serves the same list to a hundred daemons.
-type packedList struct {
-	revision crid.Revision
-	count    int
-	data     []byte
+// minPackedItems is the number of records from which a page is packed.
+const minPackedItems = 4
+
+// packedPage is the content of a page, packed for transfer. When a fleet starts, a seed serves
+// the same list, and then the same changes, to a hundred daemons.
+type packedPage struct {
+	after, revision crid.Revision // zero after: a list
+	count           int
+	data            []byte
 }
 
-// serveList serves a complete list. Any daemon with a copy may do so: a daemon that
-// continues from an outdated list gets the changes since with its first watch.
-func (f *Feed) serveList(source Source, scope crwatch.Scope) (croffer.FeedPage, error) {
-	items, revision, err := source.Snapshot(scope)
-	if err != nil || scope != crwatch.Records || len(items) == 0 {
-		return croffer.FeedPage{State: croffer.FeedServed, Items: items, Revision: revision}, err
+// page returns a page with items, packed if they are many records.
+func (f *Feed) page(q croffer.FeedQuery, items []crwatch.Item, revision crid.Revision) (croffer.FeedPage, error) {
+	if q.Scope != crwatch.Records || len(items) < minPackedItems {
+		return croffer.FeedPage{State: croffer.FeedServed, Items: items, Revision: revision}, nil
+	}
+	after := q.After
+	if q.Full {
+		after = 0
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.packed.revision != revision || f.packed.count != len(items) {
+	if p := f.packed[q.Full]; p.after != after || p.revision != revision || p.count != len(items) {
 		data, err := crwatch.Pack(items)
 		if err != nil {
 			return croffer.FeedPage{}, err
 		}
-		f.packed = packedList{revision: revision, count: len(items), data: data}
+		f.packed[q.Full] = packedPage{after: after, revision: revision, count: len(items), data: data}
 	}
-	return croffer.FeedPage{State: croffer.FeedServed, Packed: f.packed.data, Revision: revision}, nil
+	return croffer.FeedPage{State: croffer.FeedServed, Packed: f.packed[q.Full].data, Revision: revision}, nil
 }
 
 // countWatch counts a served watch of a seed until the returned function is called.
--- a/io/crfeed/startup_test.go
+++ b/io/crfeed/startup_test.go
@@ -1,6 +1,8 @@
 package crfeed_test
 
 import (
+	"context"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -8,6 +10,8 @@
 	"github.com/onsi/gomega"
 
 	"camphorroad/core/crid"
+	"camphorroad/io/croffer"
+	"camphorroad/io/crwatch"
 )
 
 // startSizes are the domains of a fleet of 120 daemons.
@@ -65,3 +69,32 @@
 		expectPlanWithin(t, f, maxStartDelay+2*time.Second)
 	})
 }
+
+// A seed sends the records that appear one by one to a hundred daemons of other domains, whose
+// bytes are expensive. Several changes at once are packed.
+func TestManyChangesArePackedForTransfer(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f := newFixture("self", "a")
+	items := make([]crwatch.Item, 50)
+	for i := range items {
+		items[i] = crwatch.Item{Key: fmt.Sprintf("targets/%d", i), Value: []byte(`{"service":"booking","address":"10.0.0.1:80","slots":5}`), Revision: crid.Revision(i + 1)}
+	}
+	for _, q := range []croffer.FeedQuery{{Scope: crwatch.Records, Full: true}, {Scope: crwatch.Records, After: 1, Wait: time.Second}} {
+		page := f.feed.Serve(t.Context(), fixedSource(items), q)
+		g.Expect(page.State).To(gomega.Equal(croffer.FeedServed))
+		g.Expect(page.Items).To(gomega.BeEmpty())
+		g.Expect(len(page.Packed)).To(gomega.BeNumerically("<", len(items)*len(items[0].Value)/4))
+		g.Expect(crwatch.Unpack(page.Packed)).To(gomega.Equal(items))
+	}
+}
+
+// fixedSource is a source that always has the same items.
+type fixedSource []crwatch.Item
+
+func (s fixedSource) Snapshot(crwatch.Scope) ([]crwatch.Item, crid.Revision, error) {
+	return s, 50, nil
+}
+
+func (s fixedSource) ChangesAfter(context.Context, crwatch.Scope, crid.Revision, time.Duration) ([]crwatch.Item, crid.Revision, error) {
+	return s, 50, nil
+}
