core/crbudget: Half of the slack is a pool that daemons share

Change: half of the slack is kept by one owner for each service, chosen like the owner of an account, and taken retry by retry when a daemon's own part is used up: one datagram and its answer, 40 ms at most, no retry without an answer. A retry that no target accepted is kept for the next offer.

--- a/io/crbeat/crbeat.go
+++ b/io/crbeat/crbeat.go
@@ -1,5 +1,5 @@
-// Package crbeat sends heartbeats, and the token requests of core/crquota with their
-// responses, between daemons, one per UDP datagram. A lost heartbeat is replaced by
+// Package crbeat sends heartbeats, the token requests of core/crquota and the retry
+// requests of core/crbudget with their responses, between daemons, one per UDP datagram. A lost heartbeat is replaced by
 // the next one; a lost request is sent again. io/crmesh uses it. Its peers are
 // identified by address; io/crpeer has authenticated sessions over QUIC.
 //
@@ -22,6 +22,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"camphorroad/core/crbudget"
 	"camphorroad/core/crid"
 	"camphorroad/core/crmesh"
 	"camphorroad/core/crquota"
@@ -51,6 +52,7 @@
 	Heartbeat *crmesh.Heartbeat `cbor:"1,keyasint,omitempty"`
 	Request   *tokenRequest     `cbor:"2,keyasint,omitempty"`
 	Response  *tokenResponse    `cbor:"3,keyasint,omitempty"`
+	Retry     *retryRequest     `cbor:"4,keyasint,omitempty"`
 }
 
 type tokenRequest struct {
@@ -60,6 +62,14 @@
 	Origin  crquota.Origin // limits how far the request is relayed
 }
 
+// retryRequest requests a retry from the pool of a service. Its response is a
+// tokenResponse.
+type retryRequest struct {
+	_       struct{} `cbor:",toarray"`
+	Number  uint64
+	Service crid.Service
+}
+
 type tokenResponse struct {
 	_      struct{} `cbor:",toarray"`
 	Number uint64
@@ -74,6 +84,9 @@
 	// Grant takes a token for a peer. handled is false if another daemon has to be
 	// queried.
 	Grant func(a crid.Account, origin crquota.Origin) (ok bool, wait time.Duration, handled bool)
+	// GrantRetry takes a retry from the pool of a service for a peer. handled is false if
+	// another daemon owns the pool.
+	GrantRetry func(s crid.Service) (ok, handled bool)
 }
 
 // RelayFunc requests a token from other daemons on behalf of a peer.
@@ -131,6 +144,10 @@
 		c.opts.OnHeartbeat(crid.Daemon(from.Addr().Unmap().String()), *m.Heartbeat)
 	case m.Request != nil:
 		c.handleRequest(ctx, from, *m.Request)
+	case m.Retry != nil:
+		if ok, handled := c.opts.GrantRetry(m.Retry.Service); handled {
+			c.send(from, message{Response: &tokenResponse{Number: m.Retry.Number, OK: ok}})
+		}
 	case m.Response != nil:
 		c.mu.Lock()
 		responses := c.pending[m.Response.Number]
@@ -197,15 +214,27 @@
 // RequestToken requests a token of an account from a daemon. The response to a relayed
 // request takes longer, as that daemon queries another one.
 func (c *Channel) RequestToken(ctx context.Context, to crid.Daemon, a crid.Account, origin crquota.Origin) (ok bool, wait time.Duration, err error) {
+	request := func(number uint64) message {
+		return message{Request: &tokenRequest{Number: number, Account: a, Origin: origin}}
+	}
 	if origin == crquota.ToRelay {
-		return c.roundTrip(ctx, to, tokenRequest{Account: a, Origin: origin}, 1, relayTimeout)
+		return c.roundTrip(ctx, to, request, 1, relayTimeout)
 	}
-	return c.roundTrip(ctx, to, tokenRequest{Account: a, Origin: origin}, requestAttempts, requestTimeout)
+	return c.roundTrip(ctx, to, request, requestAttempts, requestTimeout)
+}
+
+// RequestRetry requests a retry from the pool of a service. It is sent once: a second
+// request could take a second retry.
+func (c *Channel) RequestRetry(ctx context.Context, to crid.Daemon, s crid.Service) (bool, error) {
+	ok, _, err := c.roundTrip(ctx, to, func(number uint64) message {
+		return message{Retry: &retryRequest{Number: number, Service: s}}
+	}, 1, crbudget.RetryTimeout)
+	return ok, err
 }
 
 // roundTrip sends a request up to attempts times, and waits for the response after each.
 func (c *Channel) roundTrip(
-	ctx context.Context, to crid.Daemon, req tokenRequest, attempts int, timeout time.Duration,
+	ctx context.Context, to crid.Daemon, request func(number uint64) message, attempts int, timeout time.Duration,
 ) (ok bool, wait time.Duration, err error) {
 	addr, err := netip.ParseAddr(string(to))
 	if err != nil {
@@ -214,12 +243,12 @@
 	responses := make(chan tokenResponse, 1)
 	c.mu.Lock()
 	c.lastNumber++
-	req.Number = c.lastNumber
-	c.pending[req.Number] = responses
+	number := c.lastNumber
+	c.pending[number] = responses
 	c.mu.Unlock()
-	defer c.removePending(req.Number)
+	defer c.removePending(number)
 	for range attempts {
-		c.send(netip.AddrPortFrom(addr, c.port), message{Request: &req})
+		c.send(netip.AddrPortFrom(addr, c.port), request(number))
 		timer := time.NewTimer(timeout)
 		select {
 		case resp := <-responses:
--- a/io/crbeat/crbeat_test.go
+++ b/io/crbeat/crbeat_test.go
@@ -104,3 +104,31 @@
 	_, _, err := entry.RequestToken(t.Context(), "127.0.40.2", "survey", crquota.FromPeer)
 	g.Expect(err).To(gomega.MatchError(crbeat.ErrNoResponse))
 }
+
+// A daemon that does not own a pool must not answer for its owner: two daemons that grant retries
+// would exceed the limit of the fleet.
+func TestOnlyTheOwnerOfAPoolAnswersRetryRequests(t *testing.T) {
+	g := gomega.NewWithT(t)
+	const port = 28431
+	listenPool := func(host string, grant func(crid.Service) (bool, bool)) *crbeat.Channel {
+		c, err := crbeat.Listen(crbeat.Options{Address: fmt.Sprintf("%s:%d", host, port), Grant: notOwner, GrantRetry: grant})
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		return c
+	}
+	entry := listenPool("127.0.40.1", nil)
+	other := listenPool("127.0.40.2", func(crid.Service) (bool, bool) { return false, false })
+	left := 1
+	owner := listenPool("127.0.40.3", func(s crid.Service) (bool, bool) {
+		left--
+		return s == "ledger" && left >= 0, true
+	})
+	run(t, entry, other, owner)
+	_, err := entry.RequestRetry(t.Context(), "127.0.40.2", "ledger")
+	g.Expect(err).To(gomega.MatchError(crbeat.ErrNoResponse))
+	ok, err := entry.RequestRetry(t.Context(), "127.0.40.3", "ledger")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(ok).To(gomega.BeTrue())
+	ok, err = entry.RequestRetry(t.Context(), "127.0.40.3", "ledger")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(ok).To(gomega.BeFalse(), "the pool is used up")
+}
--- a/io/cringress/cringress.go
+++ b/io/cringress/cringress.go
@@ -49,6 +49,12 @@
 	Take(ctx context.Context, a *crplan.Account) (ok bool, wait time.Duration)
 }
 
+// RetryPool is the part of the fleet's retry budget that all daemons share.
+type RetryPool interface {
+	// Take takes a retry of a request for a service.
+	Take(ctx context.Context, s crid.Service) bool
+}
+
 // Meter records metrics of responses and retries.
 type Meter interface {
 	// ObserveResponse counts a response; local means that the entry generated it, not a
@@ -69,6 +75,7 @@
 	Peers    *croffer.Client
 	Balancer *crplace.Balancer
 	Budget   *crbudget.Budget
+	Pool     RetryPool
 	Quota    Quota
 	Meter    Meter
 	Log      *crlog.Logger
--- a/io/cringress/dispatch.go
+++ b/io/cringress/dispatch.go
@@ -63,6 +63,7 @@
 	sent         int            // number of targets that it was sent to
 	mayHaveRun   bool
 	retrying     bool          // the next send is a retry
+	pooled       bool          // a retry was taken from the pool and not used yet
 	retryAfter   time.Duration // smallest Retry-After of an exit
 	response     response      // response so far
 }
@@ -94,7 +95,7 @@
 	if !ok {
 		return false
 	}
-	if d.retrying && !d.opts.Budget.Spend(now, d.retry()) {
+	if d.retrying && !d.takeRetry(ctx, now) {
 		spent, allowed := d.opts.Budget.Balance(now, d.service, d.view.Size)
 		d.response.budget = fmt.Sprintf("%.1f of %.1f", spent, allowed)
 		return false
@@ -112,14 +113,24 @@
 		d.opts.Balancer.End(choice.Target)
 	}
 	if !ok {
-		if d.retrying {
+		if d.retrying && !d.pooled {
 			d.opts.Budget.Refund(now, d.retry())
 		}
 		return true
 	}
+	d.pooled = false
 	return d.handleResult(ctx, choice, result)
 }
 
+// takeRetry takes a retry from this daemon's part of the budget, or from the pool.
+func (d *dispatch) takeRetry(ctx context.Context, now crid.Instant) bool {
+	if d.pooled || d.opts.Budget.Spend(now, d.retry()) {
+		return true
+	}
+	d.pooled = d.opts.Pool.Take(ctx, d.service)
+	return d.pooled
+}
+
 // retry is a retry of the request, as the budget counts it.
 func (d *dispatch) retry() crbudget.Retry {
 	return crbudget.Retry{Service: d.service, Priority: d.priority(), FleetSize: d.view.Size, Cost: retryCost}
--- a/io/crmesh/crmesh.go
+++ b/io/crmesh/crmesh.go
@@ -78,7 +78,7 @@
 	app := fx.New(
 		fx.Supply(opts),
 		fx.Provide(
-			crlog.NewQueue, newLogger, newBalancer, newExit, newPeerClient, newBudget, newLoop, newOwnerLimiter, newFeed, newFollower, newChannel, newQuota, newEntry,
+			crlog.NewQueue, newLogger, newBalancer, newExit, newPeerClient, newBudget, newLoop, newOwnerLimiter, newPoolOwner, newRetryPool, newFeed, newFollower, newChannel, newQuota, newEntry,
 			newDaemon, newMeters, metrics.NewRegistry,
 		),
 		fx.Populate(&d),
@@ -110,8 +110,14 @@
 }
 
 func newBudget(opts Options) *crbudget.Budget {
+	own, _ := crbudget.Split(retryLimit(opts))
+	return crbudget.New(own)
+}
+
+// retryLimit is the limit of the fleet's retries.
+func retryLimit(opts Options) crbudget.Params {
 	b := opts.Settings.Bounds
-	return crbudget.New(crbudget.Params{Ratio: b.Ratio, Slack: b.Slack, Window: b.RetryWindow()})
+	return crbudget.Params{Ratio: b.Ratio, Slack: b.Slack, Window: b.RetryWindow()}
 }
 
 func newFeed(opts Options, loop *loop, peers *croffer.Client, l *crlog.Logger) *crfeed.Feed {
@@ -130,12 +136,12 @@
 }
 
 func newEntry(
-	opts Options, x *cregress.Exit, peers *croffer.Client, balancer *crplace.Balancer, budget *crbudget.Budget, q *quota, m *meters, l *crlog.Logger,
+	opts Options, x *cregress.Exit, peers *croffer.Client, balancer *crplace.Balancer, budget *crbudget.Budget, pool *retryPool, q *quota, m *meters, l *crlog.Logger,
 ) *cringress.Entry {
 	s := opts.Settings
 	return cringress.New(cringress.Options{
 		Self: crid.Daemon(s.Address), Domain: s.Domain, Service: s.Service, Dialect: opts.Dialect, Clock: crclock.Now,
-		Local: x, Peers: peers, Balancer: balancer, Budget: budget, Quota: q, Meter: m, Log: l,
+		Local: x, Peers: peers, Balancer: balancer, Budget: budget, Pool: pool, Quota: q, Meter: m, Log: l,
 	})
 }
 
--- a/io/crmesh/daemon.go
+++ b/io/crmesh/daemon.go
@@ -302,13 +302,13 @@
 	return out, nil
 }
 
-func newChannel(opts Options, loop *loop, limiter *ownerLimiter) (*crbeat.Channel, error) {
+func newChannel(opts Options, loop *loop, limiter *ownerLimiter, pool *poolOwner) (*crbeat.Channel, error) {
 	return crbeat.Listen(crbeat.Options{
 		Address: peerAddress(opts.Settings),
 		OnHeartbeat: func(from crid.Daemon, hb crmesh.Heartbeat) {
 			loop.emit(crmesh.HeartbeatReceived{Now: crclock.Now(), From: from, Heartbeat: hb})
 		},
-		Grant: limiter.grant,
+		Grant: limiter.grant, GrantRetry: pool.grant,
 	})
 }
 
--- a/lab/crexperiment/world.go
+++ b/lab/crexperiment/world.go
@@ -62,6 +62,7 @@
 	candidates map[crid.Service][]crplace.Candidate
 	entries    []*entry
 	exits      []*exit
+	pool       *crbudget.Pool // of the fleet; asking its owner takes no time
 	kinds      map[string]*Kind
 	result     Result
 }
@@ -127,12 +128,14 @@
 
 // build creates a daemon for each target and assigns the domains round robin.
 func (w *world) build() {
+	own, pooled := crbudget.Split(crbudget.Params{Ratio: retryRatio, Slack: retrySlack, Window: budgetWindow})
+	w.pool = crbudget.NewPool(pooled)
 	for _, s := range w.x.Services {
 		for i := range s.Targets {
 			domain := crid.Domain(fmt.Sprintf("d%d", i%w.x.Domains))
 			e := &entry{
 				world: w, domain: domain, balancer: crplace.NewBalancer(),
-				budget:  crbudget.New(crbudget.Params{Ratio: retryRatio, Slack: retrySlack, Window: budgetWindow}),
+				budget:  crbudget.New(own),
 				reports: make(map[crid.Target]crplace.LoadReport), estimators: make(map[crid.Target]*crjudge.Estimator),
 				failures: make(map[crid.Target]int), ejectedUntil: make(map[crid.Target]crid.Instant),
 			}
