io/crwatch: The first reader's watch after a change is short

Change: the first reader of the fleet, by the order of the readers over all domains, waits 0.7 s at most after a change. It costs the fleet a call a change at most.

Measured: the unit tests of the wait and of the choice of one daemon.

--- a/core/crmesh/event.go
+++ b/core/crmesh/event.go
@@ -164,6 +164,7 @@
 	Confirmed      int                  `cbor:"Known" json:"Known"` // Size without seeds that no record names and that send no heartbeats
 	Reachable      int                  `cbor:"Heard" json:"Heard"` // Confirmed without peers that are unresponsive or whose first heartbeat is overdue
 	Readers        []crid.Daemon        // daemons of the own domain that read the store for it
+	ReadsFirst     bool                 // this daemon is the first reader of the whole fleet
 	ReadersPending bool                 `cbor:"Coming" json:"Coming"`   // the first heartbeat of a peer of the own domain is still expected, or there are no records
 	StoreReaders   int                  `cbor:"Lookers" json:"Lookers"` // daemons of the whole fleet that read the store
 	Unresponsive   map[crid.Daemon]bool `cbor:"Silent" json:"Silent"`
--- a/core/crmesh/reader.go
+++ b/core/crmesh/reader.go
@@ -36,7 +36,7 @@
 		add(newPeer(s.params.Self), s.storeUnavailable)
 	}
 	for _, p := range s.sortedPeers() {
-		if s.sameDomain(p) && p.known && p.lastReceived != 0 && !p.unresponsive && !p.heartbeat.Stopping && p.heartbeat.RecordRevision > 0 {
+		if s.sameDomain(p) && s.canRead(p) {
 			add(p, p.heartbeat.StoreUnavailable)
 		}
 	}
@@ -53,6 +53,23 @@
 	return out
 }
 
+// readsFirst reports whether this daemon is the first of all that can read the store, in
+// the order of the readers. Daemons that receive each other's heartbeats agree on it.
+func (s *State) readsFirst() bool {
+	if !s.hasRecords || s.stopping || s.storeUnavailable {
+		return false
+	}
+	own := rank(s.params.Self, readerSalt)
+	return !slices.ContainsFunc(s.sortedPeers(), func(p *peer) bool {
+		return p.readerRank < own && s.canRead(p) && !p.heartbeat.StoreUnavailable
+	})
+}
+
+// canRead reports whether a peer is up and has read the store.
+func (s *State) canRead(p *peer) bool {
+	return p.known && p.lastReceived != 0 && !p.unresponsive && !p.heartbeat.Stopping && p.heartbeat.RecordRevision > 0
+}
+
 // setStoreUnavailable records whether this daemon's own calls to the store fail. A change
 // is sent to the peers at once, which then use other readers.
 func (s *State) setStoreUnavailable(now crid.Instant, unavailable bool) []crevent.Effect {
--- a/core/crmesh/reader_test.go
+++ b/core/crmesh/reader_test.go
@@ -361,3 +361,26 @@
 	c.run(start, 3*time.Second)
 	g.Expect(c.view[c.names[0]].RateFraction(false)).To(gomega.Equal(1.0))
 }
+
+// A change ends the watches of all readers at once. Just one of them must be the one that checks
+// first whether the store still answers.
+func TestOneDaemonReadsFirst(t *testing.T) {
+	g := gomega.NewWithT(t)
+	c := newCluster(12)
+	now := c.run(start, time.Second)
+	first := func() (out []crid.Daemon) {
+		for _, d := range c.names {
+			if c.view[d].ReadsFirst && !c.failed[d] {
+				out = append(out, d)
+			}
+		}
+		return out
+	}
+	g.Expect(first()).To(gomega.HaveLen(1))
+	g.Expect(c.view[first()[0]].Readers).To(gomega.ContainElement(first()[0]))
+	before := first()[0]
+	c.step(before, crmesh.StoreUnavailable{Now: now})
+	c.run(now, 3*time.Second)
+	g.Expect(first()).To(gomega.HaveLen(1))
+	g.Expect(first()[0]).NotTo(gomega.Equal(before))
+}
--- a/core/crmesh/view.go
+++ b/core/crmesh/view.go
@@ -59,6 +59,7 @@
 		Stopping:       s.stopping,
 		Readers:        s.readers(),
 		StoreReaders:   s.storeReaders(),
+		ReadsFirst:     s.readsFirst(),
 		ReadersPending: s.readersPending(),
 	}
 	s.countReachable(v)
--- a/io/crfeed/fleet_test.go
+++ b/io/crfeed/fleet_test.go
@@ -233,6 +233,7 @@
 	})
 	m.follower = crwatch.New(crwatch.Options{
 		Store: m.feed, Decoder: versionDecoder{}, Clock: f.now, Emit: m.emit, Log: log, ReaderCount: func() int { return m.view.Load().StoreReaders },
+		ReadsFirst: func() bool { return m.view.Load().ReadsFirst },
 	})
 	f.members[id] = m
 	f.store.register(m)
--- a/io/crmesh/crmesh.go
+++ b/io/crmesh/crmesh.go
@@ -131,7 +131,7 @@
 func newFollower(opts Options, loop *loop, feed *crfeed.Feed, l *crlog.Logger) *crwatch.Follower {
 	return crwatch.New(crwatch.Options{
 		Store: feed, Decoder: opts.Decoder, Clock: crclock.Now, Emit: loop.emit, Log: l,
-		ReaderCount: func() int { return loop.view.Load().StoreReaders },
+		ReaderCount: func() int { return loop.view.Load().StoreReaders }, ReadsFirst: func() bool { return loop.view.Load().ReadsFirst },
 	})
 }
 
--- a/io/crwatch/crwatch.go
+++ b/io/crwatch/crwatch.go
@@ -15,7 +15,7 @@
 // # Usage
 //
 //	f := crwatch.New(crwatch.Options{
-//		Store: store, Decoder: decoder, Clock: crclock.Now, Emit: events.Send, ReaderCount: readers, Log: log,
+//		Store: store, Decoder: decoder, Clock: crclock.Now, Emit: events.Send, ReaderCount: readers, ReadsFirst: first, Log: log,
 //	})
 //	err := f.Run(ctx, crwatch.Records)
 package crwatch
@@ -90,6 +90,9 @@
 	// detect the change from the revisions in heartbeats. Each call is billed, so the
 	// readers take turns.
 	fleetWatchInterval = 500 * time.Millisecond
+	// firstWaitSpread bounds the wait of the first reader's watch after a change, beyond
+	// minWait.
+	firstWaitSpread = 500 * time.Millisecond
 	// minWait and maxWait bound the wait of a watch. The store allows no wait above
 	// maxWait.
 	minWait = 200 * time.Millisecond
@@ -110,7 +113,8 @@
 	Decoder     Decoder
 	Clock       func() crid.Instant
 	Emit        func(crevent.Event)
-	ReaderCount func() int // daemons of the fleet that read the store
+	ReaderCount func() int  // daemons of the fleet that read the store
+	ReadsFirst  func() bool // whether this daemon is the first of them
 	Log         *crlog.Logger
 }
 
--- a/io/crwatch/history_test.go
+++ b/io/crwatch/history_test.go
@@ -62,7 +62,7 @@
 	t.Helper()
 	q := crlog.NewQueue()
 	f := crwatch.New(crwatch.Options{
-		Store: s, Decoder: fakeDecoder{}, Clock: crclock.Now, Emit: func(crevent.Event) {}, ReaderCount: func() int { return 6 },
+		Store: s, Decoder: fakeDecoder{}, Clock: crclock.Now, Emit: func(crevent.Event) {}, ReaderCount: func() int { return 6 }, ReadsFirst: func() bool { return false },
 		Log: crlog.New(q, "info", "test"),
 	})
 	ctx, cancel := context.WithCancel(t.Context())
@@ -242,7 +242,7 @@
 	var f *crwatch.Follower
 	served := make(chan int, 1)
 	f = crwatch.New(crwatch.Options{
-		Store: s, Decoder: fakeDecoder{}, Clock: crclock.Now, ReaderCount: func() int { return 1 }, Log: crlog.New(q, "info", "test"),
+		Store: s, Decoder: fakeDecoder{}, Clock: crclock.Now, ReaderCount: func() int { return 1 }, ReadsFirst: func() bool { return false }, Log: crlog.New(q, "info", "test"),
 		Emit: func(ev crevent.Event) {
 			if _, ok := ev.(crmesh.StoreAvailable); !ok {
 				return
--- a/io/crwatch/scope.go
+++ b/io/crwatch/scope.go
@@ -91,7 +91,8 @@
 // daemons at the same moment, and so does a restart. The waits are random, so that the
 // daemons take turns again. The first wait after such a moment is short: if the store
 // stops answering just then, all watches that follow are lost, and the one that times
-// out first detects this for all daemons.
+// out first detects this for all daemons. That of the first reader is always short, since
+// all others may draw a long one.
 //
 // While calls fail, a watch only checks whether the store answers again. A watch that
 // is sent while the store does not answer gets no answer later either. With a long
@@ -105,6 +106,9 @@
 	meanWait := min(fleetWatchInterval*time.Duration(max(s.opts.ReaderCount(), 1)), maxWait*2/3)
 	if s.aligned {
 		s.aligned = false
+		if s.opts.ReadsFirst() {
+			return minWait + rand.N(firstWaitSpread)
+		}
 		return minWait + rand.N(max(meanWait-minWait, 1))
 	}
 	return meanWait/2 + rand.N(meanWait)
--- a/io/crwatch/scope_test.go
+++ b/io/crwatch/scope_test.go
@@ -64,12 +64,18 @@
 
 // followFor follows a store for a duration of virtual time, and calls atHalf after half of it.
 func followFor(t *testing.T, s *unresponsiveStore, d time.Duration, atHalf func(f *crwatch.Follower)) {
+	t.Helper()
+	followAs(t, s, d, false, atHalf)
+}
+
+// followAs does the same as a daemon that is the first reader of the fleet, or is not.
+func followAs(t *testing.T, s *unresponsiveStore, d time.Duration, first bool, atHalf func(f *crwatch.Follower)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		start := time.Now()
 		f := crwatch.New(crwatch.Options{
 			Store: s, Decoder: fakeDecoder{}, Clock: func() crid.Instant { return crid.Instant(time.Hour + time.Since(start)) },
-			Emit: func(crevent.Event) {}, ReaderCount: func() int { return 6 }, Log: crlog.New(io.Discard, "info", "test"),
+			Emit: func(crevent.Event) {}, ReaderCount: func() int { return 6 }, ReadsFirst: func() bool { return first }, Log: crlog.New(io.Discard, "info", "test"),
 		})
 		ctx, cancel := context.WithTimeout(t.Context(), d)
 		defer cancel()
@@ -115,6 +121,16 @@
 	}
 }
 
+// All readers may draw long waits after a change. That of the first reader must be short.
+func TestTheFirstReaderSoonChecksTheStoreAfterAChange(t *testing.T) {
+	g := gomega.NewWithT(t)
+	for range 20 {
+		s := newUnresponsiveStore()
+		followAs(t, s, meanWait, true, func(*crwatch.Follower) {})
+		g.Expect(s.waits[crwatch.Records][0]).To(gomega.BeNumerically("<=", 700*time.Millisecond))
+	}
+}
+
 // A daemon whose watch was lost receives no change, although other daemons have detected the outage.
 func TestRestartWatchesSendsPendingWatchesAgain(t *testing.T) {
 	g := gomega.NewWithT(t)
