--- a/core/crbudget/crbudget.go
+++ b/core/crbudget/crbudget.go
@@ -29,10 +29,12 @@
 	// safetyFactor is the fraction of the fleet's limit that is used. The windows of the daemons
 	// slide by a tenth of their length, in which the limit may be exceeded by as much.
 	safetyFactor = 0.85
-	// calledSafetyFactor is used for a service that targets call. The rest covers the calls that
-	// retried requests make: they are charged where they enter, by an estimated fraction, and when
-	// they alone exceed a daemon's part, the other daemons do not reduce their retries.
+	// calledSafetyFactor is used for a service if the share of the requests that are calls of
+	// targets is fullReserveShare or more. The rest covers the calls that retried requests make:
+	// they are charged where they enter, by an estimated fraction, and when they alone exceed a
+	// daemon's part, the other daemons do not reduce their retries.
 	calledSafetyFactor = 0.6
+	fullReserveShare   = 0.5
 	// maxReservedShare is the largest share of the budget that is kept for more urgent requests.
 	maxReservedShare = 0.5
 )
@@ -94,10 +96,7 @@
 func (b *Budget) balance(now crid.Instant, s crid.Service, fleetSize int) (spent, allowed float64) {
 	w := b.window(s)
 	w.at(now, b.params.Window)
-	factor := safetyFactor
-	if w.calls() > 0 {
-		factor = calledSafetyFactor
-	}
+	factor := safetyFactor - (safetyFactor-calledSafetyFactor)*min(w.calls()/max(w.requests(), 1)/fullReserveShare, 1)
 	slack := b.params.Slack / float64(max(fleetSize, 1))
 	return w.spent(), factor * (b.params.Ratio*w.requests() + slack)
 }
