--- a/core/crplace/choose.go
+++ b/core/crplace/choose.go
@@ -39,10 +39,10 @@
 	trialInterval = 700 * time.Millisecond
 	// maxBusyRefusals is the number of targets that may refuse one request because all of
 	// their slots are taken. After that it waits in the queue of a target.
-	maxBusyRefusals = 5
+	maxBusyRefusals = 6
 	// maxLocalBusyRefusals is the number of such refusals after which the request is offered
 	// to all domains alike: its own domain is probably full, and others often are not.
-	maxLocalBusyRefusals = 2
+	maxLocalBusyRefusals = 4
 )
 
 // FreeSlotOnly reports whether the exit should refuse the request if no slot is free,
