io/crwatch: The first reader lists the store again each ten seconds

A watch that ended while the store withheld changes returned a revision beyond them, and the next one continued from there.

Change: the first reader of the fleet lists each scope again ten seconds after the last list, and applies the list if an item in it was passed over (event 609).

--- a/io/crlog/catalogue_mesh.go
+++ b/io/crlog/catalogue_mesh.go
@@ -11,6 +11,7 @@
 	SettingsRejected    = 606
 	LogDropped          = 607
 	MeshDrainIncomplete = 608
+	WatchMissedChange   = 609
 	StoreUnavailable    = 610
 	StoreRecovered      = 611
 	RecordInvalid       = 612
@@ -62,6 +63,10 @@
 			MeshDrainIncomplete, LevelWarn, "drain timed out",
 			"requests were still in flight at the end of the grace period", "those requests were aborted", none,
 		},
+		{
+			WatchMissedChange, LevelWarn, "watch missed a change",
+			"a list of the store has a change that the watches passed over", "the list is applied; until then the change was not in force", "look for a compaction or an outage of the store shortly before",
+		},
 		{
 			StoreUnavailable, LevelWarn, "store unavailable",
 			"the store does not answer, or rejects this daemon", "known records and configuration stay in use; newer ones come from peers", "repair the store or the network path to it",
--- a/io/crwatch/crwatch.go
+++ b/io/crwatch/crwatch.go
@@ -102,6 +102,9 @@
 	// to be reached well within that time.
 	minBackoff = 100 * time.Millisecond
 	maxBackoff = 800 * time.Millisecond
+	// verifyInterval is the time after which the first reader lists a scope again. A watch
+	// whose answer passed over a change returns none of it later, and no other daemon has it.
+	verifyInterval = 10 * time.Second
 	// outageThreshold is the time of continuous failures after which the store counts
 	// as unavailable. A single connection reset is no outage.
 	outageThreshold = 300 * time.Millisecond
--- a/io/crwatch/scope.go
+++ b/io/crwatch/scope.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"camphorroad/core/crid"
@@ -19,6 +20,7 @@
 	listed           bool
 	listedAt         int // Follower.compactions when the scope was listed
 	after            crid.Revision
+	verifiedAt       crid.Instant // when the scope was last listed
 	aligned          bool         // the last watch ended together with those of the other daemons
 	restarted        bool         // the last watch was canceled to be sent again
 	failingSince     crid.Instant // zero: calls do not fail
@@ -32,6 +34,9 @@
 	if !s.upToDate() {
 		return s.list(ctx)
 	}
+	if s.opts.ReadsFirst() && s.opts.Clock().Sub(s.verifiedAt) >= verifyInterval {
+		return s.verify(ctx)
+	}
 	items, revision, err := s.watch(ctx)
 	switch {
 	case errors.Is(err, errInterrupted):
@@ -140,6 +145,7 @@
 		return err
 	}
 	s.recordSuccess()
+	s.verifiedAt = s.opts.Clock()
 	s.listed, s.after, s.listedAt, s.aligned = true, revision, compactions, true
 	s.apply(items, revision, true)
 	s.setUnavailable(s.scope, false)
@@ -151,6 +157,34 @@
 	return nil
 }
 
+// verify lists the scope, and applies the list if the watches have passed over a change.
+func (s *scopeFollower) verify(ctx context.Context) error {
+	items, revision, err := s.opts.Store.List(ctx, s.scope)
+	if err != nil {
+		return err
+	}
+	s.recordSuccess()
+	s.verifiedAt = s.opts.Clock()
+	if s.matches(items) {
+		return nil
+	}
+	s.opts.Log.Event(crlog.WatchMissedChange, crlog.Fields{"scope": s.scope.String(), "rev": formatRevision(revision)})
+	s.after = max(revision, s.after)
+	s.apply(items, revision, true)
+	return nil
+}
+
+// matches reports whether the copy has all items of a list up to the revision that the
+// watches have reached. They still deliver later ones.
+func (s *scopeFollower) matches(items []Item) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	held := s.values[s.scope]
+	return !slices.ContainsFunc(items, func(i Item) bool {
+		return i.Revision <= s.after && held[i.Key].Revision < i.Revision
+	})
+}
+
 // apply stores items and emits their event. If complete is set, they are all items of
 // the scope.
 func (s *scopeFollower) apply(items []Item, revision crid.Revision, complete bool) {
--- /dev/null
+++ b/io/crwatch/verify_test.go
@@ -0,0 +1,75 @@
+package crwatch_test
+
+import (
+	"context"
+	"io"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"camphorroad/core/crevent"
+	"camphorroad/core/crid"
+	"camphorroad/core/crmesh"
+	"camphorroad/io/crlog"
+	"camphorroad/io/crwatch"
+)
+
+// forgetfulStore has a new record after a while, and its watches pass over it.
+type forgetfulStore struct {
+	changed atomic.Bool
+	lists   atomic.Int64
+}
+
+func (s *forgetfulStore) List(context.Context, crwatch.Scope) ([]crwatch.Item, crid.Revision, error) {
+	s.lists.Add(1)
+	if s.changed.Load() {
+		return []crwatch.Item{{Key: "a", Revision: 4}, {Key: "b", Revision: 6}}, 6, nil
+	}
+	return []crwatch.Item{{Key: "a", Revision: 4}}, 5, nil
+}
+
+func (s *forgetfulStore) Watch(ctx context.Context, _ crwatch.Scope, _ crid.Revision, wait time.Duration) ([]crwatch.Item, crid.Revision, error) {
+	select {
+	case <-ctx.Done():
+		return nil, 0, ctx.Err()
+	case <-time.After(wait):
+	}
+	if s.changed.Load() {
+		return nil, 6, nil
+	}
+	return nil, 5, nil
+}
+
+// A watch that ends while the store withholds changes returns a revision beyond them, and no later
+// watch returns them. The whole fleet would never learn of a withdrawn key.
+func TestFirstReaderFindsAChangeThatItsWatchesPassedOver(t *testing.T) {
+	for _, first := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			s, start := &forgetfulStore{}, time.Now()
+			targets := 0
+			f := crwatch.New(crwatch.Options{
+				Store: s, Decoder: fakeDecoder{}, Clock: func() crid.Instant { return crid.Instant(time.Hour + time.Since(start)) },
+				Emit: func(ev crevent.Event) {
+					if l, ok := ev.(crmesh.RecordsListed); ok {
+						targets = len(l.Changes)
+					}
+				},
+				ReaderCount: func() int { return 6 }, ReadsFirst: func() bool { return first }, Log: crlog.New(io.Discard, "info", "test"),
+			})
+			ctx, cancel := context.WithTimeout(t.Context(), 2*time.Minute)
+			defer cancel()
+			time.AfterFunc(5*time.Second, func() { s.changed.Store(true) })
+			g.Expect(f.Run(ctx, crwatch.Records)).To(gomega.Succeed())
+			if !first {
+				g.Expect(s.lists.Load()).To(gomega.Equal(int64(1)), "others do not list again")
+				return
+			}
+			g.Expect(targets).To(gomega.Equal(2))
+			g.Expect(s.lists.Load()).To(gomega.BeNumerically("<=", 13), "a list each ten seconds at most")
+		})
+	}
+}
