--- a/core/crbudget/crbudget_test.go
+++ b/core/crbudget/crbudget_test.go
@@ -101,8 +101,7 @@
 	g.Expect(after).To(gomega.Equal(1.0))
 }
 
-// A service rejects half of its requests in a fleet whose daemons each get three a second. The
-// fleet must be able to use most of its budget, and must not exceed it in any window.
+// Guards against small parts of which a large fleet uses only half, and against exceeding the limit.
 func TestLargeFleetUsesItsBudget(t *testing.T) {
 	g := gomega.NewWithT(t)
 	const daemons, seconds, perSecond = 353, 30, 3
@@ -166,8 +165,7 @@
 	g.Expect(b.Spend(start, other)).To(gomega.BeFalse())
 }
 
-// Targets call the service. Calls of retried requests elsewhere may exceed the estimate, so that
-// less of the budget is used.
+// Guards against retries whose nested calls exceed the limit of the service they call.
 func TestCalledServiceKeepsAReserve(t *testing.T) {
 	g := gomega.NewWithT(t)
 	for calls, expected := range map[int]int{5: 36, 1: 48} {
--- a/core/crbudget/pool_test.go
+++ b/core/crbudget/pool_test.go
@@ -12,8 +12,7 @@
 
 var largeParams = crbudget.Params{Ratio: 0.2, Slack: 630, Window: 10 * time.Second}
 
-// The requests of a few daemons of a large fleet fail. Their parts allow them one retry each, while
-// the others use none of theirs: the pool must cover the rest.
+// Guards against requests that fail for want of a retry while other daemons use none of theirs.
 func TestFewDaemonsCanUseThePooledSlack(t *testing.T) {
 	g := gomega.NewWithT(t)
 	own, pooled := crbudget.Split(largeParams)
@@ -33,8 +32,7 @@
 	g.Expect(retried).To(gomega.BeNumerically(">=", 90), "of %d", failed)
 }
 
-// All requests of all daemons fail, and the pool passes to another owner twice. In no window may
-// the fleet exceed its limit.
+// Guards against a pool that exceeds the limit of the fleet when it passes to another owner.
 func TestFleetStaysWithinBudgetWithThePool(t *testing.T) {
 	g := gomega.NewWithT(t)
 	const daemons, seconds, perSecond = 100, 60, 3
--- a/core/crmesh/bench_test.go
+++ b/core/crmesh/bench_test.go
@@ -11,7 +11,7 @@
 	"camphorroad/core/crregistry"
 )
 
-// fleetSizes are the numbers of daemons for which the cost of events is measured.
+// fleetSizes are the numbers of daemons for which events are benchmarked.
 var fleetSizes = []int{30, 353, 1000, 5500}
 
 // largeState is a daemon of a fleet in six domains that has received a heartbeat of each
--- a/core/crmesh/partner_test.go
+++ b/core/crmesh/partner_test.go
@@ -12,9 +12,7 @@
 	"camphorroad/core/crmesh"
 )
 
-// The domains of a fleet of 120 are cut off from each other. Each side must reduce the rates of
-// accounts within seconds, or they get a multiple of their rates until the rare heartbeats of most
-// peers are missing.
+// Guards against domains that are cut off and each grant accounts their whole rates.
 func TestDomainsOfLargeFleetNoticeThatTheyAreCutOff(t *testing.T) {
 	g := gomega.NewWithT(t)
 	c := newCluster(120)
@@ -37,8 +35,7 @@
 	}
 }
 
-// Heartbeats between domains cost bytes, and each takes processor time. Their number must not grow
-// with the fleet.
+// Guards against heartbeats whose bytes between domains grow with the fleet.
 func TestRemoteHeartbeatsDoNotGrowWithTheFleet(t *testing.T) {
 	for _, n := range []int{100, 353, 1000, 5500} {
 		t.Run(fmt.Sprint(n), func(t *testing.T) {
@@ -63,8 +60,7 @@
 	}
 }
 
-// Both daemons of a pair must come to the same result, also while one of them has a few records
-// more than the other.
+// Guards against partners that wait for heartbeats which the other daemon does not send.
 func TestPartnersAgree(t *testing.T) {
 	g := gomega.NewWithT(t)
 	sent := func(n int, self crid.Daemon, domain crid.Domain) map[crid.Daemon]int {
--- a/core/crmesh/reader_test.go
+++ b/core/crmesh/reader_test.go
@@ -362,8 +362,7 @@
 	g.Expect(c.view[c.names[0]].RateFraction(false)).To(gomega.Equal(1.0))
 }
 
-// A change ends the watches of all readers at once. Just one of them must be the one that checks
-// first whether the store still answers.
+// Guards against no daemon, or several, that check first whether the store still answers.
 func TestOneDaemonReadsFirst(t *testing.T) {
 	g := gomega.NewWithT(t)
 	c := newCluster(12)
--- a/core/crmesh/size_test.go
+++ b/core/crmesh/size_test.go
@@ -37,8 +37,7 @@
 	return append(out, crevent.Tick{Now: tick}, crevent.Tick{Now: tick.Add(100 * time.Millisecond)})
 }
 
-// A third of a large fleet loses the store within a second. A view for each report would
-// keep all daemons busy with building views.
+// Guards against daemons that are busy with building views when a third of them lose the store.
 func TestReportsOfManyPeersShareViews(t *testing.T) {
 	g := gomega.NewWithT(t)
 	s, peers := largeState(353)
@@ -57,8 +56,7 @@
 	g.Expect(v).To(gomega.HaveLen(1))
 }
 
-// A new daemon reads the store directly until it knows a reader of its domain. A reader
-// must not wait for its next heartbeat to that daemon.
+// Guards against new daemons that read the store directly until the next heartbeat of a reader.
 func TestReaderAnswersNewDaemonAtOnce(t *testing.T) {
 	g := gomega.NewWithT(t)
 	s := crmesh.New(params())
@@ -70,8 +68,7 @@
 	g.Expect(heartbeats(s.Step(crevent.Tick{Now: start.Add(20 * time.Millisecond)}))).To(gomega.Equal([]crid.Daemon{"10.0.0.3"}))
 }
 
-// A daemon joins a fleet that runs. Until it serves, it would refuse the requests of all accounts
-// that pass to it.
+// Guards against refusals by owners that do not serve yet.
 func TestJoiningDaemonOwnsAccountsFromItsFirstHeartbeat(t *testing.T) {
 	g := gomega.NewWithT(t)
 	s, _ := largeState(30)
@@ -84,8 +81,7 @@
 	g.Expect(v.Owners).To(gomega.ContainElement(crid.Daemon("10.9.0.30")))
 }
 
-// A new daemon is asked for tokens by its peers before their heartbeats arrive. Nearly all
-// requests of its accounts would be refused if it granted a lone daemon's fraction.
+// Guards against new owners that grant the fraction of a lone daemon.
 func TestNewOwnerGrantsTheRateToItsPeers(t *testing.T) {
 	g := gomega.NewWithT(t)
 	s := crmesh.New(params())
@@ -95,9 +91,7 @@
 	g.Expect(v.RateFraction(false)).To(gomega.BeNumerically("<", 0.5))
 }
 
-// After a loss of power, records still name machines that do not come back. Accounts whose owner
-// is one of them must pass to the next owner when it answers no token requests, long before its
-// first heartbeat is overdue.
+// Guards against owners that never come back after a loss of power.
 func TestOwnerWithoutHeartbeatsIsReplacedWhenItDoesNotAnswer(t *testing.T) {
 	g := gomega.NewWithT(t)
 	s := crmesh.New(params())
--- a/core/crplace/crplace_test.go
+++ b/core/crplace/crplace_test.go
@@ -215,8 +215,7 @@
 	g.Expect(c.Target).To(gomega.Equal(crid.Target("t0")))
 }
 
-// An entry with outdated reports takes full targets for idle. Its request asks six of them for
-// a free slot and then waits in a queue, rather than being refused by all.
+// Guards against requests that queue at a busy target while others have free slots.
 func TestRequestAsksForFreeSlotBeforeItWaits(t *testing.T) {
 	g := gomega.NewWithT(t)
 	b := crplace.NewBalancer()
@@ -253,8 +252,7 @@
 	g.Expect(c.FreeSlotOnly()).To(gomega.BeFalse())
 }
 
-// The own domain is full, and the reports on it are outdated. A request that was refused there
-// four times must try the other domains before it waits.
+// Guards against requests that are refused in a full domain while others have free slots.
 func TestRequestLeavesFullDomain(t *testing.T) {
 	g := gomega.NewWithT(t)
 	b := crplace.NewBalancer()
--- a/io/crbeat/crbeat_test.go
+++ b/io/crbeat/crbeat_test.go
@@ -105,8 +105,7 @@
 	g.Expect(err).To(gomega.MatchError(crbeat.ErrNoResponse))
 }
 
-// A daemon that does not own a pool must not answer for its owner: two daemons that grant retries
-// would exceed the limit of the fleet.
+// Guards against two daemons that grant retries from the same pool.
 func TestOnlyTheOwnerOfAPoolAnswersRetryRequests(t *testing.T) {
 	g := gomega.NewWithT(t)
 	const port = 28431
--- a/io/crfeed/startup_test.go
+++ b/io/crfeed/startup_test.go
@@ -33,8 +33,7 @@
 	}
 }
 
-// All daemons of a large fleet start at once. If each of them called the store, a start
-// would cost more calls than the rest of a day.
+// Guards against a start of the fleet in which each daemon calls the store.
 func TestSimultaneousStartCallsTheStoreLessThanOnceADaemon(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newSeededFleet(startSeeds, startSizes...)
@@ -70,8 +69,7 @@
 	})
 }
 
-// A seed sends the records that appear one by one to a hundred daemons of other domains, whose
-// bytes are expensive. Several changes at once are packed.
+// Guards against seeds that send each record unpacked to a hundred daemons of other domains.
 func TestManyChangesArePackedForTransfer(t *testing.T) {
 	g := gomega.NewWithT(t)
 	f := newFixture("self", "a")
--- a/io/crwatch/verify_test.go
+++ b/io/crwatch/verify_test.go
@@ -43,8 +43,7 @@
 	return nil, 5, nil
 }
 
-// A watch that ends while the store withholds changes returns a revision beyond them, and no later
-// watch returns them. The whole fleet would never learn of a withdrawn key.
+// Guards against a withdrawn key that stays in force since no watch returns the change.
 func TestFirstReaderFindsAChangeThatItsWatchesPassedOver(t *testing.T) {
 	for _, first := range []bool{true, false} {
 		synctest.Test(t, func(t *testing.T) {
--- a/lab/crexperiment/crexperiment_test.go
+++ b/lab/crexperiment/crexperiment_test.go
@@ -98,9 +98,7 @@
 	}
 }
 
-// In a fleet of hundreds, load reports are seconds old when an entry uses them. Requests must not
-// queue at a target that the entry takes for idle while others have free slots: the share that is
-// late may exceed that of complete information by 0.015.
+// Guards against requests that are late behind busy targets, more than 0.015 beyond complete information.
 func TestStaleLoadReportsDoNotDelayRequests(t *testing.T) {
 	g := gomega.NewWithT(t)
 	x, err := crexperiment.Load("testdata/large.toml")
