io/crmesh, core/crbudget: Two comments say what holds

A newcomer's reading: one told what was before, the other did not say why the pool keeps the larger reserve. Comments only; built, not tested again.

--- a/core/crbudget/pool.go
+++ b/core/crbudget/pool.go
@@ -11,8 +11,8 @@
 	// pooledShare is the fraction of the slack that daemons take from the pool. The parts of the
 	// rest are fractions of a retry in a fleet of hundreds, of which most are not used.
 	pooledShare = 0.5
-	// poolSafetyFactor is the fraction of the pooled slack that is used. A service that targets call
-	// keeps as much in reserve.
+	// poolSafetyFactor is the fraction of the pooled slack that is used. The owner does not know
+	// whether targets call the service, and keeps the reserve of one that they call.
 	poolSafetyFactor = calledSafetyFactor
 	// poolStartShare is the fraction of the limit that a new pool takes as spent: its predecessor
 	// may have spent as much in the same window.
--- a/io/crmesh/loop.go
+++ b/io/crmesh/loop.go
@@ -163,7 +163,7 @@
 	return *a.OwnRecord == *b.OwnRecord
 }
 
-// prune drops the state of targets and daemons that are no longer in the view, and idle
+// prune drops the state of targets and daemons that the view does not have, and idle
 // connections.
 func (d *daemon) prune(v *crmesh.View) {
 	targets := make(map[crid.Target]bool)
