--- a/core/crgate/crgate.go
+++ b/core/crgate/crgate.go
@@ -6,6 +6,9 @@
 // instant at which starting it is still useful. A request that cannot start in
 // time is refused at once, while another target can still serve it.
 //
+// While the target is cold, package crwarmup also limits the requests that it gets in a
+// second.
+//
 // The wait is estimated from the service times of each kind of request
 // (core/crpace), so that a mixture of short and long requests is estimated
 // correctly.
@@ -19,7 +22,7 @@
 //	ticket, refusal := gate.Admit(now, crgate.Request{Kind: kind, Priority: 1, LatestStart: latest})
 //	if refusal != nil { ... }
 //	<-ticket.Decided()
-//	if ticket.Refusal() == nil { ...; gate.Release(now, ticket, took) }
+//	if ticket.Refusal() == nil && gate.Send(now, ticket) { ...; gate.Release(now, ticket, took) }
 package crgate
 
 import (
@@ -29,6 +32,7 @@
 
 	"camphorroad/core/crid"
 	"camphorroad/core/crpace"
+	"camphorroad/core/crwarmup"
 )
 
 // Reason is why a request was refused, on arrival or while it waited.
@@ -106,6 +110,7 @@
 type Ticket struct {
 	request   Request
 	startedAt crid.Instant // when it got its slot
+	sent      bool         // it was sent to the target
 	decided   chan struct{}
 	granted   bool
 	ended     bool
@@ -123,7 +128,7 @@
 type Load struct {
 	Running  int
 	Waiting  int
-	Slots    int
+	Slots    int           // fewer while the target is cold
 	MeanTime time.Duration // mean service time; zero: not known yet
 }
 
@@ -135,10 +140,13 @@
 	waiting      []*Ticket // most urgent first, then in order of arrival
 	closed       bool
 	serviceTimes crpace.Estimators
+	warmup       *crwarmup.Limiter
 }
 
 // New returns a Gate for a target with the given number of slots.
-func New(slots int) *Gate { return &Gate{slots: max(slots, 1), running: make(map[*Ticket]bool)} }
+func New(slots int) *Gate {
+	return &Gate{slots: max(slots, 1), running: make(map[*Ticket]bool), warmup: crwarmup.New(0)}
+}
 
 // SetSlots changes the number of slots.
 func (g *Gate) SetSlots(now crid.Instant, n int) {
@@ -174,7 +182,7 @@
 		return nil, &Refusal{reason: ReasonLeaving}
 	}
 	g.sweep(now)
-	if req.FreeSlot && (len(g.waiting) > 0 || len(g.running) >= g.slots) {
+	if req.FreeSlot && (len(g.waiting) > 0 || len(g.running) >= g.slots || g.warmup.Wait(now, 0) > 0) {
 		return nil, &Refusal{reason: ReasonBusy, retryAfter: g.estimateWait(now, len(g.waiting))}
 	}
 	at := g.insertPosition(req)
@@ -233,10 +241,10 @@
 }
 
 // Load returns the current load of the target.
-func (g *Gate) Load() Load {
+func (g *Gate) Load(now crid.Instant) Load {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return Load{Running: len(g.running), Waiting: len(g.waiting), Slots: g.slots, MeanTime: g.serviceTimes.Mean()}
+	return Load{Running: len(g.running), Waiting: len(g.waiting), Slots: g.usableSlots(now), MeanTime: g.serviceTimes.Mean()}
 }
 
 // SlowThreshold returns the time from which on a request of a kind counts as
@@ -249,6 +257,7 @@
 
 // Idle reports whether nothing runs and nothing waits.
 func (g *Gate) Idle() bool {
-	l := g.Load()
-	return l.Running == 0 && l.Waiting == 0
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return len(g.running) == 0 && len(g.waiting) == 0
 }
--- a/core/crgate/crgate_test.go
+++ b/core/crgate/crgate_test.go
@@ -106,7 +106,7 @@
 	waiting := admit(t, gate, 1, 500*time.Millisecond)
 	gate.Release(start.Add(3*time.Second), running, 0)
 	g.Expect(granted(waiting)).To(gomega.BeFalse())
-	g.Expect(gate.Load().Running).To(gomega.BeZero())
+	g.Expect(gate.Load(start).Running).To(gomega.BeZero())
 }
 
 // The target is stopping. A waiting request would run on a target that is about
@@ -134,7 +134,7 @@
 	gate.Cancel(start, first)
 	gate.Cancel(start, first)
 	gate.Release(start, first, time.Second)
-	g.Expect(gate.Load().Running).To(gomega.BeZero())
+	g.Expect(gate.Load(start).Running).To(gomega.BeZero())
 	g.Expect(granted(admit(t, gate, 1, time.Second))).To(gomega.BeTrue())
 }
 
@@ -197,7 +197,7 @@
 	admit(t, gate, 1, time.Second)
 	_, refusal := gate.Admit(start, crgate.Request{Priority: 0, LatestStart: start.Add(time.Minute), FreeSlot: true})
 	g.Expect(refusal.Reason()).To(gomega.Equal(crgate.ReasonBusy))
-	g.Expect(gate.Load().Waiting).To(gomega.Equal(0))
+	g.Expect(gate.Load(start).Waiting).To(gomega.Equal(0))
 	gate.Release(start, first, time.Second)
 	ticket, refusal := gate.Admit(start, crgate.Request{Priority: 2, LatestStart: start.Add(time.Minute), FreeSlot: true})
 	g.Expect(refusal).To(gomega.BeNil())
--- a/core/crgate/queue.go
+++ b/core/crgate/queue.go
@@ -38,8 +38,9 @@
 // waiting requests before it: the work before it, divided by the number of
 // slots.
 func (g *Gate) estimateWait(now crid.Instant, ahead int) time.Duration {
+	limited := g.warmup.Wait(now, ahead)
 	if ahead == 0 && len(g.running) < g.slots {
-		return 0
+		return limited
 	}
 	work := time.Duration(0)
 	for t := range g.running {
@@ -49,12 +50,12 @@
 	for _, t := range g.waiting[:ahead] {
 		work += g.serviceTimes.Expected(t.request.Kind)
 	}
-	return work / time.Duration(g.slots)
+	return max(work/time.Duration(g.slots), limited)
 }
 
 // dispatch assigns free slots to waiting requests.
 func (g *Gate) dispatch(now crid.Instant) {
-	for len(g.running) < g.slots && len(g.waiting) > 0 {
+	for len(g.running) < g.slots && len(g.waiting) > 0 && g.warmup.Wait(now, 0) == 0 {
 		t := g.waiting[0]
 		g.waiting = slices.Delete(g.waiting, 0, 1)
 		if now > t.request.LatestStart {
@@ -63,6 +64,7 @@
 		}
 		t.granted, t.startedAt = true, now
 		g.running[t] = true
+		g.warmup.Reserve(now)
 		close(t.decided)
 	}
 }
@@ -96,6 +98,9 @@
 func (g *Gate) release(t *Ticket) {
 	t.ended = true
 	delete(g.running, t)
+	if !t.sent {
+		g.warmup.Cancel()
+	}
 }
 
 func (g *Gate) refuse(t *Ticket, r Reason, retryAfter time.Duration) {
--- /dev/null
+++ b/core/crgate/warmup.go
@@ -0,0 +1,75 @@
+package crgate
+
+import (
+	"math"
+	"time"
+
+	"camphorroad/core/crid"
+	"camphorroad/core/crwarmup"
+)
+
+// SetWarmup replaces the parameters of the limit while the target is cold.
+func (g *Gate) SetWarmup(p crwarmup.Params) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.warmup.SetParams(p)
+}
+
+// Send records that a request in a slot is sent to the target now. It returns false if
+// the target has become cold since and has no room; the request must then be cancelled.
+func (g *Gate) Send(now crid.Instant, t *Ticket) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	t.sent = true
+	return g.warmup.Send(now)
+}
+
+// ContactLost records that the target may have restarted.
+func (g *Gate) ContactLost(now crid.Instant) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.warmup.ContactLost(now)
+}
+
+// Responded records a response to a request that was sent at an instant.
+func (g *Gate) Responded(sentAt, now crid.Instant) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.warmup.Responded(sentAt, now)
+}
+
+// StartCheck reports whether a health check is due that shows whether the target is cold.
+func (g *Gate) StartCheck(now crid.Instant) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.warmup.StartCheck(now)
+}
+
+// RecordCheck records the time for which the target stays cold, by a health check.
+func (g *Gate) RecordCheck(sentAt, now crid.Instant, remaining time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.warmup.RecordCheck(sentAt, now, remaining)
+	g.dispatch(now)
+}
+
+// ColdFor returns the time for which the target is known to stay cold.
+func (g *Gate) ColdFor(now crid.Instant) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.warmup.Remaining(now)
+}
+
+// usableSlots returns the number of slots that can be in use at once: as many as the
+// requests allowed in a second occupy, if the target is cold.
+func (g *Gate) usableSlots(now crid.Instant) int {
+	limit := g.warmup.Limit(now)
+	if limit == 0 {
+		return g.slots
+	}
+	mean := g.serviceTimes.Mean()
+	if mean == 0 {
+		return g.slots
+	}
+	return min(g.slots, max(int(math.Ceil(float64(limit)*mean.Seconds())), 1))
+}
--- a/core/crid/crid.go
+++ b/core/crid/crid.go
@@ -22,6 +22,8 @@
 	Daemon string
 	// Domain names a failure domain.
 	Domain string
+	// Region names a region, which contains failure domains.
+	Region string
 	// Account names a client account.
 	Account string
 	// Service names a service: a set of interchangeable targets.
--- a/core/crmesh/crmesh.go
+++ b/core/crmesh/crmesh.go
@@ -20,6 +20,7 @@
 	"strings"
 	"time"
 
+	"camphorroad/core/crevacuation"
 	"camphorroad/core/crevent"
 	"camphorroad/core/crid"
 	"camphorroad/core/crplan"
@@ -94,6 +95,7 @@
 	params           Params
 	plan             *crplan.Plan
 	registry         *crregistry.Registry
+	evacuations      *crevacuation.Set
 	hasRecords       bool
 	listedAt         crid.Instant // when the records were first listed
 	storeUnavailable bool         // this daemon's own calls to the store fail
@@ -113,7 +115,7 @@
 
 // New returns the state of a daemon whose only peers are its seeds.
 func New(p Params) *State {
-	s := &State{params: p, registry: crregistry.New(p.RecordGrace), peers: make(map[crid.Daemon]*peer), ahead: make(map[crid.Daemon]*peer)}
+	s := &State{params: p, registry: crregistry.New(p.RecordGrace), evacuations: crevacuation.New(), peers: make(map[crid.Daemon]*peer), ahead: make(map[crid.Daemon]*peer)}
 	for _, d := range p.Seeds {
 		if d != p.Self {
 			s.addPeer(d).known = true
@@ -143,6 +145,10 @@
 	switch ev := ev.(type) {
 	case PlanReceived:
 		return s.updatePlan(ev)
+	case EvacuationsChanged:
+		if s.evacuations.Apply(ev.Now, ev.Changes) {
+			return []crevent.Effect{s.publishView(ev.Now)}
+		}
 	case RecordsListed:
 		return s.replaceRecords(ev)
 	case RecordsChanged:
--- a/core/crmesh/event.go
+++ b/core/crmesh/event.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"camphorroad/core/crevacuation"
 	"camphorroad/core/crid"
 	"camphorroad/core/crplace"
 	"camphorroad/core/crplan"
@@ -24,6 +25,10 @@
 	StoreUnavailable bool          // the daemon's own calls to the store fail
 	PlanVersion      uint64        // plan in force
 	RecordRevision   crid.Revision // latest change of the records; zero: none read
+
+	// EvacuationRevision is the latest change of an evacuation; zero: none. It is sent
+	// beside the other fields, so that daemons of a version without it accept them.
+	EvacuationRevision crid.Revision `cbor:"-"`
 }
 
 // LoadReport returns the state of the target in the heartbeat.
@@ -44,6 +49,12 @@
 		Now  crid.Instant
 		Plan *crplan.Plan
 	}
+	// EvacuationsChanged are evacuations that were read from the store or pulled from a
+	// peer.
+	EvacuationsChanged struct {
+		Now     crid.Instant
+		Changes []crevacuation.Change
+	}
 	// RecordsListed is the complete list of records at a revision.
 	RecordsListed struct {
 		Now      crid.Instant
@@ -88,6 +99,9 @@
 // At implements crevent.Event.
 func (e PlanReceived) At() crid.Instant { return e.Now }
 
+// At implements crevent.Event.
+func (e EvacuationsChanged) At() crid.Instant { return e.Now }
+
 // At implements crevent.Event.
 func (e RecordsListed) At() crid.Instant { return e.Now }
 
@@ -118,11 +132,12 @@
 	PublishView struct{ View *View }
 	// SendHeartbeats sends a heartbeat to peers. The I/O layer fills in the target's state.
 	SendHeartbeats struct {
-		To               []crid.Daemon
-		Stopping         bool
-		StoreUnavailable bool          `cbor:"Lost" json:"Lost"`
-		PlanVersion      uint64        `cbor:"Version" json:"Version"`
-		RecordRevision   crid.Revision `cbor:"Revision" json:"Revision"`
+		To                 []crid.Daemon
+		Stopping           bool
+		StoreUnavailable   bool          `cbor:"Lost" json:"Lost"`
+		PlanVersion        uint64        `cbor:"Version" json:"Version"`
+		RecordRevision     crid.Revision `cbor:"Revision" json:"Revision"`
+		EvacuationRevision crid.Revision `cbor:"Evacuated" json:"Evacuated"`
 	}
 	// UpdateTarget passes the state of a peer's target to target selection.
 	UpdateTarget struct {
@@ -152,22 +167,24 @@
 
 // View is an immutable snapshot of the state for the code that handles requests.
 type View struct {
-	Plan           *crplan.Plan // nil: none yet
-	HasRecords     bool         `cbor:"Listed" json:"Listed"` // the records have been read
-	Targets        map[crid.Service][]crplace.Candidate
-	TargetsVersion uint64               // changes with Targets
-	OwnRecord      *crregistry.Record   `cbor:"Own" json:"Own"`         // record of this daemon's target; nil: none
-	Live           []crid.Daemon        `cbor:"Daemons" json:"Daemons"` // this daemon and the peers that are up, without stopping ones
-	Owners         []crid.Daemon        // Live, and recorded peers whose first heartbeat may still come
-	Members        []crid.Daemon        // Owners, and recorded peers without heartbeats
-	Size           int                  // daemons of the fleet, up or not, and seeds
-	Confirmed      int                  `cbor:"Known" json:"Known"` // Size without seeds that no record names and that send no heartbeats
-	Reachable      int                  `cbor:"Heard" json:"Heard"` // Confirmed without peers that are unresponsive or whose first heartbeat is overdue
-	Readers        []crid.Daemon        // daemons of the own domain that read the store for it
-	ReadsFirst     bool                 // this daemon is the first reader of the whole fleet
-	ReadersPending bool                 `cbor:"Coming" json:"Coming"`   // the first heartbeat of a peer of the own domain is still expected, or there are no records
-	StoreReaders   int                  `cbor:"Lookers" json:"Lookers"` // daemons of the whole fleet that read the store
-	Unresponsive   map[crid.Daemon]bool `cbor:"Silent" json:"Silent"`
+	Plan           *crplan.Plan                         // nil: none yet
+	HasRecords     bool                                 `cbor:"Listed" json:"Listed"` // the records have been read
+	Targets        map[crid.Service][]crplace.Candidate // without those of evacuated domains
+	TargetsVersion uint64                               // changes with Targets
+	OwnRecord      *crregistry.Record                   `cbor:"Own" json:"Own"`         // record of this daemon's target; nil: none
+	Live           []crid.Daemon                        `cbor:"Daemons" json:"Daemons"` // this daemon and the peers that are up, without stopping ones
+	Owners         []crid.Daemon                        // Live, and recorded peers whose first heartbeat may still come
+	Members        []crid.Daemon                        // Owners, and recorded peers without heartbeats
+	Size           int                                  // daemons of the fleet, up or not, and seeds
+	Confirmed      int                                  `cbor:"Known" json:"Known"` // Size without seeds that no record names and that send no heartbeats
+	Reachable      int                                  `cbor:"Heard" json:"Heard"` // Confirmed without peers that are unresponsive or whose first heartbeat is overdue
+	Readers        []crid.Daemon                        // daemons of the own domain that read the store for it
+	ReadsFirst     bool                                 // this daemon is the first reader of the whole fleet
+	ReadersPending bool                                 `cbor:"Coming" json:"Coming"`   // the first heartbeat of a peer of the own domain is still expected, or there are no records
+	StoreReaders   int                                  `cbor:"Lookers" json:"Lookers"` // daemons of the whole fleet that read the store
+	Unresponsive   map[crid.Daemon]bool                 `cbor:"Silent" json:"Silent"`
+	Evacuations    []crevacuation.Evacuation            // evacuated domains
+	OwnEvacuated   bool                                 // this daemon's own domain is evacuated
 	Stopping       bool
 }
 
--- a/core/crmesh/peer.go
+++ b/core/crmesh/peer.go
@@ -23,6 +23,7 @@
 	newerSince         crid.Instant // when it reported a plan or records that this daemon lacks; zero: it did not
 	newerPlanVersion   uint64       // plan version that it reported at newerSince
 	newerRevision      crid.Revision
+	newerEvacuation    crid.Revision
 	unresponsive       bool
 	unansweredSince    crid.Instant // when it first left a token request unanswered after its latest heartbeat; zero: never
 	knownSince         crid.Instant // when it became known
@@ -32,24 +33,26 @@
 	overdue            bool         // its first heartbeat has not arrived within the time after which other peers count as unresponsive
 }
 
-// trackNewer records that a peer has a plan or records that this daemon lacks, until the
+// trackNewer records that a peer has a plan, records or evacuations that this daemon lacks, until the
 // store or a pull delivers them.
 func (s *State) trackNewer(now crid.Instant, p *peer) {
-	if p.newerSince != 0 && s.lacks(p.newerPlanVersion, p.newerRevision) {
+	if p.newerSince != 0 && s.lacks(p.newerPlanVersion, p.newerRevision, p.newerEvacuation) {
 		return
 	}
 	p.newerSince = 0
 	delete(s.ahead, p.name)
-	if s.lacks(p.heartbeat.PlanVersion, p.heartbeat.RecordRevision) {
-		p.newerSince, p.newerPlanVersion, p.newerRevision = now, p.heartbeat.PlanVersion, p.heartbeat.RecordRevision
+	hb := p.heartbeat
+	if s.lacks(hb.PlanVersion, hb.RecordRevision, hb.EvacuationRevision) {
+		p.newerSince, p.newerPlanVersion, p.newerRevision, p.newerEvacuation = now, hb.PlanVersion, hb.RecordRevision, hb.EvacuationRevision
 		s.ahead[p.name] = p
 	}
 }
 
-// lacks reports whether this daemon lacks a plan version or a revision of the records.
-func (s *State) lacks(version uint64, revision crid.Revision) bool {
+// lacks reports whether this daemon lacks a plan version, a revision of the records or one
+// of the evacuations.
+func (s *State) lacks(version uint64, revision, evacuation crid.Revision) bool {
 	return (version > 0 && (s.plan == nil || version > s.plan.Version())) ||
-		(revision > 0 && (!s.hasRecords || revision > s.registry.Revision()))
+		(revision > 0 && (!s.hasRecords || revision > s.registry.Revision())) || evacuation > s.evacuations.Revision()
 }
 
 // pull pulls from a peer that has held for a while what this daemon lacks, of the same
@@ -62,7 +65,7 @@
 	}
 	var best crid.Daemon
 	for d, p := range s.ahead {
-		if !s.lacks(p.newerPlanVersion, p.newerRevision) {
+		if !s.lacks(p.newerPlanVersion, p.newerRevision, p.newerEvacuation) {
 			p.newerSince = 0
 			delete(s.ahead, d)
 			continue
@@ -214,7 +217,10 @@
 		p.lastSent = now
 		to = append(to, p.name)
 	}
-	b := SendHeartbeats{To: to, Stopping: s.stopping, StoreUnavailable: s.storeUnavailable, RecordRevision: s.registry.LatestChange()}
+	b := SendHeartbeats{
+		To: to, Stopping: s.stopping, StoreUnavailable: s.storeUnavailable, RecordRevision: s.registry.LatestChange(),
+		EvacuationRevision: s.evacuations.Revision(),
+	}
 	if s.plan != nil {
 		b.PlanVersion = s.plan.Version()
 	}
--- a/core/crmesh/view.go
+++ b/core/crmesh/view.go
@@ -10,29 +10,32 @@
 )
 
 // targetIndex holds what views contain of the records. It is built again only when the
-// records have changed, and views share it.
+// records or the evacuations have changed, and views share it.
 type targetIndex struct {
-	version uint64 // of the records; zero: not built yet
-	targets map[crid.Service][]crplace.Candidate
-	own     *crregistry.Record
+	version     uint64        // changes with targets and own; zero: not built yet
+	records     uint64        // version of the records it was built from
+	evacuations crid.Revision // revision of the evacuations it was built from
+	targets     map[crid.Service][]crplace.Candidate
+	own         *crregistry.Record
 }
 
 // indexTargets returns the index of the current records.
 func (s *State) indexTargets() targetIndex {
-	if v := s.registry.Version(); v == 0 || v != s.targets.version {
-		s.targets = s.buildIndex(v)
+	records, evacuations := s.registry.Version(), s.evacuations.Revision()
+	if records == 0 || records != s.targets.records || evacuations != s.targets.evacuations {
+		s.targets = s.buildIndex(records, evacuations)
 	}
 	return s.targets
 }
 
-func (s *State) buildIndex(version uint64) targetIndex {
-	x := targetIndex{version: version, targets: make(map[crid.Service][]crplace.Candidate)}
+func (s *State) buildIndex(records uint64, evacuations crid.Revision) targetIndex {
+	x := targetIndex{version: s.targets.version + 1, records: records, evacuations: evacuations, targets: make(map[crid.Service][]crplace.Candidate)}
 	for _, r := range s.registry.Records() {
 		if r.Address == s.params.Address {
 			own := r
 			x.own = &own
 		}
-		if r.Leaving {
+		if r.Leaving || s.evacuations.Contains(r.Domain) {
 			continue
 		}
 		x.targets[r.Service] = append(x.targets[r.Service], crplace.Candidate{
@@ -56,6 +59,8 @@
 		Confirmed:      1,
 		Reachable:      1,
 		Unresponsive:   make(map[crid.Daemon]bool),
+		Evacuations:    s.evacuations.List(),
+		OwnEvacuated:   s.evacuations.Contains(s.params.Domain),
 		Stopping:       s.stopping,
 		Readers:        s.readers(),
 		StoreReaders:   s.storeReaders(),
--- a/core/crplace/choose.go
+++ b/core/crplace/choose.go
@@ -105,7 +105,7 @@
 	out := make([]scoredCandidate, 0, len(all))
 	typical := b.medianTypical(all)
 	for _, c := range all {
-		if slices.Contains(req.Tried, c.Target) {
+		if slices.Contains(req.Tried, c.Target) || (req.Allowed != nil && !req.Allowed(c.Domain)) {
 			continue
 		}
 		s := b.state(c.Target)
--- a/core/crplace/crplace.go
+++ b/core/crplace/crplace.go
@@ -50,6 +50,7 @@
 	NoRetry      bool                   // no retry is left if the target fails the request
 	Nested       bool                   // another request, which holds a slot, waits for this one
 	Busy         int                    // exits that refused it because no slot was free
+	Allowed      func(crid.Domain) bool // domains in which it may be processed; nil: all
 }
 
 // firstTry reports whether the request is idempotent and has not been refused by any
--- a/core/crplan/crplan.go
+++ b/core/crplan/crplan.go
@@ -43,6 +43,7 @@
 	Priority       int           // 0 is the most urgent
 	MaxTargets     int           // maximum number of targets that one request is sent to
 	AllowAnonymous bool          `cbor:"Open" json:"Open"` // no key is required
+	Homes          []crid.Region // regions in which requests may be processed; empty: all
 	Shares         []Share
 }
 
@@ -66,10 +67,11 @@
 type Account struct {
 	Name        crid.Account
 	Keys        []string
-	HasPriority bool    `cbor:"Ranked" json:"Ranked"` // Priority overrides that of the route
-	Priority    int     // 0 is the most urgent
-	Rate        float64 // requests a second; zero: no limit
-	Burst       float64 // requests above the rate
+	HasPriority bool          `cbor:"Ranked" json:"Ranked"` // Priority overrides that of the route
+	Priority    int           // 0 is the most urgent
+	Rate        float64       // requests a second; zero: no limit
+	Burst       float64       // requests above the rate
+	Homes       []crid.Region // regions in which requests may be processed; empty: all
 }
 
 // Service is a service in a plan.
@@ -77,6 +79,13 @@
 	Name        crid.Service
 	HealthPath  string
 	Connections int // maximum number of connections per target
+	Warmup      Warmup
+}
+
+// Warmup describes the targets of a service shortly after their start, while they are cold.
+type Warmup struct {
+	Duration time.Duration // zero: targets are not cold after a start
+	Rate     float64       // requests a second that a cold target tolerates; zero: no limit
 }
 
 // Limits bound the requests of callers.
@@ -205,6 +214,19 @@
 // RequiresKey reports whether callers must present a key at all.
 func (p *Plan) RequiresKey() bool { return len(p.accounts) > 0 }
 
+// Homes returns the homes of the routes that have some.
+func (p *Plan) Homes() map[crid.Route][]crid.Region {
+	out := make(map[crid.Route][]crid.Region)
+	for _, routes := range p.hosts {
+		for _, r := range routes {
+			if len(r.Homes) > 0 {
+				out[r.Name] = slices.Clone(r.Homes)
+			}
+		}
+	}
+	return out
+}
+
 // Service returns the service with a name.
 func (p *Plan) Service(name crid.Service) (Service, bool) {
 	s, ok := p.services[name]
--- a/io/crbeat/crbeat.go
+++ b/io/crbeat/crbeat.go
@@ -47,12 +47,14 @@
 // ErrNoResponse reports that a peer did not respond to a request.
 var ErrNoResponse = errors.New("no response from peer")
 
-// message is the content of a datagram; exactly one field is set.
+// message is the content of a datagram: a heartbeat, or one of the other fields.
 type message struct {
 	Heartbeat *crmesh.Heartbeat `cbor:"1,keyasint,omitempty"`
 	Request   *tokenRequest     `cbor:"2,keyasint,omitempty"`
 	Response  *tokenResponse    `cbor:"3,keyasint,omitempty"`
 	Retry     *retryRequest     `cbor:"4,keyasint,omitempty"`
+	// EvacuationRevision is that of the heartbeat.
+	EvacuationRevision crid.Revision `cbor:"5,keyasint,omitempty"`
 }
 
 type tokenRequest struct {
@@ -141,7 +143,9 @@
 func (c *Channel) handle(ctx context.Context, from netip.AddrPort, m message) {
 	switch {
 	case m.Heartbeat != nil:
-		c.opts.OnHeartbeat(crid.Daemon(from.Addr().Unmap().String()), *m.Heartbeat)
+		hb := *m.Heartbeat
+		hb.EvacuationRevision = m.EvacuationRevision
+		c.opts.OnHeartbeat(crid.Daemon(from.Addr().Unmap().String()), hb)
 	case m.Request != nil:
 		c.handleRequest(ctx, from, *m.Request)
 	case m.Retry != nil:
@@ -161,7 +165,7 @@
 
 // SendHeartbeat sends a heartbeat to peers.
 func (c *Channel) SendHeartbeat(to []crid.Daemon, hb crmesh.Heartbeat) {
-	data, err := cbor.Marshal(message{Heartbeat: &hb})
+	data, err := cbor.Marshal(message{Heartbeat: &hb, EvacuationRevision: hb.EvacuationRevision})
 	if err != nil {
 		return
 	}
--- a/io/crdialect/crdialect.go
+++ b/io/crdialect/crdialect.go
@@ -37,9 +37,11 @@
 
 // ResponseInfo is the information in the headers of a target's response.
 type ResponseInfo struct {
-	ID     string // ID of the request that the response belongs to
-	Sealed bool   // the response was produced by the target itself
-	NotRun bool   // the request was not executed and will not be
+	ID        string        // ID of the request that the response belongs to
+	Sealed    bool          // the response was produced by the target itself
+	NotRun    bool          // the request was not executed and will not be
+	Warmup    time.Duration // time for which the target stays cold
+	HasWarmup bool          // Warmup is known
 }
 
 // Dialect reads and writes the headers of one platform.
--- /dev/null
+++ b/io/cregress/check.go
@@ -0,0 +1,42 @@
+package cregress
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"camphorroad/core/crid"
+	"camphorroad/io/crlink"
+	"camphorroad/io/crlog"
+)
+
+// checkTimeout bounds a health check. It waits for a slot of the target like a request.
+const checkTimeout = 800 * time.Millisecond
+
+// checkWarmup asks the target's health page for how long the target stays cold. Without an
+// answer, the exit assumes the worst.
+func (x *Exit) checkWarmup(ctx context.Context, sentAt crid.Instant) {
+	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
+	defer cancel()
+	path := x.healthPath.Load()
+	if path == nil || *path == "" {
+		return
+	}
+	conn, err := x.pool.Get(ctx)
+	if err != nil {
+		x.gate.ContactLost(x.opts.Clock())
+		return
+	}
+	resp, err := conn.Exchange(ctx, crlink.Request{Method: http.MethodGet, URI: *path, Host: x.opts.Address, Header: http.Header{}}, nil)
+	if err != nil {
+		x.gate.ContactLost(x.opts.Clock())
+		return
+	}
+	x.pool.Put(conn)
+	info := x.opts.Dialect.ParseResponse(resp.Status, resp.Header)
+	if !info.HasWarmup && resp.Status != http.StatusOK {
+		return // the target did not run the check
+	}
+	x.gate.RecordCheck(sentAt, x.opts.Clock(), info.Warmup)
+	x.opts.Log.Event(crlog.WarmupChecked, crlog.Fields{"target": string(x.Target()), "cold": info.Warmup.String()})
+}
--- a/io/cregress/cregress.go
+++ b/io/cregress/cregress.go
@@ -28,6 +28,7 @@
 	"camphorroad/core/crplace"
 	"camphorroad/core/crpolicy"
 	"camphorroad/core/crregistry"
+	"camphorroad/core/crwarmup"
 	"camphorroad/io/crdialect"
 	"camphorroad/io/crlink"
 	"camphorroad/io/crlog"
@@ -70,6 +71,8 @@
 	pool           *crlink.Pool
 	target         atomic.Pointer[crregistry.Record]
 	stopping       atomic.Bool
+	evacuated      atomic.Bool
+	healthPath     atomic.Pointer[string]
 	stopDeadline   atomic.Int64 // instant by which all work must have ended; zero: none
 	nestedFailures nestedFailures
 	refusalLog     logLimiter
@@ -111,7 +114,7 @@
 func (x *Exit) SetTarget(r *crregistry.Record) {
 	now := x.opts.Clock()
 	old := x.target.Swap(r)
-	if r == nil || r.Leaving || x.stopping.Load() {
+	if r == nil || r.Leaving {
 		x.gate.Close()
 		if old != nil && !old.Leaving {
 			x.opts.OnTargetChange()
@@ -121,16 +124,49 @@
 	if old == nil || old.Target != r.Target || old.StartedMillis != r.StartedMillis {
 		x.reset(now)
 	}
+	x.openGate(now)
+}
+
+// SetEvacuated sets whether the daemon's domain is evacuated. While it is, nothing is sent
+// to the target, and requests that wait for it are refused. Afterwards it may be cold.
+func (x *Exit) SetEvacuated(evacuated bool) {
+	if x.evacuated.Swap(evacuated) == evacuated {
+		return
+	}
+	now := x.opts.Clock()
+	if evacuated {
+		x.gate.Close()
+	} else {
+		x.gate.ContactLost(now)
+		x.openGate(now)
+	}
+	x.opts.OnTargetChange()
+}
+
+// openGate opens the gate if the target may get requests.
+func (x *Exit) openGate(now crid.Instant) {
+	r := x.target.Load()
+	if r == nil || r.Leaving || x.stopping.Load() || x.evacuated.Load() {
+		return
+	}
 	x.gate.Open()
 	x.gate.SetSlots(now, r.Slots)
 }
 
+// SetWarmup sets how a target of the service behaves while it is cold, and the path of its
+// health check.
+func (x *Exit) SetWarmup(p crwarmup.Params, healthPath string) {
+	x.healthPath.Store(&healthPath)
+	x.gate.SetWarmup(p)
+}
+
 // reset discards the health data of the previous target at this address.
 func (x *Exit) reset(now crid.Instant) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	x.estimator = crjudge.New(now)
 	x.unhealthy = false
+	x.gate.ContactLost(now)
 }
 
 // SetStopDeadline makes the exit accept only requests that are expected to end before the
@@ -155,6 +191,9 @@
 	return crid.Instant(end).Add(-longest)
 }
 
+// ColdFor returns the time for which the target is known to stay cold.
+func (x *Exit) ColdFor() time.Duration { return x.gate.ColdFor(x.opts.Clock()) }
+
 // Stop refuses all requests that have not started.
 func (x *Exit) Stop() {
 	x.stopping.Store(true)
@@ -164,8 +203,16 @@
 // Idle reports whether no request is running or waiting.
 func (x *Exit) Idle() bool { return x.gate.Idle() }
 
-// Tick refuses waiting requests that can no longer start in time.
-func (x *Exit) Tick() { x.gate.Sweep(x.opts.Clock()) }
+// Tick refuses waiting requests that can no longer start in time, and starts a health check
+// if one is due.
+func (x *Exit) Tick(ctx context.Context) {
+	now := x.opts.Clock()
+	x.gate.Sweep(now)
+	if x.evacuated.Load() || x.target.Load() == nil || !x.gate.StartCheck(now) {
+		return
+	}
+	go x.checkWarmup(ctx, now)
+}
 
 // Target returns the target's name, or an empty one without a target.
 func (x *Exit) Target() crid.Target {
@@ -184,11 +231,11 @@
 }
 
 func (x *Exit) loadReport(unhealthyProb float64) crplace.LoadReport {
-	l := x.gate.Load()
+	l := x.gate.Load(x.opts.Clock())
 	r := x.target.Load()
 	return crplace.LoadReport{
 		Load: l.Running + l.Waiting, Slots: l.Slots, UnhealthyProb: unhealthyProb, Typical: l.MeanTime,
-		Closed: r == nil || r.Leaving || x.stopping.Load(),
+		Closed: r == nil || r.Leaving || x.stopping.Load() || x.evacuated.Load(),
 	}
 }
 
@@ -199,6 +246,9 @@
 	if r == nil || r.Target != o.Target || r.Service != o.Service {
 		return x.refuse(now, o, refusal{reason: "no such target here"})
 	}
+	if x.evacuated.Load() {
+		return x.refuse(now, o, refusal{reason: reasonEvacuated})
+	}
 	latestStart := x.latestStart(o)
 	if latestStart != 0 && now > latestStart {
 		return x.refuse(now, o, refusal{reason: "stopping"})
@@ -219,6 +269,9 @@
 	return croffer.Reply{Accepted: true, Ticket: x.reserve(now, o, ticket), LoadReport: x.LoadReport()}
 }
 
+// reasonEvacuated is the reason of refusals while the domain is evacuated.
+const reasonEvacuated = "evacuated"
+
 // refusal is the reason why an offer is refused.
 type refusal struct {
 	reason     string
@@ -303,6 +356,10 @@
 		x.gate.Cancel(x.opts.Clock(), rv.ticket)
 		return x.notSent("the target has left", 0)
 	}
+	if x.evacuated.Load() {
+		x.gate.Cancel(x.opts.Clock(), rv.ticket)
+		return x.notSent(reasonEvacuated, 0)
+	}
 	run := &run{exit: x, reservation: rv, request: r, target: *target}
 	return run.do(ctx)
 }
--- a/io/cregress/run.go
+++ b/io/cregress/run.go
@@ -67,6 +67,12 @@
 	if err != nil {
 		return r.connectFailed(err)
 	}
+	sentAt := x.opts.Clock()
+	if !x.gate.Send(sentAt, r.reservation.ticket) {
+		x.pool.Put(conn)
+		x.gate.Cancel(sentAt, r.reservation.ticket)
+		return x.notSent("the target is cold", x.gate.ColdFor(sentAt))
+	}
 	wait := min(r.request.Wait-waited, left)
 	defer x.countIdempotent(r.reservation.offer)()
 	r.slow.start(x, r.reservation.offer)
@@ -76,6 +82,7 @@
 		return r.exchangeFailed(ctx, err)
 	}
 	x.pool.Put(conn)
+	x.gate.Responded(sentAt, x.opts.Clock())
 	return r.handleResponse(resp)
 }
 
@@ -85,6 +92,7 @@
 	now := x.opts.Clock()
 	x.gate.Release(now, r.reservation.ticket, 0)
 	if !errors.Is(err, context.Canceled) {
+		x.gate.ContactLost(now)
 		x.observe(now, crjudge.Failure, r.reservation.offer.ID)
 	}
 	return x.notSent("the target takes no connection", 0)
@@ -99,10 +107,12 @@
 	switch {
 	case errors.Is(context.Cause(ctx), errTimeout):
 		result.Outcome = croffer.TimedOut
+		x.gate.ContactLost(now)
 		r.observeTimeout(now)
 	case ctx.Err() != nil:
 		result.Reason = "the caller left"
 	default:
+		x.gate.ContactLost(now)
 		x.observe(now, crjudge.Failure, r.reservation.offer.ID)
 	}
 	result.LoadReport = x.LoadReport()
--- a/io/crfeed/fleet_test.go
+++ b/io/crfeed/fleet_test.go
@@ -5,8 +5,11 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -45,16 +48,19 @@
 
 // virtualStore is a store in virtual time.
 type virtualStore struct {
-	mu       sync.Mutex
-	revision crid.Revision
-	records  []crwatch.Item
-	plan     crwatch.Item
-	changed  chan struct{}
-	outages  []outage
-	calls    int
+	mu          sync.Mutex
+	revision    crid.Revision
+	records     []crwatch.Item
+	plan        crwatch.Item
+	evacuations map[crid.Domain]crwatch.Item // with the removed ones
+	changed     chan struct{}
+	outages     []outage
+	calls       int
 }
 
-func newVirtualStore() *virtualStore { return &virtualStore{changed: make(chan struct{})} }
+func newVirtualStore() *virtualStore {
+	return &virtualStore{changed: make(chan struct{}), evacuations: make(map[crid.Domain]crwatch.Item)}
+}
 
 func (s *virtualStore) publish(version int) {
 	s.mu.Lock()
@@ -65,6 +71,16 @@
 	s.changed = make(chan struct{})
 }
 
+// evacuate starts or ends the evacuation of a domain.
+func (s *virtualStore) evacuate(d crid.Domain, ended bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	s.evacuations[d] = crwatch.Item{Key: "evacuate/" + string(d), Revision: s.revision, Removed: ended}
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
 // register adds the record of a daemon's target before the fleet starts.
 func (s *virtualStore) register(d *member) {
 	s.revision++
@@ -92,7 +108,7 @@
 	defer s.mu.Unlock()
 	var out []crwatch.Item
 	for _, i := range s.items(scope) {
-		if i.Revision > after {
+		if i.Revision > after && (after > 0 || !i.Removed) {
 			out = append(out, i)
 		}
 	}
@@ -103,7 +119,7 @@
 	if scope == crwatch.Records {
 		return s.records
 	}
-	return []crwatch.Item{s.plan}
+	return append(slices.Collect(maps.Values(s.evacuations)), s.plan)
 }
 
 // count counts a call and returns the time at which it was received.
@@ -169,6 +185,11 @@
 	return crregistry.Record{Target: crid.Target("t-" + i.Key), Service: "s", Address: i.Key + ":1", Domain: crid.Domain(i.Value), Slots: 1}, nil
 }
 
+func (versionDecoder) Evacuation(i crwatch.Item) (crid.Domain, bool) {
+	domain, ok := strings.CutPrefix(i.Key, "evacuate/")
+	return crid.Domain(domain), ok
+}
+
 func (versionDecoder) Plan(value []byte) (*crplan.Plan, error) {
 	n, err := strconv.ParseUint(string(value), 10, 64)
 	if err != nil {
@@ -334,7 +355,7 @@
 		}
 		b := crmesh.Heartbeat{
 			Incarnation: 1, Target: crid.Target("t-" + m.id), Slots: 1, Stopping: eff.Stopping, StoreUnavailable: eff.StoreUnavailable,
-			PlanVersion: eff.PlanVersion, RecordRevision: eff.RecordRevision,
+			PlanVersion: eff.PlanVersion, RecordRevision: eff.RecordRevision, EvacuationRevision: eff.EvacuationRevision,
 		}
 		time.AfterFunc(m.delay(d), func() {
 			select {
--- a/io/cringress/cringress.go
+++ b/io/cringress/cringress.go
@@ -27,6 +27,7 @@
 	"camphorroad/core/crplace"
 	"camphorroad/core/crplan"
 	"camphorroad/core/crpolicy"
+	"camphorroad/core/crregion"
 	"camphorroad/io/crdialect"
 	"camphorroad/io/cregress"
 	"camphorroad/io/crlink"
@@ -68,6 +69,7 @@
 type Options struct {
 	Self     crid.Daemon
 	Domain   crid.Domain
+	Regions  crregion.Map
 	Service  crid.Service // of this daemon's own target
 	Dialect  crdialect.Dialect
 	Clock    func() crid.Instant
@@ -156,6 +158,7 @@
 	route          *crplan.Route
 	account        *crplan.Account // nil: no key, or an unknown one
 	service        crid.Service
+	allowed        func(crid.Domain) bool // domains in which it may be processed; nil: all
 	body           []byte
 	callerDeadline crid.Instant // when the caller stops waiting
 	deadline       crid.Instant // when the caller gets a response at the latest
@@ -209,6 +212,7 @@
 		return refusal(http.StatusUnauthorized, "unknown key", 0), false
 	}
 	q.service = route.Pick(rand.Float64())
+	q.allowed = q.opts.Regions.Allowed(route.Homes, q.accountHomes())
 	q.setDeadlines()
 	return response{}, true
 }
@@ -261,6 +265,13 @@
 	return q.account == nil && q.route != nil && q.route.AllowAnonymous && q.view.Plan.RequiresKey()
 }
 
+func (q *request) accountHomes() []crid.Region {
+	if q.account == nil {
+		return nil
+	}
+	return q.account.Homes
+}
+
 func (q *request) priority() int {
 	if q.account != nil && q.account.HasPriority {
 		return q.account.Priority
--- a/io/cringress/dispatch.go
+++ b/io/cringress/dispatch.go
@@ -90,7 +90,7 @@
 	}
 	choice, ok := d.opts.Balancer.Choose(now, d.view.Targets[d.service], crplace.Request{
 		Class: d.route.Class, Domain: d.opts.Domain, Tried: d.tried, Rand: rand.Float64,
-		Unresponsive: func(id crid.Daemon) bool { return d.view.Unresponsive[id] }, NoRetry: !d.couldRetry(now), Nested: d.isNested(), Busy: d.busy,
+		Unresponsive: func(id crid.Daemon) bool { return d.view.Unresponsive[id] }, NoRetry: !d.couldRetry(now), Nested: d.isNested(), Busy: d.busy, Allowed: d.allowed,
 	})
 	if !ok {
 		return false
--- a/io/crlog/catalogue_mesh.go
+++ b/io/crlog/catalogue_mesh.go
@@ -24,9 +24,11 @@
 	ReaderUnresponsive  = 619
 	PeersUnresponsive   = 620
 	PeersRecovered      = 621
+	DomainsEvacuated    = 622
 	TargetHealthChanged = 630
 	RunEnded            = 631
 	OfferRefused        = 632
+	WarmupChecked       = 633
 	RequestFailed       = 640
 	CallerDisconnected  = 641
 	RequestRetried      = 642
@@ -104,6 +106,11 @@
 			"no heartbeats arrived from these peers", "their targets are used as a last resort", "if it persists, check the network between the machines",
 		},
 		{PeersRecovered, LevelInfo, "peers recovered", "heartbeats arrive again", none, none},
+		{
+			DomainsEvacuated, LevelInfo, "evacuated domains changed",
+			"the operator has started or ended the evacuation of a failure domain",
+			"the targets of the domains in the event get no requests; requests that waited there are sent to other domains", none,
+		},
 		{
 			TargetHealthChanged, LevelInfo, "target health changed",
 			"the probability that the target is unhealthy, estimated from its responses and given in the field `sick`, rose above the threshold or fell below it",
@@ -118,6 +125,11 @@
 			"an exit daemon refused a request; logged a limited number of times a second", "the request was not run; the entry daemon may try another target",
 			"compare `wait` with `patience` and `load` with `slots`; add targets if they stay full",
 		},
+		{
+			WarmupChecked, LevelInfo, "slow start checked",
+			"contact with the target was lost, so that it may have restarted, and requests would have been limited",
+			"while the target is cold, for the time in the field `cold`, the requests that it gets in a second are limited", none,
+		},
 		{
 			RequestFailed, LevelInfo, "request not served",
 			"a request was refused or failed, or its caller disconnected",
--- a/io/crmesh/crmesh.go
+++ b/io/crmesh/crmesh.go
@@ -140,7 +140,7 @@
 ) *cringress.Entry {
 	s := opts.Settings
 	return cringress.New(cringress.Options{
-		Self: crid.Daemon(s.Address), Domain: s.Domain, Service: s.Service, Dialect: opts.Dialect, Clock: crclock.Now,
+		Self: crid.Daemon(s.Address), Domain: s.Domain, Regions: s.Regions, Service: s.Service, Dialect: opts.Dialect, Clock: crclock.Now,
 		Local: x, Peers: peers, Balancer: balancer, Budget: budget, Pool: pool, Quota: q, Meter: m, Log: l,
 	})
 }
--- a/io/crmesh/daemon.go
+++ b/io/crmesh/daemon.go
@@ -247,7 +247,7 @@
 			continue
 		case <-ticker.C:
 		}
-		d.exit.Tick()
+		d.exit.Tick(ctx)
 		if n := d.queue.Dropped(); n > 0 {
 			d.log.Event(crlog.LogDropped, crlog.Fields{"lines": strconv.FormatInt(n, 10)})
 		}
@@ -286,6 +286,18 @@
 	Targets map[crid.Service][]crplace.Candidate `json:"targets"`
 	Own     crplace.LoadReport                   `json:"own"`
 	Open    int64                                `json:"open"`
+	// Evacuated are the evacuated domains, whose targets are not listed in Targets.
+	Evacuated []evacuatedDomain `json:"evacuated"`
+	// ColdMillis is the time for which the own target is known to stay cold.
+	ColdMillis int64                        `json:"cold"`
+	Homes      map[crid.Route][]crid.Region `json:"homes"` // of the routes that are bound to regions
+}
+
+// evacuatedDomain is an evacuated domain on the state page.
+type evacuatedDomain struct {
+	Domain   crid.Domain   `json:"domain"`
+	Revision crid.Revision `json:"revision"`
+	Seconds  float64       `json:"seconds"` // since this daemon received it
 }
 
 func (d *daemon) state(_ context.Context, part string) (any, error) {
@@ -295,9 +307,13 @@
 	v := d.loop.view.Load()
 	out := dump{
 		Daemons: v.Live, Silent: slices.Sorted(maps.Keys(v.Unresponsive)), Targets: v.Targets, Own: d.exit.LoadReport(), Open: d.entry.InFlight(),
+		ColdMillis: d.exit.ColdFor().Milliseconds(),
+	}
+	for _, e := range v.Evacuations {
+		out.Evacuated = append(out.Evacuated, evacuatedDomain{Domain: e.Domain, Revision: e.Revision, Seconds: crclock.Now().Sub(e.Since).Seconds()})
 	}
 	if v.Plan != nil {
-		out.Plan = v.Plan.Label()
+		out.Plan, out.Homes = v.Plan.Label(), v.Plan.Homes()
 	}
 	return out, nil
 }
--- a/io/crmesh/fleet_test.go
+++ b/io/crmesh/fleet_test.go
@@ -18,6 +18,7 @@
 	"github.com/onsi/gomega"
 
 	"camphorroad/core/crid"
+	"camphorroad/core/crregion"
 	"camphorroad/io/crmesh"
 	"camphorroad/io/crsite"
 	"camphorroad/lab/crstore"
@@ -67,6 +68,9 @@
 
 var nextBasePort atomic.Int64
 
+// regions are the regions of the daemons that are started from now on.
+var regions crregion.Map
+
 func init() { nextBasePort.Store(21000) }
 
 // newFleet starts machines, alternately in domains a and b, with a target of service
@@ -136,10 +140,11 @@
 	at := func(offset int) string { return m.address + ":" + strconv.Itoa(f.basePort+offset) }
 	m.cfg = crsite.Settings{
 		Name: m.id, Address: m.address, Domain: crid.Domain("ab"[i%2 : i%2+1]), Service: "s1", Target: target.Address(), Log: "info",
-		Seeds:  []string{"127.0.0.10:" + strconv.Itoa(f.basePort+5)},
-		Listen: crsite.Listen{Caller: at(1), Ready: at(2), Control: at(5), Ports: []int{f.basePort + 3, f.basePort + 4}},
-		Store:  crsite.Store{Address: strings.TrimPrefix(m.store.URL, "http://")},
-		Bounds: crsite.Bounds{DrainMillis: 2000, GraceSeconds: 3, Ratio: 0.2, Slack: 50, WindowSeconds: 10},
+		Seeds:   []string{"127.0.0.10:" + strconv.Itoa(f.basePort+5)},
+		Listen:  crsite.Listen{Caller: at(1), Ready: at(2), Control: at(5), Ports: []int{f.basePort + 3, f.basePort + 4}},
+		Store:   crsite.Store{Address: strings.TrimPrefix(m.store.URL, "http://")},
+		Bounds:  crsite.Bounds{DrainMillis: 2000, GraceSeconds: 3, Ratio: 0.2, Slack: 50, WindowSeconds: 10, WarmupRatio: 1},
+		Regions: regions,
 	}
 	f.machines = append(f.machines, m)
 	m.start()
--- a/io/crmesh/loop.go
+++ b/io/crmesh/loop.go
@@ -8,10 +8,13 @@
 	"sync/atomic"
 	"time"
 
+	"camphorroad/core/crevacuation"
 	"camphorroad/core/crevent"
 	"camphorroad/core/crid"
 	"camphorroad/core/crmesh"
 	"camphorroad/core/crplace"
+	"camphorroad/core/crplan"
+	"camphorroad/core/crwarmup"
 	"camphorroad/io/crclock"
 	"camphorroad/io/crlog"
 	"camphorroad/io/crwatch"
@@ -115,17 +118,18 @@
 func (d *daemon) heartbeat(eff crmesh.SendHeartbeats) crmesh.Heartbeat {
 	report := d.exit.LoadReport()
 	return crmesh.Heartbeat{
-		Incarnation:      d.incarnation,
-		Target:           d.exit.Target(),
-		Load:             report.Load,
-		Slots:            report.Slots,
-		UnhealthyProb255: uint8(report.UnhealthyProb * 255),
-		TypicalMillis:    report.Typical.Milliseconds(),
-		Closed:           report.Closed,
-		Stopping:         eff.Stopping,
-		StoreUnavailable: eff.StoreUnavailable,
-		PlanVersion:      eff.PlanVersion,
-		RecordRevision:   eff.RecordRevision,
+		Incarnation:        d.incarnation,
+		Target:             d.exit.Target(),
+		Load:               report.Load,
+		Slots:              report.Slots,
+		UnhealthyProb255:   uint8(report.UnhealthyProb * 255),
+		TypicalMillis:      report.Typical.Milliseconds(),
+		Closed:             report.Closed,
+		Stopping:           eff.Stopping,
+		StoreUnavailable:   eff.StoreUnavailable,
+		PlanVersion:        eff.PlanVersion,
+		RecordRevision:     eff.RecordRevision,
+		EvacuationRevision: eff.EvacuationRevision,
 	}
 }
 
@@ -150,12 +154,25 @@
 func (d *daemon) applyView(v *crmesh.View) {
 	before := d.loop.view.Swap(v)
 	d.entry.SetView(v)
+	if v.Plan != before.Plan {
+		d.applyWarmup(v.Plan)
+	}
+	d.exit.SetEvacuated(v.OwnEvacuated)
 	if !sameRecord(before, v) {
 		d.exit.SetTarget(v.OwnRecord)
 	}
 	d.logView(before, v)
 }
 
+// applyWarmup passes on how targets of the own service behave while they are cold.
+func (d *daemon) applyWarmup(p *crplan.Plan) {
+	s := d.opts.Settings
+	service, _ := p.Service(s.Service) // a service without an entry has no limit
+	d.exit.SetWarmup(crwarmup.Params{
+		Limit: crwarmup.Limit(service.Warmup.Rate, s.Bounds.WarmupRatio, s.Bounds.WarmupSlack), Duration: service.Warmup.Duration,
+	}, service.HealthPath)
+}
+
 func sameRecord(a, b *crmesh.View) bool {
 	if a.OwnRecord == nil || b.OwnRecord == nil {
 		return a.OwnRecord == b.OwnRecord
@@ -191,6 +208,9 @@
 			d.log.Event(crlog.TargetsChanged, crlog.Fields{"came": added, "went": removed})
 		}
 	}
+	if !slices.Equal(before.Evacuations, v.Evacuations) {
+		d.log.Event(crlog.DomainsEvacuated, crlog.Fields{"domains": joinEvacuations(v.Evacuations)})
+	}
 	if !slices.Equal(before.Readers, v.Readers) {
 		d.log.Event(crlog.ReadersChanged, crlog.Fields{"readers": joinDaemons(v.Readers)})
 	}
@@ -202,6 +222,14 @@
 	}
 }
 
+func joinEvacuations(list []crevacuation.Evacuation) string {
+	names := make([]string, 0, len(list))
+	for _, e := range list {
+		names = append(names, string(e.Domain))
+	}
+	return strings.Join(names, " ")
+}
+
 func joinDaemons(daemons []crid.Daemon) string {
 	list := make([]string, 0, len(daemons))
 	for _, d := range daemons {
--- a/io/crmesh/meters.go
+++ b/io/crmesh/meters.go
@@ -59,6 +59,8 @@
 		"target.load":                            func() int64 { return int64(d.exit.LoadReport().Load) },
 		"target.slots":                           func() int64 { return int64(d.exit.LoadReport().Slots) },
 		"target.sick.percent":                    func() int64 { return int64(d.exit.LoadReport().UnhealthyProb * 100) },
+		"target.cold.milliseconds":               func() int64 { return d.exit.ColdFor().Milliseconds() },
+		"domains.evacuated":                      func() int64 { return int64(len(d.loop.view.Load().Evacuations)) },
 		"requests.open":                          d.entry.InFlight,
 		"peers.silent":                           func() int64 { return int64(len(d.loop.view.Load().Unresponsive)) },
 		"peers.alive":                            func() int64 { return int64(len(d.loop.view.Load().Live) - 1) },
--- /dev/null
+++ b/io/crmesh/places_test.go
@@ -0,0 +1,96 @@
+package crmesh_test
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"camphorroad/core/crregion"
+	"camphorroad/lab/crstore"
+)
+
+// targetOf returns the index of the machine whose target ran a request, or -1.
+func (f *fleet) targetOf(id string) int {
+	for i, m := range f.machines {
+		for _, r := range m.target.Runs() {
+			if r.ID == id {
+				return i
+			}
+		}
+	}
+	return -1
+}
+
+// Machines are in domains a (even) and b (odd).
+func TestEvacuatedDomainGetsNoRequestsAndItsCallersAreServed(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f := newFleet(t, 4)
+	f.store.Put("op/evacuate/a", []byte("{}"))
+	for _, m := range f.machines {
+		g.Eventually(m.state, 2*time.Second, 20*time.Millisecond).Should(gomega.ContainSubstring(`"domain": "a"`))
+	}
+	for i := range 40 {
+		resp := f.machines[i%4].call([]string{http.MethodGet, http.MethodPost}[i%2], []string{"/look/", "/hold/"}[i%2], "k1")
+		g.Expect(resp.status).To(gomega.Equal(http.StatusOK))
+		g.Expect(f.targetOf(resp.id) % 2).To(gomega.Equal(1))
+	}
+	f.store.Put("op/evacuate/b", []byte("unreadable"))
+	g.Eventually(func() int { return f.machines[0].call(http.MethodGet, "/look/", "k1").status }, 2*time.Second, 20*time.Millisecond).
+		Should(gomega.Equal(http.StatusServiceUnavailable))
+	g.Expect(f.machines[1].call(http.MethodPost, "/hold/", "k1").took).To(gomega.BeNumerically("<", time.Second), "refused at once")
+	f.store.Remove("op/evacuate/a")
+	f.store.Remove("op/evacuate/b")
+	used := map[int]bool{}
+	g.Eventually(func() int {
+		used[f.targetOf(f.machines[0].call(http.MethodGet, "/look/", "k1").id)] = true
+		used[f.targetOf(f.machines[1].call(http.MethodGet, "/look/", "k1").id)] = true
+		delete(used, -1)
+		return len(used)
+	}, 5*time.Second, 10*time.Millisecond).Should(gomega.Equal(4))
+}
+
+// Guards against a restarted daemon that sends requests to its evacuated target before it
+// has read the store.
+func TestDaemonThatStartsDuringAnOutageLearnsOfEvacuationsFromPeers(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f := newFleet(t, 4)
+	f.store.Put("op/evacuate/a", []byte("{}"))
+	g.Eventually(f.machines[1].state, 2*time.Second, 20*time.Millisecond).Should(gomega.ContainSubstring(`"domain": "a"`))
+	f.store.SetFault(crstore.Fault{Mode: crstore.Unavailable})
+	f.machines[0].shutDown()
+	f.machines[0].start()
+	g.Eventually(f.machines[0].ready, 10*time.Second, 20*time.Millisecond).Should(gomega.Equal(http.StatusOK))
+	for range 20 {
+		resp := f.machines[0].call(http.MethodGet, "/look/", "k1")
+		g.Expect(f.targetOf(resp.id)%2).NotTo(gomega.Equal(0), "status %d", resp.status)
+	}
+}
+
+// Domain a lies in region east, b in west. The plan binds holds to west, and an account to
+// east.
+func TestRequestsStayInTheirHomeRegions(t *testing.T) {
+	g := gomega.NewWithT(t)
+	regions = crregion.Map{"a": "east", "b": "west"}
+	defer func() { regions = nil }()
+	f := newFleet(t, 4)
+	f.store.Put("op/config", fmt.Appendf(nil, `{"version":"00000009","services":[{"name":"s1"}],"limits":{},
+"tenants":[{"name":"t1","api-keys":["k1"]},{"name":"t2","api-keys":["k2"],"allowed-regions":["east"]}],
+"virtual-hosts":[{"host":"h.example","path-routes":[
+{"name":"look","path-prefix":"/look/","kind":"idempotent","timeout-ms":1500,"objective-latency-ms":1000,"service":"s1","max-attempts":2},
+{"name":"hold","path-prefix":"/hold/","kind":"non_idempotent","timeout-ms":1500,"objective-latency-ms":1000,"service":"s1","max-attempts":2,"allowed-regions":["west"]}]}]}`))
+	for _, m := range f.machines {
+		g.Eventually(m.state, 2*time.Second, 20*time.Millisecond).Should(gomega.ContainSubstring(`"plan": "9"`))
+	}
+	for i := range 20 {
+		m := f.machines[i%4]
+		g.Expect(f.targetOf(m.call(http.MethodPost, "/hold/", "k1").id) % 2).To(gomega.Equal(1))
+		g.Expect(f.targetOf(m.call(http.MethodGet, "/look/", "k2").id)).To(gomega.Or(gomega.Equal(0), gomega.Equal(2)))
+		resp := m.call(http.MethodPost, "/hold/", "k2")
+		g.Expect(resp.status).To(gomega.Equal(http.StatusServiceUnavailable), "no region is a home of both")
+		g.Expect(resp.took).To(gomega.BeNumerically("<", time.Second))
+		g.Expect(f.runs(resp.id)).To(gomega.BeEmpty())
+	}
+}
--- a/io/crsite/crsite.go
+++ b/io/crsite/crsite.go
@@ -18,6 +18,7 @@
 	"github.com/pelletier/go-toml/v2"
 
 	"camphorroad/core/crid"
+	"camphorroad/core/crregion"
 )
 
 // Defaults of Bounds.
@@ -26,6 +27,7 @@
 	defaultGraceSeconds  = 6    // from SIGTERM to SIGKILL
 	defaultRatio         = 0.2
 	defaultWindowSeconds = 10
+	defaultWarmupRatio   = 1
 )
 
 // Error reports an invalid settings file.
@@ -48,6 +50,7 @@
 	Listen  Listen       `toml:"listen"`
 	Store   Store        `toml:"store"`
 	Limits  Limits       `toml:"limits"`
+	Regions crregion.Map `toml:"regions"` // region of each failure domain
 	Bounds  Bounds       `toml:"bounds"`
 }
 
@@ -82,11 +85,13 @@
 
 // Bounds are the limits that the operator guarantees to callers.
 type Bounds struct {
-	DrainMillis   int     `toml:"drain"`  // time for which a leaving target still accepts requests
-	GraceSeconds  float64 `toml:"grace"`  // time from SIGTERM to SIGKILL
-	Ratio         float64 `toml:"ratio"`  // retries allowed per request
-	Slack         float64 `toml:"slack"`  // retries that the whole fleet may make in a window, in addition to Ratio
-	WindowSeconds float64 `toml:"window"` // length of the window in which retries are counted
+	DrainMillis   int     `toml:"drain"`     // time for which a leaving target still accepts requests
+	GraceSeconds  float64 `toml:"grace"`     // time from SIGTERM to SIGKILL
+	Ratio         float64 `toml:"ratio"`     // retries allowed per request
+	Slack         float64 `toml:"slack"`     // retries that the whole fleet may make in a window, in addition to Ratio
+	WindowSeconds float64 `toml:"window"`    // length of the window in which retries are counted
+	WarmupRatio   float64 `toml:"warmratio"` // multiple of the rate that a cold target tolerates, up to which it may get requests
+	WarmupSlack   float64 `toml:"warmslack"` // requests that a cold target may get in a second in addition to that
 }
 
 // GracePeriod returns the time between SIGTERM and SIGKILL.
@@ -128,7 +133,7 @@
 
 // Parse decodes and validates settings. The name of the file is used in errors.
 func Parse(file string, data []byte) (Settings, error) {
-	s := Settings{Log: "info", Bounds: Bounds{DrainMillis: defaultDrainMillis, GraceSeconds: defaultGraceSeconds, Ratio: defaultRatio, WindowSeconds: defaultWindowSeconds}}
+	s := Settings{Log: "info", Bounds: Bounds{DrainMillis: defaultDrainMillis, GraceSeconds: defaultGraceSeconds, Ratio: defaultRatio, WindowSeconds: defaultWindowSeconds, WarmupRatio: defaultWarmupRatio}}
 	dec := toml.NewDecoder(bytes.NewReader(data))
 	dec.DisallowUnknownFields()
 	if err := dec.Decode(&s); err != nil {
@@ -181,5 +186,13 @@
 	if s.Bounds.GraceSeconds <= 0 || s.Bounds.WindowSeconds <= 0 || s.Bounds.Ratio < 0 || s.Bounds.Slack < 0 || s.Bounds.DrainMillis <= 0 {
 		return errors.New("bounds: drain, grace and window must be positive, ratio and slack not negative")
 	}
+	if s.Bounds.WarmupRatio < 1 || s.Bounds.WarmupSlack < 0 {
+		return errors.New("bounds: warmratio must be at least 1, warmslack not negative")
+	}
+	for domain, region := range s.Regions {
+		if region == "" {
+			return fmt.Errorf("regions.%s: missing", domain)
+		}
+	}
 	return nil
 }
--- a/io/crwatch/crwatch.go
+++ b/io/crwatch/crwatch.go
@@ -23,11 +23,13 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"camphorroad/core/crevacuation"
 	"camphorroad/core/crevent"
 	"camphorroad/core/crid"
 	"camphorroad/core/crmesh"
@@ -43,7 +45,7 @@
 const (
 	// Records are the records of targets.
 	Records Scope = iota + 1
-	// Configuration is the operator's newest plan.
+	// Configuration is what the operator writes: the newest plan, and evacuations.
 	Configuration
 )
 
@@ -80,6 +82,9 @@
 // Decoder decodes the values of items.
 type Decoder interface {
 	Record(i Item) (crregistry.Record, error)
+	// Evacuation returns the domain that an item of the configuration evacuates. It
+	// returns false for the plan.
+	Evacuation(i Item) (crid.Domain, bool)
 	Plan(value []byte) (*crplan.Plan, error)
 }
 
@@ -197,13 +202,14 @@
 }
 
 // storeItems stores the items as they were read. If complete is set, they replace all
-// items of the scope. The caller holds the lock.
+// items of the scope. Removed items of the configuration are kept, so that peers receive
+// the removal. The caller holds the lock.
 func (f *Follower) storeItems(scope Scope, items []Item, revision crid.Revision, complete bool) {
 	if complete {
 		f.values[scope] = make(map[string]Item, len(items))
 	}
 	for _, i := range items {
-		if i.Removed {
+		if i.Removed && scope == Records {
 			delete(f.values[scope], i.Key)
 			continue
 		}
@@ -238,6 +244,53 @@
 	return out
 }
 
+// applyConfiguration applies items of the configuration: the plan and evacuations. If
+// complete is set, they are all that the store has at a revision.
+func (f *Follower) applyConfiguration(now crid.Instant, items []Item, revision crid.Revision, complete bool) {
+	if complete {
+		items = append(slices.Clone(items), f.endedEvacuations(items, revision)...)
+	}
+	var changes []crevacuation.Change
+	for _, i := range items {
+		domain, ok := f.opts.Decoder.Evacuation(i)
+		if !ok {
+			f.applyPlan(now, i)
+			continue
+		}
+		f.storeEvacuation(i)
+		changes = append(changes, crevacuation.Change{Domain: domain, Revision: i.Revision, Ended: i.Removed})
+	}
+	if len(changes) > 0 {
+		f.opts.Emit(crmesh.EvacuationsChanged{Now: now, Changes: changes})
+	}
+}
+
+// storeEvacuation stores an evacuation, or its end, unless a later change is held.
+func (f *Follower) storeEvacuation(i Item) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.values[Configuration][i.Key].Revision < i.Revision {
+		f.storeItems(Configuration, []Item{i}, i.Revision, false)
+	}
+}
+
+// endedEvacuations returns the ends of the evacuations that this daemon holds and a
+// complete list does not contain.
+func (f *Follower) endedEvacuations(list []Item, revision crid.Revision) []Item {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var ended []Item
+	for key, i := range f.values[Configuration] {
+		if _, ok := f.opts.Decoder.Evacuation(i); !ok || i.Removed || i.Revision >= revision {
+			continue
+		}
+		if !slices.ContainsFunc(list, func(other Item) bool { return other.Key == key }) {
+			ended = append(ended, Item{Key: key, Revision: revision, Removed: true})
+		}
+	}
+	return ended
+}
+
 // applyPlan decodes a configuration. One that is rejected leaves the previous one in
 // force.
 func (f *Follower) applyPlan(now crid.Instant, i Item) {
--- a/io/crwatch/history_test.go
+++ b/io/crwatch/history_test.go
@@ -56,6 +56,8 @@
 	return crregistry.Record{Target: crid.Target(i.Key)}, nil
 }
 
+func (fakeDecoder) Evacuation(crwatch.Item) (crid.Domain, bool) { return "", false }
+
 func (fakeDecoder) Plan([]byte) (*crplan.Plan, error) { return nil, errors.New("no plan") }
 
 func follow(t *testing.T, s crwatch.Store) *crwatch.Follower {
--- a/io/crwatch/scope.go
+++ b/io/crwatch/scope.go
@@ -165,7 +165,7 @@
 	}
 	s.recordSuccess()
 	s.verifiedAt = s.opts.Clock()
-	if s.matches(items) {
+	if s.matches(items) && len(s.endedEvacuations(items, revision)) == 0 {
 		return nil
 	}
 	s.opts.Log.Event(crlog.WatchMissedChange, crlog.Fields{"scope": s.scope.String(), "rev": formatRevision(revision)})
@@ -190,9 +190,7 @@
 func (s *scopeFollower) apply(items []Item, revision crid.Revision, complete bool) {
 	now := s.opts.Clock()
 	if s.scope == Configuration {
-		for _, i := range items {
-			s.applyPlan(now, i)
-		}
+		s.applyConfiguration(now, items, revision, complete)
 		return
 	}
 	s.mu.Lock()
--- a/io/crwatch/update.go
+++ b/io/crwatch/update.go
@@ -43,7 +43,7 @@
 func (f *Follower) UpdateFor(peer Revisions) Update {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	u := Update{Configuration: f.compress(f.configurationAfter(peer.Configuration))}
+	u := Update{Configuration: f.compress(f.configurationFor(peer.Configuration))}
 	if f.revisions[Records] <= peer.Records {
 		return u
 	}
@@ -54,6 +54,18 @@
 	return u
 }
 
+// configurationFor returns the plan if it is newer than a peer's revision, and all
+// evacuations: they are small, and a peer may lack one that is older than its plan.
+func (f *Follower) configurationFor(revision crid.Revision) []Item {
+	var out []Item
+	for _, i := range f.values[Configuration] {
+		if _, ok := f.opts.Decoder.Evacuation(i); ok || i.Revision > revision {
+			out = append(out, i)
+		}
+	}
+	return out
+}
+
 // Apply applies the parts of a peer's update that are newer than what this daemon holds.
 func (f *Follower) Apply(u Update) error {
 	now := f.opts.Clock()
@@ -61,9 +73,7 @@
 	if err != nil {
 		return err
 	}
-	for _, i := range configuration {
-		f.applyPlan(now, i)
-	}
+	f.applyConfiguration(now, configuration, 0, false)
 	f.mu.Lock()
 	newer := u.RecordsRevision > f.revisions[Records]
 	if newer {
--- a/lab/crexperiment/world.go
+++ b/lab/crexperiment/world.go
@@ -217,7 +217,7 @@
 }
 
 func (x *exit) loadReport() crplace.LoadReport {
-	l := x.gate.Load()
+	l := x.gate.Load(x.world.now)
 	return crplace.LoadReport{Load: l.Running + l.Waiting, Slots: l.Slots, UnhealthyProb: x.estimator.UnhealthyProb(x.world.now), Typical: l.MeanTime}
 }
 
