core/crbudget: A retry costs the calls that its run makes again

A look makes 1.4 calls, and a look that runs again makes them again. They were charged where they entered, after the fact and without a limit: the calling service's own budget covers some 1,600 retries in ten seconds, and so 2,240 repeated calls, while the called service kept spending on top of them.

Change: an exit learns how many calls a run makes to each service. An entry sends a retry only if the budgets of all services cover it, and takes them together. Calls of runs whose entry does not know the rates (another service's, or too few runs) are charged as before.

--- a/core/crbudget/crbudget.go
+++ b/core/crbudget/crbudget.go
@@ -7,6 +7,9 @@
 // fraction of the requests that entered at this daemon, and an equal part of the slack. The sum
 // over all daemons therefore stays within the limit whatever the other daemons do.
 //
+// A retry also costs the calls that its run makes again at other services ([CallRates]). It is sent
+// only if the budgets of all of them cover it.
+//
 // A part of the budget is kept for urgent requests while they need it. When a service rejects half
 // of its requests, the budget covers a third of the retries, and without this order the less urgent
 // requests would use it as well as the others.
@@ -16,9 +19,11 @@
 //	b := crbudget.New(crbudget.Params{Ratio: 0.2, Slack: 56, Window: 10 * time.Second})
 //	b.RecordRequest(now, service)
 //	if b.Spend(now, crbudget.Retry{Service: service, Priority: 1, FleetSize: fleetSize, Cost: 1}) { ... }
+//	if b.Spend(now, crbudget.Retry{...}, crbudget.Retry{...}) { ... } // with the calls of its run
 package crbudget
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -39,7 +44,7 @@
 	maxReservedShare = 0.5
 )
 
-// Retry is one more attempt of a request.
+// Retry is one more attempt of a request, or the calls that its run makes at one service.
 type Retry struct {
 	Service   crid.Service
 	Priority  int // 0 is the most urgent
@@ -73,11 +78,15 @@
 	b.window(s).at(now, b.params.Window).requests++
 }
 
-// Affords reports whether the budget covers a retry.
-func (b *Budget) Affords(now crid.Instant, r Retry) bool {
+// Affords reports whether the budget covers all of the given retries.
+func (b *Budget) Affords(now crid.Instant, retries ...Retry) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.affords(now, r)
+	return b.affordsAll(now, retries)
+}
+
+func (b *Budget) affordsAll(now crid.Instant, retries []Retry) bool {
+	return !slices.ContainsFunc(retries, func(r Retry) bool { return !b.affords(now, r) })
 }
 
 func (b *Budget) affords(now crid.Instant, r Retry) bool {
@@ -101,19 +110,23 @@
 	return w.spent(), factor * (b.params.Ratio*w.requests() + slack)
 }
 
-// Spend takes the cost of a retry, or returns false when the budget does not cover it.
-func (b *Budget) Spend(now crid.Instant, r Retry) bool {
+// Spend takes the cost of all of the given retries, or returns false when the budget does
+// not cover one of them.
+func (b *Budget) Spend(now crid.Instant, retries ...Retry) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if !b.affords(now, r) {
+	if !b.affordsAll(now, retries) {
 		return false
 	}
-	b.window(r.Service).at(now, b.params.Window).spend(r.Priority, r.Cost)
+	for _, r := range retries {
+		b.window(r.Service).at(now, b.params.Window).spend(r.Priority, r.Cost)
+	}
 	return true
 }
 
 // Charge counts requests that arrive because of retries elsewhere: a request that runs again makes
-// its calls again, and those are retries for the service called.
+// its calls again, and those are retries for the service called. It is for the calls of runs whose
+// entry did not know their number, and so did not spend it with the retry.
 func (b *Budget) Charge(now crid.Instant, s crid.Service, cost float64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -122,11 +135,13 @@
 	iv.calls++
 }
 
-// Refund returns the cost of a retry that did not reach a target.
-func (b *Budget) Refund(now crid.Instant, r Retry) {
+// Refund returns the cost of retries that did not reach a target.
+func (b *Budget) Refund(now crid.Instant, retries ...Retry) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.window(r.Service).at(now, b.params.Window).spend(r.Priority, -r.Cost)
+	for _, r := range retries {
+		b.window(r.Service).at(now, b.params.Window).spend(r.Priority, -r.Cost)
+	}
 }
 
 func (b *Budget) window(s crid.Service) *window {
--- a/io/cregress/cregress.go
+++ b/io/cregress/cregress.go
@@ -22,6 +22,7 @@
 	"sync/atomic"
 	"time"
 
+	"camphorroad/core/crbudget"
 	"camphorroad/core/crgate"
 	"camphorroad/core/crid"
 	"camphorroad/core/crjudge"
@@ -77,7 +78,8 @@
 	nestedFailures nestedFailures
 	refusalLog     logLimiter
 	idempotent     atomic.Int64 // idempotent requests running on the target
-	retries        atomic.Int64 // of these, those sent to another target before
+	retries        atomic.Int64 // of these, retries whose calls are not charged yet
+	callRates      *crbudget.CallRates
 
 	mu           sync.Mutex
 	estimator    *crjudge.Estimator
@@ -106,6 +108,7 @@
 			ConnectTimeout: connectTimeout, IdleTimeout: connIdleTimeout, MaxIdle: 64,
 		}),
 		estimator:    crjudge.New(opts.Clock()),
+		callRates:    crbudget.NewCallRates(),
 		reservations: make(map[uint64]*reservation),
 	}
 }
@@ -390,7 +393,14 @@
 // requests that were running at that time do not count against the target.
 func (x *Exit) RecordNestedFailure() { x.nestedFailures.record(x.opts.Clock()) }
 
-// RetryRatio returns the share of retries among the idempotent requests running on the
+// RecordCall records a nested call of the target to a service.
+func (x *Exit) RecordCall(s crid.Service) { x.callRates.RecordCall(s) }
+
+// CallsPerRun returns the nested calls of one idempotent request on the target, and false
+// if they are not known yet.
+func (x *Exit) CallsPerRun() ([]crbudget.Call, bool) { return x.callRates.Calls() }
+
+// RetryRatio returns the share of retries whose calls are not charged yet among the idempotent requests running on the
 // target, which estimates the share among the target's nested calls. Requests of class
 // once are left out: if they make no calls, counting them would make the share too low.
 func (x *Exit) RetryRatio() float64 {
@@ -407,6 +417,7 @@
 	if o.Class != crpolicy.ClassRepeat {
 		return func() {}
 	}
+	x.callRates.RecordRun()
 	x.idempotent.Add(1)
 	if !o.Retry {
 		return func() { x.idempotent.Add(-1) }
--- a/io/cringress/cringress.go
+++ b/io/cringress/cringress.go
@@ -178,6 +178,7 @@
 	q.opts.Budget.RecordRequest(q.started, q.service)
 	if q.isNested() {
 		q.opts.Budget.Charge(q.started, q.service, q.opts.Local.RetryRatio())
+		q.opts.Local.RecordCall(q.service)
 	}
 	ctx, cancel := context.WithTimeout(q.http.Context(), q.deadline.Sub(q.opts.Clock()))
 	defer cancel()
--- a/io/cringress/dispatch.go
+++ b/io/cringress/dispatch.go
@@ -62,10 +62,11 @@
 	refusals     map[string]int // counts of the reasons why targets did not run it
 	sent         int            // number of targets that it was sent to
 	mayHaveRun   bool
-	retrying     bool          // the next send is a retry
-	pooled       bool          // a retry was taken from the pool and not used yet
-	retryAfter   time.Duration // smallest Retry-After of an exit
-	response     response      // response so far
+	retrying     bool             // the next send is a retry
+	pooled       bool             // a retry was taken from the pool and not used yet
+	spent        []crbudget.Retry // taken from this daemon's part of the budget for the current send
+	retryAfter   time.Duration    // smallest Retry-After of an exit
+	response     response         // response so far
 }
 
 // finalResponse is the response when no further target is tried.
@@ -113,33 +114,65 @@
 		d.opts.Balancer.End(choice.Target)
 	}
 	if !ok {
-		if d.retrying && !d.pooled {
-			d.opts.Budget.Refund(now, d.retry())
+		if d.retrying {
+			d.opts.Budget.Refund(now, d.spent...)
+			d.spent = nil
 		}
 		return true
 	}
-	d.pooled = false
+	d.pooled, d.spent = false, nil
 	return d.handleResult(ctx, choice, result)
 }
 
-// takeRetry takes a retry from this daemon's part of the budget, or from the pool.
+// takeRetry takes a retry from this daemon's part of the budget, or from the pool. The calls
+// that its run makes are always taken from this daemon's part.
 func (d *dispatch) takeRetry(ctx context.Context, now crid.Instant) bool {
-	if d.pooled || d.opts.Budget.Spend(now, d.retry()) {
-		return true
+	calls := d.repeatedCalls()
+	if !d.pooled {
+		if own := append([]crbudget.Retry{d.retry(d.service, retryCost)}, calls...); d.opts.Budget.Spend(now, own...) {
+			d.spent = own
+			return true
+		}
+	}
+	if !d.opts.Budget.Spend(now, calls...) {
+		return false
+	}
+	d.spent = calls
+	d.pooled = d.pooled || d.opts.Pool.Take(ctx, d.service)
+	if !d.pooled {
+		d.opts.Budget.Refund(now, calls...)
+		d.spent = nil
 	}
-	d.pooled = d.opts.Pool.Take(ctx, d.service)
 	return d.pooled
 }
 
-// retry is a retry of the request, as the budget counts it.
-func (d *dispatch) retry() crbudget.Retry {
-	return crbudget.Retry{Service: d.service, Priority: d.priority(), FleetSize: d.view.Size, Cost: retryCost}
+// retry is a retry at a service, as the budget counts it.
+func (d *dispatch) retry(s crid.Service, cost float64) crbudget.Retry {
+	return crbudget.Retry{Service: s, Priority: d.priority(), FleetSize: d.view.Size, Cost: cost}
+}
+
+// repeatedCalls returns the calls that the run of a retry makes again. They are known if the
+// request is one for the service of this daemon's own target.
+func (d *dispatch) repeatedCalls() []crbudget.Retry {
+	calls, _ := d.callsPerRun()
+	out := make([]crbudget.Retry, 0, len(calls))
+	for _, c := range calls {
+		out = append(out, d.retry(c.Service, c.PerRun))
+	}
+	return out
+}
+
+func (d *dispatch) callsPerRun() ([]crbudget.Call, bool) {
+	if d.service != d.opts.Service {
+		return nil, false
+	}
+	return d.opts.Local.CallsPerRun()
 }
 
 // couldRetry reports whether the request could be retried on a further target if the next
 // one fails.
 func (d *dispatch) couldRetry(now crid.Instant) bool {
-	return d.mayRunAgain() && d.sent+1 < d.route.MaxTargets && d.opts.Budget.Affords(now, d.retry())
+	return d.mayRunAgain() && d.sent+1 < d.route.MaxTargets && d.opts.Budget.Affords(now, append(d.repeatedCalls(), d.retry(d.service, retryCost))...)
 }
 
 // try offers the request to a target and sends it if the exit accepts. It reports false
@@ -148,7 +181,7 @@
 	now := d.opts.Clock()
 	o := croffer.Offer{
 		ID: d.info.ID, From: d.opts.Self, Target: c.Target, Service: d.service, Class: d.route.Class, Priority: d.priority(),
-		TimeLeft: d.deadline.Sub(now), ObjectiveLeft: d.route.Objective - now.Sub(d.started), LastResort: c.LastResort, Retry: d.retrying,
+		TimeLeft: d.deadline.Sub(now), ObjectiveLeft: d.route.Objective - now.Sub(d.started), LastResort: c.LastResort, Retry: d.retrying && !d.callsCharged(),
 		RouteObjective: d.route.Objective, Nested: d.isNested(), FreeSlot: c.FreeSlotOnly(),
 	}
 	d.lastReported = false
@@ -173,6 +206,12 @@
 	return reservation.Run(ctx, d.newRequest()), true
 }
 
+// callsCharged reports whether the budget was charged with the calls of a retry's run.
+func (d *dispatch) callsCharged() bool {
+	_, known := d.callsPerRun()
+	return known
+}
+
 func (d *dispatch) tryLocal(ctx context.Context, o croffer.Offer) (croffer.Result, bool) {
 	reply := d.opts.Local.Offer(d.opts.Clock(), o)
 	d.handleOfferReply(o, reply)
--- a/io/croffer/croffer.go
+++ b/io/croffer/croffer.go
@@ -37,7 +37,7 @@
 	TimeLeft       time.Duration // until the caller gets an answer in any case
 	ObjectiveLeft  time.Duration // until the latency objective is missed; zero or less: it is missed
 	LastResort     bool          // no better target is available
-	Retry          bool          // the request was sent to another target before
+	Retry          bool          // the request was sent to another target before, and the calls of its run are not charged yet
 	RouteObjective time.Duration // latency objective of the route
 	Nested         bool          // the caller is a target of the fleet, and one of its requests waits for this one
 
