core/crattempt: An attempt that can be repeated has a time of its own

Cause: where gray targets hang, a trial of one costs the whole request.

Change: the entry learns how long requests of a kind take on all targets of a service, and gives an attempt that it could repeat a deadline: a trial the time within which most end, any other attempt the time from which it counts as slow. The target ends the request itself at that deadline, so that nothing is broken off.

--- a/io/cregress/run.go
+++ b/io/cregress/run.go
@@ -57,11 +57,12 @@
 	x := r.exit
 	waited := r.started.Sub(r.reservation.acceptedAt)
 	left := r.reservation.offer.TimeLeft - waited - responseMargin
+	attempt := r.attemptTime(left)
 	if left <= 0 {
 		x.gate.Cancel(r.started, r.reservation.ticket)
 		return x.notSent("too late", 0)
 	}
-	ctx, cancel := context.WithTimeoutCause(ctx, left, errTimeout)
+	ctx, cancel := context.WithTimeoutCause(ctx, min(attempt+responseGrace, left), errTimeout)
 	defer cancel()
 	conn, err := x.pool.Get(ctx)
 	if err != nil {
@@ -73,7 +74,7 @@
 		x.gate.Cancel(sentAt, r.reservation.ticket)
 		return x.notSent("the target is cold", x.gate.ColdFor(sentAt))
 	}
-	wait := min(r.request.Wait-waited, left)
+	wait := min(r.request.Wait-waited, attempt)
 	defer x.countIdempotent(r.reservation.offer)()
 	r.slow.start(x, r.reservation.offer)
 	resp, err := conn.Exchange(ctx, r.encode(wait), r.matchesID)
@@ -86,6 +87,17 @@
 	return r.handleResponse(resp)
 }
 
+// responseGrace is the time that a target has for its response after the end of an attempt.
+const responseGrace = 60 * time.Millisecond
+
+// attemptTime returns the time that the target gets for the request.
+func (r *run) attemptTime(left time.Duration) time.Duration {
+	if attempt := r.reservation.offer.Attempt; attempt > 0 {
+		return min(attempt, left)
+	}
+	return left
+}
+
 // connectFailed ends a run that got no connection. Nothing was sent.
 func (r *run) connectFailed(err error) croffer.Result {
 	x := r.exit
--- a/io/cringress/cringress.go
+++ b/io/cringress/cringress.go
@@ -21,6 +21,7 @@
 	"sync/atomic"
 	"time"
 
+	"camphorroad/core/crattempt"
 	"camphorroad/core/crbudget"
 	"camphorroad/core/crid"
 	"camphorroad/core/crmesh"
@@ -78,6 +79,7 @@
 	Balancer *crplace.Balancer
 	Budget   *crbudget.Budget
 	Pool     RetryPool
+	Attempts *crattempt.Tracker
 	Quota    Quota
 	Meter    Meter
 	Log      *crlog.Logger
--- a/io/cringress/dispatch.go
+++ b/io/cringress/dispatch.go
@@ -12,6 +12,7 @@
 
 	"camphorroad/core/crbudget"
 	"camphorroad/core/crid"
+	"camphorroad/core/crjudge"
 	"camphorroad/core/crplace"
 	"camphorroad/core/crpolicy"
 	"camphorroad/io/crlog"
@@ -184,6 +185,9 @@
 		TimeLeft: d.deadline.Sub(now), ObjectiveLeft: d.route.Objective - now.Sub(d.started), LastResort: c.LastResort, Retry: d.retrying && !d.callsCharged(),
 		RouteObjective: d.route.Objective, Nested: d.isNested(), FreeSlot: c.FreeSlotOnly(),
 	}
+	if d.couldRetry(now) {
+		o.Attempt = d.opts.Attempts.Limit(d.service, o.Kind(), c.Trial || c.UnhealthyProb >= crjudge.Threshold)
+	}
 	d.lastReported = false
 	if c.Daemon == d.opts.Self {
 		return d.tryLocal(ctx, o)
@@ -203,7 +207,7 @@
 	if reservation == nil {
 		return croffer.Result{}, false
 	}
-	return reservation.Run(ctx, d.newRequest()), true
+	return d.run(o, func(r croffer.Request) croffer.Result { return reservation.Run(ctx, r) }), true
 }
 
 // callsCharged reports whether the budget was charged with the calls of a retry's run.
@@ -218,7 +222,19 @@
 	if !reply.Accepted {
 		return croffer.Result{}, false
 	}
-	return d.opts.Local.Run(ctx, reply.Ticket, d.newRequest()), true
+	return d.run(o, func(r croffer.Request) croffer.Result { return d.opts.Local.Run(ctx, reply.Ticket, r) }), true
+}
+
+// run sends the request to the exit that has accepted it, and records how long it took.
+func (d *dispatch) run(o croffer.Offer, send func(croffer.Request) croffer.Result) croffer.Result {
+	sentAt := d.opts.Clock()
+	result := send(d.newRequest())
+	took := d.opts.Clock().Sub(sentAt)
+	ended := o.Attempt > 0 && took >= o.Attempt
+	if (result.Outcome == croffer.Answered && result.Status < http.StatusBadRequest) || ended {
+		d.opts.Attempts.Record(d.service, o.Kind(), took)
+	}
+	return result
 }
 
 func (d *dispatch) handleOfferReply(o croffer.Offer, r croffer.Reply) {
--- a/io/crmesh/crmesh.go
+++ b/io/crmesh/crmesh.go
@@ -26,6 +26,7 @@
 	"go.uber.org/fx/fxevent"
 	"golang.org/x/sync/errgroup"
 
+	"camphorroad/core/crattempt"
 	"camphorroad/core/crbudget"
 	"camphorroad/core/crid"
 	"camphorroad/core/crmesh"
@@ -141,7 +142,7 @@
 	s := opts.Settings
 	return cringress.New(cringress.Options{
 		Self: crid.Daemon(s.Address), Domain: s.Domain, Regions: s.Regions, Service: s.Service, Dialect: opts.Dialect, Clock: crclock.Now,
-		Local: x, Peers: peers, Balancer: balancer, Budget: budget, Pool: pool, Quota: q, Meter: m, Log: l,
+		Local: x, Peers: peers, Balancer: balancer, Budget: budget, Pool: pool, Attempts: crattempt.NewTracker(), Quota: q, Meter: m, Log: l,
 	})
 }
 
--- a/io/croffer/client.go
+++ b/io/croffer/client.go
@@ -87,10 +87,7 @@
 	if err != nil {
 		return Reply{}, nil, err
 	}
-	uri := PathOffer
-	if o.FreeSlot {
-		uri += "?" + queryFreeSlot
-	}
+	uri := PathOffer + o.query()
 	var reply Reply
 	err = exchange(ctx, conn, uri, body, &reply)
 	if err != nil && conn.Reused() && ctx.Err() == nil {
--- a/io/croffer/croffer.go
+++ b/io/croffer/croffer.go
@@ -16,6 +16,8 @@
 
 import (
 	"context"
+	"net/url"
+	"strconv"
 	"time"
 
 	"camphorroad/core/crgate"
@@ -44,6 +46,32 @@
 	// FreeSlot asks the exit to refuse the request if no slot is free. It is sent in the
 	// URI, so that daemons of a version without it accept the offer and queue the request.
 	FreeSlot bool `cbor:"-"`
+	// Attempt is the time that the target gets for the request, if it can be sent to another
+	// one afterwards; zero: all the time left. It is sent like FreeSlot.
+	Attempt time.Duration `cbor:"-"`
+}
+
+// query returns the fields that are sent in the URI.
+func (o Offer) query() string {
+	q := url.Values{}
+	if o.FreeSlot {
+		q.Set(querySlot, slotFree)
+	}
+	if o.Attempt > 0 {
+		q.Set(queryAttempt, strconv.FormatInt(o.Attempt.Milliseconds(), 10))
+	}
+	if len(q) == 0 {
+		return ""
+	}
+	return "?" + q.Encode()
+}
+
+// parseQuery reads the fields that are sent in the URI.
+func (o *Offer) parseQuery(q url.Values) {
+	o.FreeSlot = q.Get(querySlot) == slotFree
+	if ms, err := strconv.ParseUint(q.Get(queryAttempt), 10, 32); err == nil {
+		o.Attempt = time.Duration(ms) * time.Millisecond
+	}
 }
 
 // ReasonBusy is the reason with which an exit refuses an offer that asks for a free slot.
--- a/io/croffer/server.go
+++ b/io/croffer/server.go
@@ -19,8 +19,12 @@
 	PathFeed  = "/feed"
 )
 
-// queryFreeSlot is the query of an offer that asks for a free slot.
-const queryFreeSlot = "slot=free"
+// Parameters in the URI of an offer.
+const (
+	querySlot    = "slot"
+	slotFree     = "free"    // see Offer.FreeSlot
+	queryAttempt = "attempt" // in milliseconds; see Offer.Attempt
+)
 
 // maxBodyBytes bounds the body of a peer's request, which may contain a caller's
 // request with its body.
@@ -38,7 +42,7 @@
 	mux.HandleFunc("POST "+PathOffer, func(w http.ResponseWriter, r *http.Request) {
 		var o Offer
 		if readRequest(w, r, &o) {
-			o.FreeSlot = r.URL.RawQuery == queryFreeSlot
+			o.parseQuery(r.URL.Query())
 			writeResponse(w, exit.Offer(clock(), o))
 		}
 	})
