core/crgate, core/crcaller: Urgent requests overtake calls of less urgent ones in time

Cause: calls of targets went before everything else at a gate.

Change: a call has the priority of the requests that make it, which the daemon beside the calling target learns from what runs at its calls. Calls still go first, but a more urgent request of the service overtakes them when it would start too late otherwise, and its wait is estimated without them.

--- a/core/crgate/crgate.go
+++ b/core/crgate/crgate.go
@@ -183,11 +183,11 @@
 	}
 	g.sweep(now)
 	if req.FreeSlot && (len(g.waiting) > 0 || len(g.running) >= g.slots || g.warmup.Wait(now, 0) > 0) {
-		return nil, &Refusal{reason: ReasonBusy, retryAfter: g.estimateWait(now, len(g.waiting))}
+		return nil, &Refusal{reason: ReasonBusy, retryAfter: g.estimateWait(now, req, len(g.waiting))}
 	}
 	at := g.insertPosition(req)
-	if wait := g.estimateWait(now, at); now.Add(wait) > req.LatestStart {
-		return nil, &Refusal{reason: ReasonFull, retryAfter: g.estimateWait(now, len(g.waiting)), estimatedWait: wait, maxWait: req.LatestStart.Sub(now)}
+	if wait := g.estimateWait(now, req, at); now.Add(wait) > req.LatestStart {
+		return nil, &Refusal{reason: ReasonFull, retryAfter: g.estimateWait(now, req, len(g.waiting)), estimatedWait: wait, maxWait: req.LatestStart.Sub(now)}
 	}
 	t := &Ticket{request: req, decided: make(chan struct{})}
 	g.waiting = slices.Insert(g.waiting, at, t)
--- a/core/crgate/mixture_test.go
+++ b/core/crgate/mixture_test.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -172,3 +173,71 @@
 	g.Expect(refusal.EstimatedWait()).To(gomega.BeNumerically("~", time.Second, time.Millisecond))
 	g.Expect(refusal.MaxWait()).To(gomega.Equal(300 * time.Millisecond))
 }
+
+// Load: calls of unimportant requests need two thirds more than the slots of a target, and
+// urgent requests a fifth of them. Guards against urgent requests that wait behind the
+// calls until they are late.
+func TestUrgentRequestsOvertakeCallsOfLessUrgentOnes(t *testing.T) {
+	const urgentObjective, urgentTime, callTime = 300 * time.Millisecond, 95 * time.Millisecond, 33 * time.Millisecond
+	urgentKind := crpace.Kind{Class: crpolicy.ClassOnce, Objective: urgentObjective}
+	callKind := crpace.Kind{Class: crpolicy.ClassRepeat, Objective: 120 * time.Millisecond}
+	for _, callerPriority := range []int{2, 0} {
+		g := gomega.NewWithT(t)
+		gate := crgate.New(5)
+		addServiceTimes(gate, map[crpace.Kind]time.Duration{urgentKind: urgentTime, callKind: callTime})
+		type open struct {
+			ticket *crgate.Ticket
+			urgent bool
+			at     crid.Instant
+			endsAt crid.Instant
+		}
+		var list []*open
+		arrived, inTime := map[bool]int{}, map[bool]int{}
+		for ms := range 10_000 {
+			now := start.Add(time.Duration(ms) * time.Millisecond)
+			for _, o := range list {
+				if o.endsAt != 0 && o.endsAt <= now {
+					took := callTime
+					if o.urgent {
+						took = urgentTime
+					}
+					gate.Release(now, o.ticket, took)
+					if !o.urgent || now.Sub(o.at) <= urgentObjective {
+						inTime[o.urgent]++
+					}
+				}
+			}
+			list = slices.DeleteFunc(list, func(o *open) bool {
+				return (o.endsAt != 0 && o.endsAt <= now) || (decided(o.ticket) && !granted(o.ticket))
+			})
+			for _, urgent := range []bool{true, false} {
+				every, timing, priority := 4, crgate.Timing{Kind: callKind, Nested: true, Objective: 120 * time.Millisecond, TimeLeft: 300 * time.Millisecond}, callerPriority
+				if urgent {
+					every, timing, priority = 95, crgate.Timing{Kind: urgentKind, Objective: urgentObjective, TimeLeft: 1200 * time.Millisecond}, 0
+				}
+				if ms%every != 0 {
+					continue
+				}
+				arrived[urgent]++
+				ticket, refusal := gate.Admit(now, crgate.Request{Kind: timing.Kind, Nested: timing.Nested, Priority: priority, LatestStart: gate.LatestStart(now, timing)})
+				if refusal == nil {
+					list = append(list, &open{ticket: ticket, urgent: urgent, at: now})
+				}
+			}
+			for _, o := range list {
+				if o.endsAt == 0 && granted(o.ticket) {
+					o.endsAt = now.Add(callTime)
+					if o.urgent {
+						o.endsAt = now.Add(urgentTime)
+					}
+				}
+			}
+		}
+		if callerPriority > 0 {
+			g.Expect(inTime[true]).To(gomega.BeNumerically(">=", arrived[true]*95/100))
+		} else {
+			g.Expect(inTime[true]).To(gomega.BeNumerically("<", arrived[true]/2), "calls of equally urgent requests go first")
+		}
+		g.Expect(inTime[false]).To(gomega.BeNumerically(">=", arrived[false]*4/10))
+	}
+}
--- a/core/crgate/queue.go
+++ b/core/crgate/queue.go
@@ -25,6 +25,22 @@
 	return a.Priority < b.Priority
 }
 
+// overtakes reports whether a request goes before a waiting nested one when it would
+// start too late otherwise: if it is more urgent than the caller of the nested one.
+func (a Request) overtakes(b Request) bool {
+	return !a.Nested && b.Nested && a.Priority < b.Priority
+}
+
+// next returns the index of the waiting request that gets the next slot.
+func (g *Gate) next(now crid.Instant) int {
+	head := g.waiting[0].request
+	i := slices.IndexFunc(g.waiting, func(t *Ticket) bool { return t.request.overtakes(head) })
+	if i < 0 || g.waiting[i].request.LatestStart.Sub(now) > g.serviceTimes.Expected(head.Kind) {
+		return 0
+	}
+	return i
+}
+
 // insertPosition is the index at which a request joins the queue.
 func (g *Gate) insertPosition(req Request) int {
 	i := len(g.waiting)
@@ -36,10 +52,16 @@
 
 // estimateWait estimates the wait of a request that has the given number of
 // waiting requests before it: the work before it, divided by the number of
-// slots.
-func (g *Gate) estimateWait(now crid.Instant, ahead int) time.Duration {
-	limited := g.warmup.Wait(now, ahead)
-	if ahead == 0 && len(g.running) < g.slots {
+// slots. Requests that it overtakes do not count.
+func (g *Gate) estimateWait(now crid.Instant, req Request, position int) time.Duration {
+	ahead := make([]*Ticket, 0, position)
+	for _, t := range g.waiting[:position] {
+		if !req.overtakes(t.request) {
+			ahead = append(ahead, t)
+		}
+	}
+	limited := g.warmup.Wait(now, len(ahead))
+	if len(ahead) == 0 && len(g.running) < g.slots {
 		return limited
 	}
 	work := time.Duration(0)
@@ -47,7 +69,7 @@
 		mean := g.serviceTimes.Expected(t.request.Kind)
 		work += max(mean-now.Sub(t.startedAt), time.Duration(minRemainingShare*float64(mean)))
 	}
-	for _, t := range g.waiting[:ahead] {
+	for _, t := range ahead {
 		work += g.serviceTimes.Expected(t.request.Kind)
 	}
 	return max(work/time.Duration(g.slots), limited)
@@ -56,10 +78,11 @@
 // dispatch assigns free slots to waiting requests.
 func (g *Gate) dispatch(now crid.Instant) {
 	for len(g.running) < g.slots && len(g.waiting) > 0 && g.warmup.Wait(now, 0) == 0 {
-		t := g.waiting[0]
-		g.waiting = slices.Delete(g.waiting, 0, 1)
+		i := g.next(now)
+		t := g.waiting[i]
+		g.waiting = slices.Delete(g.waiting, i, i+1)
 		if now > t.request.LatestStart {
-			g.refuse(t, ReasonFull, g.estimateWait(now, len(g.waiting)))
+			g.refuse(t, ReasonFull, g.estimateWait(now, t.request, len(g.waiting)))
 			continue
 		}
 		t.granted, t.startedAt = true, now
@@ -75,11 +98,11 @@
 func (g *Gate) displace(now crid.Instant) {
 	for i := len(g.waiting) - 1; i >= 0; i-- {
 		t := g.waiting[i]
-		if now.Add(g.estimateWait(now, i)/2) <= t.request.LatestStart {
+		if now.Add(g.estimateWait(now, t.request, i)/2) <= t.request.LatestStart {
 			continue
 		}
 		g.waiting = slices.Delete(g.waiting, i, i+1)
-		g.refuse(t, ReasonDisplaced, g.estimateWait(now, len(g.waiting)))
+		g.refuse(t, ReasonDisplaced, g.estimateWait(now, t.request, len(g.waiting)))
 	}
 }
 
--- a/io/cregress/cregress.go
+++ b/io/cregress/cregress.go
@@ -23,6 +23,7 @@
 	"time"
 
 	"camphorroad/core/crbudget"
+	"camphorroad/core/crcaller"
 	"camphorroad/core/crgate"
 	"camphorroad/core/crid"
 	"camphorroad/core/crjudge"
@@ -80,6 +81,7 @@
 	idempotent     atomic.Int64 // idempotent requests running on the target
 	retries        atomic.Int64 // of these, retries whose calls are not charged yet
 	callRates      *crbudget.CallRates
+	callers        *crcaller.Tracker
 
 	mu           sync.Mutex
 	estimator    *crjudge.Estimator
@@ -109,6 +111,7 @@
 		}),
 		estimator:    crjudge.New(opts.Clock()),
 		callRates:    crbudget.NewCallRates(),
+		callers:      crcaller.NewTracker(),
 		reservations: make(map[uint64]*reservation),
 	}
 }
@@ -396,6 +399,12 @@
 // RecordCall records a nested call of the target to a service.
 func (x *Exit) RecordCall(s crid.Service) { x.callRates.RecordCall(s) }
 
+// CallPriority returns the priority of a nested call of the target on a route that has a
+// priority of its own.
+func (x *Exit) CallPriority(route crid.Route, own int) int {
+	return x.callers.CallPriority(route, own)
+}
+
 // CallsPerRun returns the nested calls of one idempotent request on the target, and false
 // if they are not known yet.
 func (x *Exit) CallsPerRun() ([]crbudget.Call, bool) { return x.callRates.Calls() }
--- a/io/cregress/run.go
+++ b/io/cregress/run.go
@@ -76,6 +76,8 @@
 	}
 	wait := min(r.request.Wait-waited, attempt)
 	defer x.countIdempotent(r.reservation.offer)()
+	x.callers.Started(r.reservation.offer.Priority)
+	defer x.callers.Ended(r.reservation.offer.Priority)
 	r.slow.start(x, r.reservation.offer)
 	resp, err := conn.Exchange(ctx, r.encode(wait), r.matchesID)
 	r.slow.stop()
--- a/io/cringress/cringress.go
+++ b/io/cringress/cringress.go
@@ -160,6 +160,7 @@
 	route          *crplan.Route
 	account        *crplan.Account // nil: no key, or an unknown one
 	service        crid.Service
+	priority       int                    // priority; 0 is the most urgent
 	allowed        func(crid.Domain) bool // domains in which it may be processed; nil: all
 	body           []byte
 	callerDeadline crid.Instant // when the caller stops waiting
@@ -181,6 +182,7 @@
 	if q.isNested() {
 		q.opts.Budget.Charge(q.started, q.service, q.opts.Local.RetryRatio())
 		q.opts.Local.RecordCall(q.service)
+		q.priority = q.opts.Local.CallPriority(q.route.Name, q.priority)
 	}
 	ctx, cancel := context.WithTimeout(q.http.Context(), q.deadline.Sub(q.opts.Clock()))
 	defer cancel()
@@ -215,6 +217,7 @@
 		return refusal(http.StatusUnauthorized, "unknown key", 0), false
 	}
 	q.service = route.Pick(rand.Float64())
+	q.priority = q.ownPriority()
 	q.allowed = q.opts.Regions.Allowed(route.Homes, q.accountHomes())
 	q.setDeadlines()
 	return response{}, true
@@ -275,7 +278,8 @@
 	return q.account.Homes
 }
 
-func (q *request) priority() int {
+// ownPriority returns the priority by the configuration.
+func (q *request) ownPriority() int {
 	if q.account != nil && q.account.HasPriority {
 		return q.account.Priority
 	}
--- a/io/cringress/dispatch.go
+++ b/io/cringress/dispatch.go
@@ -149,7 +149,7 @@
 
 // retry is a retry at a service, as the budget counts it.
 func (d *dispatch) retry(s crid.Service, cost float64) crbudget.Retry {
-	return crbudget.Retry{Service: s, Priority: d.priority(), FleetSize: d.view.Size, Cost: cost}
+	return crbudget.Retry{Service: s, Priority: d.priority, FleetSize: d.view.Size, Cost: cost}
 }
 
 // repeatedCalls returns the calls that the run of a retry makes again. They are known if the
@@ -181,7 +181,7 @@
 func (d *dispatch) try(ctx context.Context, c crplace.Choice) (croffer.Result, bool) {
 	now := d.opts.Clock()
 	o := croffer.Offer{
-		ID: d.info.ID, From: d.opts.Self, Target: c.Target, Service: d.service, Class: d.route.Class, Priority: d.priority(),
+		ID: d.info.ID, From: d.opts.Self, Target: c.Target, Service: d.service, Class: d.route.Class, Priority: d.priority,
 		TimeLeft: d.deadline.Sub(now), ObjectiveLeft: d.route.Objective - now.Sub(d.started), LastResort: c.LastResort, Retry: d.retrying && !d.callsCharged(),
 		RouteObjective: d.route.Objective, Nested: d.isNested(), FreeSlot: c.FreeSlotOnly(),
 	}
