io/cringress: A request whose call was refused is not sent again

Change: an exit tells with the answer that a nested call was refused, which no target has run, while the target worked on the request. The entry then returns the answer.

--- a/core/crevacuation/crevacuation_test.go
+++ b/core/crevacuation/crevacuation_test.go
@@ -32,8 +32,12 @@
 func TestOlderChangesAreIgnored(t *testing.T) {
 	g := gomega.NewWithT(t)
 	changes := []crevacuation.Change{
-		{Domain: "a", Revision: 3}, {Domain: "a", Revision: 5, Ended: true}, {Domain: "a", Revision: 8}, {Domain: "a", Revision: 9, Ended: true},
-		{Domain: "b", Revision: 4, Ended: true}, {Domain: "b", Revision: 6},
+		{Domain: "a", Revision: 3},
+		{Domain: "a", Revision: 5, Ended: true},
+		{Domain: "a", Revision: 8},
+		{Domain: "a", Revision: 9, Ended: true},
+		{Domain: "b", Revision: 4, Ended: true},
+		{Domain: "b", Revision: 6},
 	}
 	for seed := range uint64(200) {
 		order := rand.New(rand.NewPCG(seed, 1)).Perm(len(changes))
--- a/io/cregress/cregress.go
+++ b/io/cregress/cregress.go
@@ -77,6 +77,7 @@
 	healthPath     atomic.Pointer[string]
 	stopDeadline   atomic.Int64 // instant by which all work must have ended; zero: none
 	nestedFailures nestedFailures
+	nestedRefusals nestedFailures // calls that no target has run
 	refusalLog     logLimiter
 	idempotent     atomic.Int64 // idempotent requests running on the target
 	retries        atomic.Int64 // of these, retries whose calls are not charged yet
@@ -392,9 +393,16 @@
 	x.opts.OnTargetChange()
 }
 
-// RecordNestedFailure records that a nested call of the target has failed. Failures of
-// requests that were running at that time do not count against the target.
-func (x *Exit) RecordNestedFailure() { x.nestedFailures.record(x.opts.Clock()) }
+// RecordNestedFailure records that a nested call of the target has failed, or was refused
+// before a target has run it. Failures of requests that were running at that time do not
+// count against the target.
+func (x *Exit) RecordNestedFailure(refused bool) {
+	now := x.opts.Clock()
+	x.nestedFailures.record(now)
+	if refused {
+		x.nestedRefusals.record(now)
+	}
+}
 
 // RecordCall records a nested call of the target to a service.
 func (x *Exit) RecordCall(s crid.Service) { x.callRates.RecordCall(s) }
--- a/io/cregress/run.go
+++ b/io/cregress/run.go
@@ -164,7 +164,11 @@
 	}
 	r.observeResponse(now, took, resp.Status)
 	StripHopByHop(resp.Header)
-	return croffer.Result{Outcome: croffer.Answered, Status: resp.Status, Header: resp.Header, Body: resp.Body, LoadReport: x.LoadReport()}
+	result := croffer.Result{Outcome: croffer.Answered, Status: resp.Status, Header: resp.Header, Body: resp.Body, LoadReport: x.LoadReport()}
+	if !success && x.nestedRefusals.since(r.started) {
+		result.Reason = croffer.ReasonCallRefused
+	}
+	return result
 }
 
 func (r *run) observeResponse(now crid.Instant, took time.Duration, status int) {
--- a/io/cringress/cringress.go
+++ b/io/cringress/cringress.go
@@ -189,7 +189,7 @@
 	defer context.AfterFunc(q.abortCtx, cancel)()
 	resp := q.dispatch(ctx)
 	if q.isNested() && resp.status >= http.StatusInternalServerError {
-		q.opts.Local.RecordNestedFailure()
+		q.opts.Local.RecordNestedFailure(resp.status == http.StatusServiceUnavailable)
 	}
 	return resp
 }
--- a/io/cringress/dispatch.go
+++ b/io/cringress/dispatch.go
@@ -322,7 +322,8 @@
 		d.mayHaveRun = true
 		d.response = response{status: r.Status, header: http.Header(r.Header), body: r.Body}
 		d.response.choice, d.response.loadReport = c, r.LoadReport
-		return more && r.Status >= http.StatusInternalServerError && d.mayRunAgain()
+		// A service that refuses calls has no room for the calls of another run either.
+		return more && r.Status >= http.StatusInternalServerError && d.mayRunAgain() && r.Reason != croffer.ReasonCallRefused
 	case croffer.TimedOut:
 		d.mayHaveRun = true
 		d.response = refusal(http.StatusGatewayTimeout, r.Reason, 0)
--- a/io/croffer/croffer.go
+++ b/io/croffer/croffer.go
@@ -77,6 +77,10 @@
 // ReasonBusy is the reason with which an exit refuses an offer that asks for a free slot.
 var ReasonBusy = crgate.ReasonBusy.String()
 
+// ReasonCallRefused is the reason of an answer of a target one of whose nested calls was
+// refused while it worked on the request.
+const ReasonCallRefused = "a nested call was refused"
+
 // Kind returns the kind of the request, by which its duration is estimated.
 func (o Offer) Kind() crpace.Kind { return crpace.Kind{Class: o.Class, Objective: o.RouteObjective} }
 
