--- a/io/cregress/check.go
+++ b/io/cregress/check.go
@@ -13,8 +13,8 @@
 // checkTimeout bounds a health check. It waits for a slot of the target like a request.
 const checkTimeout = 800 * time.Millisecond
 
-// checkWarmup asks the target's health page for how long the target stays cold. Without an
-// answer, the exit assumes the worst.
+// checkWarmup reads from the target's health page for how long the target stays cold.
+// Without an answer it counts as cold.
 func (x *Exit) checkWarmup(ctx context.Context, sentAt crid.Instant) {
 	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
 	defer cancel()
--- a/io/cregress/cregress.go
+++ b/io/cregress/cregress.go
@@ -76,8 +76,8 @@
 	evacuated      atomic.Bool
 	healthPath     atomic.Pointer[string]
 	stopDeadline   atomic.Int64 // instant by which all work must have ended; zero: none
-	nestedFailures nestedFailures
-	nestedRefusals nestedFailures // calls that no target has run
+	nestedFailures lastTime     // of failed nested calls
+	nestedRefusals lastTime     // of nested calls that no target has run
 	refusalLog     logLimiter
 	idempotent     atomic.Int64 // idempotent requests running on the target
 	retries        atomic.Int64 // of these, retries whose calls are not charged yet
@@ -446,13 +446,14 @@
 	}
 }
 
-// nestedFailures holds the time of the target's last failed nested call.
-type nestedFailures struct{ last atomic.Int64 }
+// lastTime holds the time of the latest event of a kind.
+type lastTime struct{ at atomic.Int64 }
 
-func (c *nestedFailures) record(now crid.Instant) { c.last.Store(int64(now)) }
+func (t *lastTime) record(now crid.Instant) { t.at.Store(int64(now)) }
 
-func (c *nestedFailures) since(at crid.Instant) bool {
-	last := c.last.Load()
+// since reports whether an event was recorded at an instant or later.
+func (t *lastTime) since(at crid.Instant) bool {
+	last := t.at.Load()
 	return last != 0 && crid.Instant(last) >= at
 }
 
--- a/io/crmesh/fleet_test.go
+++ b/io/crmesh/fleet_test.go
@@ -64,20 +64,24 @@
 	store    *crstore.Store
 	machines []*machine
 	basePort int
+	regions  crregion.Map
 }
 
 var nextBasePort atomic.Int64
 
-// regions are the regions of the daemons that are started from now on.
-var regions crregion.Map
-
 func init() { nextBasePort.Store(21000) }
 
 // newFleet starts machines, alternately in domains a and b, with a target of service
 // s1 each, and waits until all serve.
 func newFleet(t *testing.T, n int) *fleet {
 	t.Helper()
-	f := &fleet{t: t, store: crstore.New(), basePort: int(nextBasePort.Add(20))}
+	return newFleetInRegions(t, n, nil)
+}
+
+// newFleetInRegions starts a fleet whose daemons know the regions of the domains.
+func newFleetInRegions(t *testing.T, n int, regions crregion.Map) *fleet {
+	t.Helper()
+	f := &fleet{t: t, store: crstore.New(), basePort: int(nextBasePort.Add(20)), regions: regions}
 	f.publish(1, 500, "k1")
 	t.Cleanup(f.shutDown)
 	for i := range n {
@@ -144,7 +148,7 @@
 		Listen:  crsite.Listen{Caller: at(1), Ready: at(2), Control: at(5), Ports: []int{f.basePort + 3, f.basePort + 4}},
 		Store:   crsite.Store{Address: strings.TrimPrefix(m.store.URL, "http://")},
 		Bounds:  crsite.Bounds{DrainMillis: 2000, GraceSeconds: 3, Ratio: 0.2, Slack: 50, WindowSeconds: 10, WarmupRatio: 1},
-		Regions: regions,
+		Regions: f.regions,
 	}
 	f.machines = append(f.machines, m)
 	m.start()
--- a/io/crmesh/places_test.go
+++ b/io/crmesh/places_test.go
@@ -73,9 +73,7 @@
 // east.
 func TestRequestsStayInTheirHomeRegions(t *testing.T) {
 	g := gomega.NewWithT(t)
-	regions = crregion.Map{"a": "east", "b": "west"}
-	defer func() { regions = nil }()
-	f := newFleet(t, 4)
+	f := newFleetInRegions(t, 4, crregion.Map{"a": "east", "b": "west"})
 	f.store.Put("op/config", fmt.Appendf(nil, `{"version":"00000009","services":[{"name":"s1"}],"limits":{},
 "tenants":[{"name":"t1","api-keys":["k1"]},{"name":"t2","api-keys":["k2"],"allowed-regions":["east"]}],
 "virtual-hosts":[{"host":"h.example","path-routes":[
--- a/io/crsite/crsite_test.go
+++ b/io/crsite/crsite_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/onsi/gomega"
 
+	"camphorroad/core/crregion"
 	"camphorroad/io/crsite"
 )
 
@@ -43,6 +44,17 @@
 	g.Expect(s.Bounds.GracePeriod()).To(gomega.Equal(6 * time.Second))
 	g.Expect(s.Bounds.RetryWindow()).To(gomega.Equal(10 * time.Second))
 	g.Expect(s.Bounds.Ratio).To(gomega.Equal(0.2))
+	g.Expect(s.Bounds.WarmupRatio).To(gomega.Equal(1.0))
+	g.Expect(s.Regions).To(gomega.BeEmpty())
+}
+
+func TestPlacesAreRead(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s, err := crsite.Parse("boot.toml", []byte(validSettings+"warmratio = 1.5\nwarmslack = 8\n\n[regions]\n\"tokyo-a\" = \"tokyo\"\n"))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(s.Bounds.WarmupRatio).To(gomega.Equal(1.5))
+	g.Expect(s.Bounds.WarmupSlack).To(gomega.Equal(8.0))
+	g.Expect(s.Regions).To(gomega.Equal(crregion.Map{"tokyo-a": "tokyo"}))
 }
 
 // A target leaves just as the store recovers. Its missing record looks like one that
@@ -67,6 +79,10 @@
 		"no host":     {`ports = [7660, 7675]`, "host = \"here\"\nports = [7660, 7675]", "listen.host"},
 		"one port":    {`[7660, 7675]`, `[7660]`, "listen.ports"},
 		"no grace":    {`grace = 6`, `grace = 0`, "bounds"},
+		"low ratio":   {`grace = 6`, "grace = 6\nwarmratio = 0.5", "warmratio"},
+		"low slack":   {`grace = 6`, "grace = 6\nwarmslack = -1", "warmslack"},
+		"no region":   {`[bounds]`, "[regions]\na = \"\"\n[bounds]", "regions.a"},
+		"region type": {`[bounds]`, "[regions]\na = 7\n[bounds]", "line 22"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			g := gomega.NewWithT(t)
