core/crwarmup: A response on an older connection ends the doubt about a restart

Under load requests end without a response, each counted as a loss of contact, and the called service was limited to 19 requests a second a target until the next check, up to 0.6 s; so more of them ended so.

Change: a response on a connection that is older than the moment at which the target's state was last known shows that it is the same process, and the state is known again. An evacuation's end and another record still need a check. An entry learns the calls of a retry once a request, and the fields in an offer's URI are read without a map.

--- a/core/crgate/queue.go
+++ b/core/crgate/queue.go
@@ -54,24 +54,21 @@
 // waiting requests before it: the work before it, divided by the number of
 // slots. Requests that it overtakes do not count.
 func (g *Gate) estimateWait(now crid.Instant, req Request, position int) time.Duration {
-	ahead := make([]*Ticket, 0, position)
+	work, ahead := time.Duration(0), 0
 	for _, t := range g.waiting[:position] {
 		if !req.overtakes(t.request) {
-			ahead = append(ahead, t)
+			work += g.serviceTimes.Expected(t.request.Kind)
+			ahead++
 		}
 	}
-	limited := g.warmup.Wait(now, len(ahead))
-	if len(ahead) == 0 && len(g.running) < g.slots {
+	limited := g.warmup.Wait(now, ahead)
+	if ahead == 0 && len(g.running) < g.slots {
 		return limited
 	}
-	work := time.Duration(0)
 	for t := range g.running {
 		mean := g.serviceTimes.Expected(t.request.Kind)
 		work += max(mean-now.Sub(t.startedAt), time.Duration(minRemainingShare*float64(mean)))
 	}
-	for _, t := range ahead {
-		work += g.serviceTimes.Expected(t.request.Kind)
-	}
 	return max(work/time.Duration(g.slots), limited)
 }
 
--- a/core/crgate/warmup.go
+++ b/core/crgate/warmup.go
@@ -31,11 +31,19 @@
 	g.warmup.ContactLost(now)
 }
 
-// Responded records a response to a request that was sent at an instant.
-func (g *Gate) Responded(sentAt, now crid.Instant) {
+// ResetWarmup records that the target may be cold without having restarted.
+func (g *Gate) ResetWarmup(now crid.Instant) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.warmup.Responded(sentAt, now)
+	g.warmup.Reset(now)
+}
+
+// Responded records a response to a request that was sent at an instant, on a connection
+// that was established at another.
+func (g *Gate) Responded(connectedAt, sentAt, now crid.Instant) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.warmup.Responded(connectedAt, sentAt, now)
 }
 
 // StartCheck reports whether a health check is due that shows whether the target is cold.
--- a/core/crwarmup/crwarmup.go
+++ b/core/crwarmup/crwarmup.go
@@ -5,8 +5,9 @@
 // A target may become cold without notice, with the same address and record. Until a health
 // check has reported otherwise, [Limiter] assumes that it is cold after every loss of
 // contact: a failed connection, a request without a response, a pause in the responses, or
-// the start of this daemon. A check is only due when the limit is about to delay requests,
-// so that a target with few requests costs none.
+// the start of this daemon. A response on a connection that is older than the loss shows
+// that the target has not restarted. A check is only due when the limit is about to delay
+// requests, so that a target with few requests costs none.
 //
 // # Usage
 //
@@ -70,6 +71,7 @@
 	params       Params
 	uncertain    bool         // the target may have restarted since the last check
 	lostAt       crid.Instant // the last loss of contact
+	knownAt      crid.Instant // when the state was last known; zero: never
 	contactSince crid.Instant // first response after it; zero: none yet
 	lastResponse crid.Instant
 	coldUntil    crid.Instant
@@ -94,7 +96,7 @@
 		return false
 	}
 	if l.uncertain && l.contactSince != 0 && now.Sub(l.contactSince) >= l.params.Duration {
-		l.uncertain = false
+		l.uncertain, l.knownAt = false, now
 	}
 	return l.uncertain || now < l.coldUntil
 }
@@ -120,9 +122,19 @@
 	l.uncertain, l.lostAt, l.contactSince = true, now, 0
 }
 
-// Responded records a response to a request that was sent at an instant.
-func (l *Limiter) Responded(sentAt, now crid.Instant) {
+// Reset records that the target may be cold without having restarted.
+func (l *Limiter) Reset(now crid.Instant) {
+	l.ContactLost(now)
+	l.knownAt = 0
+}
+
+// Responded records a response to a request that was sent at an instant, on a connection
+// that was established at another.
+func (l *Limiter) Responded(connectedAt, sentAt, now crid.Instant) {
 	l.lastResponse = now
+	if connectedAt <= l.knownAt {
+		l.uncertain, l.knownAt = false, now // the same process as when its state was known
+	}
 	if l.contactSince == 0 && sentAt >= l.lostAt {
 		l.contactSince = now
 	}
@@ -211,7 +223,7 @@
 	if sentAt < l.lostAt {
 		return
 	}
-	l.uncertain, l.lastResponse = false, now
+	l.uncertain, l.lastResponse, l.knownAt = false, now, now
 	l.coldUntil = now.Add(remaining)
 }
 
--- a/core/crwarmup/crwarmup_test.go
+++ b/core/crwarmup/crwarmup_test.go
@@ -30,7 +30,7 @@
 		for n < most && l.Wait(now, 0) == 0 {
 			l.Reserve(now)
 			l.Send(now)
-			l.Responded(now, now)
+			l.Responded(now, now, now)
 			n++
 		}
 	}
@@ -91,13 +91,32 @@
 func TestTargetIsWarmAfterItsDurationWithoutACheck(t *testing.T) {
 	g := gomega.NewWithT(t)
 	l := newLimiter()
-	l.Responded(start.Add(-time.Second), start.Add(time.Second))
+	l.Responded(start.Add(-time.Second), start.Add(-time.Second), start.Add(time.Second))
 	g.Expect(l.Cold(start.Add(9*time.Second))).To(gomega.BeTrue(), "the response is to a request sent before the loss of contact")
-	l.Responded(start.Add(9*time.Second), start.Add(10*time.Second))
+	l.Responded(start.Add(9*time.Second), start.Add(9*time.Second), start.Add(10*time.Second))
 	g.Expect(l.Cold(start.Add(12900 * time.Millisecond))).To(gomega.BeTrue())
 	g.Expect(l.Cold(start.Add(13 * time.Second))).To(gomega.BeFalse())
 }
 
+// Guards against a warm target that is limited for as long as some of its requests hang.
+func TestResponseOnAnOlderConnectionShowsThatTheTargetHasNotRestarted(t *testing.T) {
+	g := gomega.NewWithT(t)
+	l := newLimiter()
+	l.Responded(start, start, start.Add(10*time.Millisecond))
+	g.Expect(l.Cold(start.Add(10*time.Millisecond))).To(gomega.BeTrue(), "its state was never known")
+	l.RecordCheck(start, start.Add(20*time.Millisecond), 0)
+	at := func(ms int) crid.Instant { return start.Add(time.Duration(ms) * time.Millisecond) }
+	l.Responded(at(15), at(25), at(30))
+	l.ContactLost(at(100))
+	l.Responded(at(40), at(110), at(120))
+	g.Expect(l.Cold(at(120))).To(gomega.BeTrue(), "a connection to the process that may be new")
+	l.Responded(at(28), at(60), at(130))
+	g.Expect(l.Cold(at(130))).To(gomega.BeFalse(), "a connection from when the state was known")
+	l.Reset(at(200))
+	l.Responded(at(28), at(210), at(220))
+	g.Expect(l.Cold(at(220))).To(gomega.BeTrue(), "it may have become cold without a restart")
+}
+
 // Guards against a target that restarts unnoticed while it gets no requests.
 func TestSilentTargetIsTreatedAsCold(t *testing.T) {
 	g := gomega.NewWithT(t)
--- a/io/cregress/cregress.go
+++ b/io/cregress/cregress.go
@@ -144,7 +144,7 @@
 	if evacuated {
 		x.gate.Close()
 	} else {
-		x.gate.ContactLost(now)
+		x.gate.ResetWarmup(now)
 		x.openGate(now)
 	}
 	x.opts.OnTargetChange()
@@ -173,7 +173,7 @@
 	defer x.mu.Unlock()
 	x.estimator = crjudge.New(now)
 	x.unhealthy = false
-	x.gate.ContactLost(now)
+	x.gate.ResetWarmup(now)
 }
 
 // SetStopDeadline makes the exit accept only requests that are expected to end before the
--- a/io/cregress/run.go
+++ b/io/cregress/run.go
@@ -84,8 +84,9 @@
 	if err != nil {
 		return r.exchangeFailed(ctx, err)
 	}
+	now := x.opts.Clock()
+	x.gate.Responded(now.Add(-conn.Age()), sentAt, now)
 	x.pool.Put(conn)
-	x.gate.Responded(sentAt, x.opts.Clock())
 	return r.handleResponse(resp)
 }
 
--- a/io/cringress/dispatch.go
+++ b/io/cringress/dispatch.go
@@ -43,6 +43,9 @@
 // tried, or the deadline has passed.
 func (q *request) dispatch(ctx context.Context) response {
 	d := &dispatch{request: q, response: refusal(http.StatusServiceUnavailable, "no target takes it", minRetryAfter)}
+	if d.mayRunAgain() {
+		d.learnCalls()
+	}
 	for d.offers-d.busy < maxOffers && d.unresponsive < maxUnresponsive && ctx.Err() == nil {
 		if !d.tryNext(ctx) {
 			break
@@ -57,9 +60,11 @@
 	*request
 	tried        []crid.Target // targets that it was offered to, without busy ones
 	offers       int
-	busy         int            // exits that refused it because no slot was free
-	lastReported bool           // the last exit refused it and reported the target's load
-	unresponsive int            // exits that did not reply to an offer
+	busy         int              // exits that refused it because no slot was free
+	lastReported bool             // the last exit refused it and reported the target's load
+	unresponsive int              // exits that did not reply to an offer
+	calls        []crbudget.Retry // calls that the run of a retry makes again
+	callsKnown   bool
 	refusals     map[string]int // counts of the reasons why targets did not run it
 	sent         int            // number of targets that it was sent to
 	mayHaveRun   bool
@@ -90,9 +95,10 @@
 	if d.deadline.Sub(now) < minAttemptTime {
 		return false
 	}
+	couldRetry := d.couldRetry(now)
 	choice, ok := d.opts.Balancer.Choose(now, d.view.Targets[d.service], crplace.Request{
 		Class: d.route.Class, Domain: d.opts.Domain, Tried: d.tried, Rand: rand.Float64,
-		Unresponsive: func(id crid.Daemon) bool { return d.view.Unresponsive[id] }, NoRetry: !d.couldRetry(now), Nested: d.isNested(), Busy: d.busy, Allowed: d.allowed,
+		Unresponsive: func(id crid.Daemon) bool { return d.view.Unresponsive[id] }, NoRetry: !couldRetry, Nested: d.isNested(), Busy: d.busy, Allowed: d.allowed,
 	})
 	if !ok {
 		return false
@@ -110,7 +116,7 @@
 	}
 	d.offers++
 	d.opts.Balancer.Begin(choice.Target)
-	result, ok := d.try(ctx, choice)
+	result, ok := d.try(ctx, choice, couldRetry)
 	if !d.lastReported {
 		d.opts.Balancer.End(choice.Target)
 	}
@@ -128,64 +134,63 @@
 // takeRetry takes a retry from this daemon's part of the budget, or from the pool. The calls
 // that its run makes are always taken from this daemon's part.
 func (d *dispatch) takeRetry(ctx context.Context, now crid.Instant) bool {
-	calls := d.repeatedCalls()
 	if !d.pooled {
-		if own := append([]crbudget.Retry{d.retry(d.service, retryCost)}, calls...); d.opts.Budget.Spend(now, own...) {
-			d.spent = own
+		if retries := d.retries(); d.opts.Budget.Spend(now, retries...) {
+			d.spent = retries
 			return true
 		}
 	}
-	if !d.opts.Budget.Spend(now, calls...) {
+	if !d.opts.Budget.Spend(now, d.calls...) {
 		return false
 	}
-	d.spent = calls
+	d.spent = d.calls
 	d.pooled = d.pooled || d.opts.Pool.Take(ctx, d.service)
 	if !d.pooled {
-		d.opts.Budget.Refund(now, calls...)
+		d.opts.Budget.Refund(now, d.calls...)
 		d.spent = nil
 	}
 	return d.pooled
 }
 
+// retries returns a retry of the request with the calls that its run makes again.
+func (d *dispatch) retries() []crbudget.Retry {
+	return append([]crbudget.Retry{d.retry(d.service, retryCost)}, d.calls...)
+}
+
 // retry is a retry at a service, as the budget counts it.
 func (d *dispatch) retry(s crid.Service, cost float64) crbudget.Retry {
 	return crbudget.Retry{Service: s, Priority: d.priority, FleetSize: d.view.Size, Cost: cost}
 }
 
-// repeatedCalls returns the calls that the run of a retry makes again. They are known if the
-// request is one for the service of this daemon's own target.
-func (d *dispatch) repeatedCalls() []crbudget.Retry {
-	calls, _ := d.callsPerRun()
-	out := make([]crbudget.Retry, 0, len(calls))
-	for _, c := range calls {
-		out = append(out, d.retry(c.Service, c.PerRun))
-	}
-	return out
-}
-
-func (d *dispatch) callsPerRun() ([]crbudget.Call, bool) {
+// learnCalls learns which calls the run of a retry makes again. They are known if the request
+// is one for the service of this daemon's own target.
+func (d *dispatch) learnCalls() {
 	if d.service != d.opts.Service {
-		return nil, false
+		return
+	}
+	calls, known := d.opts.Local.CallsPerRun()
+	d.callsKnown = known
+	for _, c := range calls {
+		d.calls = append(d.calls, d.retry(c.Service, c.PerRun))
 	}
-	return d.opts.Local.CallsPerRun()
 }
 
 // couldRetry reports whether the request could be retried on a further target if the next
 // one fails.
 func (d *dispatch) couldRetry(now crid.Instant) bool {
-	return d.mayRunAgain() && d.sent+1 < d.route.MaxTargets && d.opts.Budget.Affords(now, append(d.repeatedCalls(), d.retry(d.service, retryCost))...)
+	return d.mayRunAgain() && d.sent+1 < d.route.MaxTargets && d.opts.Budget.Affords(now, d.retries()...)
 }
 
 // try offers the request to a target and sends it if the exit accepts. It reports false
 // if the request was not sent.
-func (d *dispatch) try(ctx context.Context, c crplace.Choice) (croffer.Result, bool) {
+func (d *dispatch) try(ctx context.Context, c crplace.Choice, couldRetry bool) (croffer.Result, bool) {
 	now := d.opts.Clock()
 	o := croffer.Offer{
 		ID: d.info.ID, From: d.opts.Self, Target: c.Target, Service: d.service, Class: d.route.Class, Priority: d.priority,
-		TimeLeft: d.deadline.Sub(now), ObjectiveLeft: d.route.Objective - now.Sub(d.started), LastResort: c.LastResort, Retry: d.retrying && !d.callsCharged(),
+		TimeLeft: d.deadline.Sub(now), ObjectiveLeft: d.route.Objective - now.Sub(d.started), LastResort: c.LastResort, Retry: d.retrying && !d.callsKnown,
 		RouteObjective: d.route.Objective, Nested: d.isNested(), FreeSlot: c.FreeSlotOnly(),
 	}
-	if d.couldRetry(now) {
+	if couldRetry {
 		o.Attempt = d.opts.Attempts.Limit(d.service, o.Kind(), c.Trial || c.UnhealthyProb >= crjudge.Threshold)
 	}
 	d.lastReported = false
@@ -210,12 +215,6 @@
 	return d.run(o, func(r croffer.Request) croffer.Result { return reservation.Run(ctx, r) }), true
 }
 
-// callsCharged reports whether the budget was charged with the calls of a retry's run.
-func (d *dispatch) callsCharged() bool {
-	_, known := d.callsPerRun()
-	return known
-}
-
 func (d *dispatch) tryLocal(ctx context.Context, o croffer.Offer) (croffer.Result, bool) {
 	reply := d.opts.Local.Offer(d.opts.Clock(), o)
 	d.handleOfferReply(o, reply)
--- a/io/crlink/crlink.go
+++ b/io/crlink/crlink.go
@@ -100,6 +100,7 @@
 type Conn struct {
 	conn            net.Conn
 	br              *bufio.Reader
+	connectedAt     time.Time
 	lastUsed        time.Time
 	reused          bool
 	broken          bool
@@ -109,6 +110,9 @@
 // Reused reports whether the connection has served an exchange before.
 func (c *Conn) Reused() bool { return c.reused }
 
+// Age returns the time since the connection was established.
+func (c *Conn) Age() time.Duration { return time.Since(c.connectedAt) }
+
 // Get returns the most recently used idle connection that is still reusable, or a new
 // one.
 func (p *Pool) Get(ctx context.Context) (*Conn, error) {
@@ -151,7 +155,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("connect: %w", err)
 	}
-	return &Conn{conn: conn, br: bufio.NewReaderSize(conn, 4<<10)}, nil
+	return &Conn{conn: conn, br: bufio.NewReaderSize(conn, 4<<10), connectedAt: time.Now()}, nil
 }
 
 // Put returns a connection to the pool.
--- a/io/croffer/croffer.go
+++ b/io/croffer/croffer.go
@@ -16,8 +16,8 @@
 
 import (
 	"context"
-	"net/url"
 	"strconv"
+	"strings"
 	"time"
 
 	"camphorroad/core/crgate"
@@ -53,24 +53,30 @@
 
 // query returns the fields that are sent in the URI.
 func (o Offer) query() string {
-	q := url.Values{}
+	q := "?"
 	if o.FreeSlot {
-		q.Set(querySlot, slotFree)
+		q += queryFreeSlot
 	}
 	if o.Attempt > 0 {
-		q.Set(queryAttempt, strconv.FormatInt(o.Attempt.Milliseconds(), 10))
+		q += "&" + queryAttempt + strconv.FormatInt(o.Attempt.Milliseconds(), 10)
 	}
-	if len(q) == 0 {
+	if q == "?" {
 		return ""
 	}
-	return "?" + q.Encode()
+	return q
 }
 
 // parseQuery reads the fields that are sent in the URI.
-func (o *Offer) parseQuery(q url.Values) {
-	o.FreeSlot = q.Get(querySlot) == slotFree
-	if ms, err := strconv.ParseUint(q.Get(queryAttempt), 10, 32); err == nil {
-		o.Attempt = time.Duration(ms) * time.Millisecond
+func (o *Offer) parseQuery(q string) {
+	for field := range strings.SplitSeq(q, "&") {
+		if field == queryFreeSlot {
+			o.FreeSlot = true
+		}
+		if value, ok := strings.CutPrefix(field, queryAttempt); ok {
+			if ms, err := strconv.ParseUint(value, 10, 32); err == nil {
+				o.Attempt = time.Duration(ms) * time.Millisecond
+			}
+		}
 	}
 }
 
--- a/io/croffer/query_test.go
+++ b/io/croffer/query_test.go
@@ -14,7 +14,7 @@
 		uri, err := url.Parse(PathOffer + o.query())
 		g.Expect(err).NotTo(gomega.HaveOccurred())
 		var got Offer
-		got.parseQuery(uri.Query())
+		got.parseQuery(uri.RawQuery)
 		g.Expect(got).To(gomega.Equal(o))
 	}
 }
@@ -22,7 +22,7 @@
 func TestInvalidAttemptIsIgnored(t *testing.T) {
 	for _, value := range []string{"-5", "soon", "99999999999"} {
 		var got Offer
-		got.parseQuery(url.Values{queryAttempt: {value}})
+		got.parseQuery(queryAttempt + value)
 		gomega.NewWithT(t).Expect(got.Attempt).To(gomega.BeZero(), value)
 	}
 }
--- a/io/croffer/server.go
+++ b/io/croffer/server.go
@@ -21,9 +21,8 @@
 
 // Parameters in the URI of an offer.
 const (
-	querySlot    = "slot"
-	slotFree     = "free"    // see Offer.FreeSlot
-	queryAttempt = "attempt" // in milliseconds; see Offer.Attempt
+	queryFreeSlot = "slot=free" // see Offer.FreeSlot
+	queryAttempt  = "attempt="  // in milliseconds; see Offer.Attempt
 )
 
 // maxBodyBytes bounds the body of a peer's request, which may contain a caller's
@@ -42,7 +41,7 @@
 	mux.HandleFunc("POST "+PathOffer, func(w http.ResponseWriter, r *http.Request) {
 		var o Offer
 		if readRequest(w, r, &o) {
-			o.parseQuery(r.URL.Query())
+			o.parseQuery(r.URL.RawQuery)
 			writeResponse(w, exit.Offer(clock(), o))
 		}
 	})
