--- a/core/crwarmup/crwarmup.go
+++ b/core/crwarmup/crwarmup.go
@@ -35,7 +35,7 @@
 	// windowMargin is one turn of a busy processor.
 	windowMargin = 50 * time.Millisecond
 	// allowanceShare is the share that is used of the allowance between the rate that a
-	// cold target tolerates and the highest rate allowed.
+	// cold target tolerates and the highest rate allowed. Near the highest rate it may fail.
 	allowanceShare = 0.6
 	// maxSilence is the time without a response after which the target may have restarted
 	// unnoticed.
--- a/io/cregress/cregress.go
+++ b/io/cregress/cregress.go
@@ -417,9 +417,10 @@
 // if they are not known yet.
 func (x *Exit) CallsPerRun() ([]crbudget.Call, bool) { return x.callRates.Calls() }
 
-// RetryRatio returns the share of retries whose calls are not charged yet among the idempotent requests running on the
-// target, which estimates the share among the target's nested calls. Requests of class
-// once are left out: if they make no calls, counting them would make the share too low.
+// RetryRatio returns the share of retries whose calls are not charged yet among the
+// idempotent requests running on the target, which estimates the share among the target's
+// nested calls. Requests of class once are left out: if they make no calls, counting them
+// would make the share too low.
 func (x *Exit) RetryRatio() float64 {
 	idempotent := x.idempotent.Load()
 	if idempotent <= 0 {
--- a/io/cringress/cringress.go
+++ b/io/cringress/cringress.go
@@ -160,7 +160,7 @@
 	route          *crplan.Route
 	account        *crplan.Account // nil: no key, or an unknown one
 	service        crid.Service
-	priority       int                    // priority; 0 is the most urgent
+	priority       int                    // 0 is the most urgent
 	allowed        func(crid.Domain) bool // domains in which it may be processed; nil: all
 	body           []byte
 	callerDeadline crid.Instant // when the caller stops waiting
@@ -278,7 +278,7 @@
 	return q.account.Homes
 }
 
-// ownPriority returns the priority by the configuration.
+// ownPriority returns the priority that the configuration gives the account or the route.
 func (q *request) ownPriority() int {
 	if q.account != nil && q.account.HasPriority {
 		return q.account.Priority
