--- a/core/crattempt/crattempt_test.go
+++ b/core/crattempt/crattempt_test.go
@@ -49,8 +49,7 @@
 	g.Expect(tracker.Limit("desk", kind, false)).To(gomega.BeZero(), "another service")
 }
 
-// Guards against a limit that stays below the service times after a service has become
-// slower, so that no request ends within it.
+// Guards against a limit within which no request ends once a service has become slower.
 func TestLimitFollowsAServiceThatBecomesSlower(t *testing.T) {
 	g := gomega.NewWithT(t)
 	tracker := crattempt.NewTracker()
@@ -65,9 +64,7 @@
 	g.Expect(tracker.Limit("book", kind, false)).To(gomega.BeNumerically(">", 600*time.Millisecond))
 }
 
-// Load: a tenth of the attempts on targets taken for healthy, and all trials, hang until the
-// deadline of 800 ms. A second target serves the request if there is time. Guards against
-// requests that are lost because their first target used all of their time.
+// Guards against requests that are lost because their first target hung for all of their time.
 func TestSecondTargetServesWhatTheFirstOneHangsOn(t *testing.T) {
 	const deadline, requests = 800 * time.Millisecond, 2000
 	lost := func(limited bool) float64 {
--- a/core/crcaller/crcaller_test.go
+++ b/core/crcaller/crcaller_test.go
@@ -9,9 +9,7 @@
 	"camphorroad/core/crcaller"
 )
 
-// Load: looks of priority 2 make calls, while holds of priority 1 and, rarely, urgent
-// requests run on the same target. Guards against calls that go before urgent requests of
-// the called service.
+// Guards against calls of unimportant requests that count as urgent ones.
 func TestCallHasThePriorityOfItsCaller(t *testing.T) {
 	for _, holds := range []float64{0.2, 0.8, 0.95} {
 		g := gomega.NewWithT(t)
--- a/core/crgate/mixture_test.go
+++ b/core/crgate/mixture_test.go
@@ -174,9 +174,7 @@
 	g.Expect(refusal.MaxWait()).To(gomega.Equal(300 * time.Millisecond))
 }
 
-// Load: calls of unimportant requests need two thirds more than the slots of a target, and
-// urgent requests a fifth of them. Guards against urgent requests that wait behind the
-// calls until they are late.
+// Guards against urgent requests that wait behind calls of unimportant ones until they are late.
 func TestUrgentRequestsOvertakeCallsOfLessUrgentOnes(t *testing.T) {
 	const urgentObjective, urgentTime, callTime = 300 * time.Millisecond, 95 * time.Millisecond, 33 * time.Millisecond
 	urgentKind := crpace.Kind{Class: crpolicy.ClassOnce, Objective: urgentObjective}
--- a/core/crgate/warmup_test.go
+++ b/core/crgate/warmup_test.go
@@ -23,8 +23,7 @@
 	return gate
 }
 
-// Load: calls of 30 ms arrive at four times the rate that the cold target tolerates. The
-// urgent ones, an eighth of them, are served, and the rest is refused at once.
+// Guards against urgent requests that find the limit of a cold target used by others.
 func TestColdTargetServesTheUrgentRequestsUpToItsLimit(t *testing.T) {
 	g := gomega.NewWithT(t)
 	gate := newColdGate(5)
--- a/core/crplace/regions_test.go
+++ b/core/crplace/regions_test.go
@@ -13,8 +13,7 @@
 	"camphorroad/core/crregion"
 )
 
-// Guards against a try, a retry, a trial or a last resort outside the home regions, over
-// random fleets in three regions, states of targets, and homes of routes and accounts.
+// Guards against a try, a retry, a trial or a last resort outside the home regions.
 func TestNoChoiceLeavesTheHomeRegions(t *testing.T) {
 	regions := []crid.Region{"east", "west", "north"}
 	for seed := range uint64(300) {
--- a/core/crwarmup/crwarmup_test.go
+++ b/core/crwarmup/crwarmup_test.go
@@ -147,8 +147,7 @@
 	g.Expect(sent).To(gomega.Equal(10))
 }
 
-// Guards against more requests than allowed in any second, whatever is reserved, cancelled,
-// sent late, lost and checked.
+// Guards against more requests than allowed in any second.
 func TestNoSecondExceedsTheLimit(t *testing.T) {
 	for seed := range uint64(300) {
 		rng := rand.New(rand.NewPCG(seed, 7)) //nolint:gosec // a test must be reproducible
@@ -204,8 +203,7 @@
 	g.Expect(l.Wait(now, 15)).To(gomega.BeNumerically("~", 1600*time.Millisecond, 300*time.Millisecond))
 }
 
-// Guards against an urgent request that waits because less urgent ones have used the limit
-// of the second at its beginning.
+// Guards against an urgent request that waits because others have used the limit of a second.
 func TestRequestsToAColdTargetArePaced(t *testing.T) {
 	g := gomega.NewWithT(t)
 	l := newLimiter()
--- a/io/cregress/evacuation_test.go
+++ b/io/cregress/evacuation_test.go
@@ -46,8 +46,7 @@
 
 var testRequest = croffer.Request{ID: "q1", Method: http.MethodGet, URI: "/", Host: "h", Header: map[string][]string{"Accept": {"*/*"}}, Wait: 2 * time.Second}
 
-// Guards against a request that reaches an evacuated target because it was accepted, or
-// waited for a slot, when the evacuation began.
+// Guards against a request that waits for a slot and reaches a target that is evacuated meanwhile.
 func TestEvacuatedTargetGetsNothingThatIsNotSent(t *testing.T) {
 	g := gomega.NewWithT(t)
 	var received atomic.Int64
--- a/io/cregress/nested_test.go
+++ b/io/cregress/nested_test.go
@@ -9,8 +9,7 @@
 	"camphorroad/io/croffer"
 )
 
-// Load: a service has no room, and refuses the calls of another one. Guards against retries
-// of the calling requests, which make the same calls once more.
+// Guards against retries that make the calls again which a service without room has refused.
 func TestAnswerTellsThatANestedCallWasRefused(t *testing.T) {
 	for name, tc := range map[string]struct {
 		failed, refused bool
--- a/io/crfeed/evacuation_test.go
+++ b/io/crfeed/evacuation_test.go
@@ -82,8 +82,7 @@
 	}
 }
 
-// Guards against an evacuation that stays in force because it ended while nobody could
-// read the store.
+// Guards against an evacuation that stays in force since it ended during an outage of the store.
 func TestEvacuationThatEndsDuringAnOutageEnds(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(7, 7, 4, 4)
--- a/io/crmesh/places_test.go
+++ b/io/crmesh/places_test.go
@@ -52,8 +52,7 @@
 	}, 5*time.Second, 10*time.Millisecond).Should(gomega.Equal(4))
 }
 
-// Guards against a restarted daemon that sends requests to its evacuated target before it
-// has read the store.
+// Guards against a restarted daemon that uses its evacuated target before it has read the store.
 func TestDaemonThatStartsDuringAnOutageLearnsOfEvacuationsFromPeers(t *testing.T) {
 	g := gomega.NewWithT(t)
 	f := newFleet(t, 4)
@@ -69,8 +68,7 @@
 	}
 }
 
-// Domain a lies in region east, b in west. The plan binds holds to west, and an account to
-// east.
+// Domain a lies in region east, b in west; holds are bound to west, and an account to east.
 func TestRequestsStayInTheirHomeRegions(t *testing.T) {
 	g := gomega.NewWithT(t)
 	f := newFleetInRegions(t, 4, crregion.Map{"a": "east", "b": "west"})
