--- a/core/crbudget/callrates_test.go
+++ b/core/crbudget/callrates_test.go
@@ -58,9 +58,7 @@
 	g.Expect(spent).To(gomega.BeNumerically("~", 1.4, 0.001))
 }
 
-// Load: a service whose targets reject everything for eight seconds is called 1.4 times by
-// each run of another service, which fails half of its requests. Guards against retries of
-// the calling service that take the called service over its budget.
+// Guards against retries of a service that take a service which it calls over its budget.
 func TestCalledServiceStaysWithinItsBudget(t *testing.T) {
 	const (
 		daemons = 40
