core/crbudget: A failing test of daemons that know few others

All daemons start while a service rejects everything, and know only their three seeds for two seconds: each takes a quarter of the slack.

--- a/core/crbudget/restart_test.go
+++ b/core/crbudget/restart_test.go
@@ -94,3 +94,25 @@
 		}
 	}
 }
+
+// Guards against daemons that take the part of many while they know few others.
+func TestDaemonsThatKnowFewOthersStayWithinBudget(t *testing.T) {
+	const size, seeds = 29, 3
+	for seed := range uint64(40) {
+		rng := rand.New(rand.NewPCG(seed, 8)) //nolint:gosec // a test must be reproducible
+		f := newRetryFleet(crbudget.Params{Ratio: 0.2, Slack: 62, Window: 10 * time.Second}, size)
+		for i := range f.daemons {
+			f.start(i, start, 1+seeds)
+		}
+		excess := f.play(rng, 53, 0, func(at time.Duration) {
+			for _, d := range f.daemons {
+				if at >= 2*time.Second {
+					d.fleetSize = size
+				}
+			}
+		})
+		if excess > 0 {
+			t.Errorf("seed %d: %.0f retries too many in a window", seed, excess)
+		}
+	}
+}
