core/crbudget: A restarted daemon does not spend its part of the retry budget again

Cause: the window of the retry budget is kept in a daemon's memory, and outlasts its process. A successor starts with an unused part, and adds to what its predecessor spent in the same window. Class: a bound over a time window whose counts are lost at a restart. The pool had half of an answer: a new owner granted half, but so did an owner that had been idle, and each further owner again.

Change: a daemon that is started again uses nothing of its own part for a window. The pool's owner knows since when no other daemon can have owned it (View.OwnersSince); a new one grants half in its first window, one that has been the owner all along the whole. The settings tell when the whole fleet starts for the first time (first, filled in from bootstrap).

--- a/core/crbudget/crbudget.go
+++ b/core/crbudget/crbudget.go
@@ -7,6 +7,10 @@
 // fraction of the requests that entered at this daemon, and an equal part of the slack. The sum
 // over all daemons therefore stays within the limit whatever the other daemons do.
 //
+// What was spent is kept in memory. A daemon that starts again does not know what its predecessor has
+// spent of their part, and retries nothing until a window has passed; it still takes retries from the
+// [Pool].
+//
 // A retry also costs the calls that its run makes again at other services ([CallRates]). It is sent
 // only if the budgets of all of them cover it.
 //
@@ -16,7 +20,7 @@
 //
 // # Usage
 //
-//	b := crbudget.New(crbudget.Params{Ratio: 0.2, Slack: 56, Window: 10 * time.Second})
+//	b := crbudget.New(crbudget.Params{Ratio: 0.2, Slack: 56, Window: 10 * time.Second}, crbudget.Start{At: now, Successor: true})
 //	b.RecordRequest(now, service)
 //	if b.Spend(now, crbudget.Retry{Service: service, Priority: 1, FleetSize: fleetSize, Cost: 1}) { ... }
 //	if b.Spend(now, crbudget.Retry{...}, crbudget.Retry{...}) { ... } // with the calls of its run
@@ -59,16 +63,27 @@
 	Window time.Duration
 }
 
+// Start tells how a daemon started.
+type Start struct {
+	At        crid.Instant
+	Successor bool // there may have been a daemon on this machine before
+}
+
 // Budget is one daemon's part of the limit. It is safe for concurrent use.
 type Budget struct {
-	params  Params
-	mu      sync.Mutex
-	windows map[crid.Service]*window
+	params        Params
+	availableFrom crid.Instant // until then the predecessor's retries count
+	mu            sync.Mutex
+	windows       map[crid.Service]*window
 }
 
-// New returns a budget from which nothing has been spent.
-func New(p Params) *Budget {
-	return &Budget{params: p, windows: make(map[crid.Service]*window)}
+// New returns the budget of a daemon that has started.
+func New(p Params, started Start) *Budget {
+	b := &Budget{params: p, availableFrom: started.At, windows: make(map[crid.Service]*window)}
+	if started.Successor {
+		b.availableFrom = started.At.Add(p.Window)
+	}
+	return b
 }
 
 // RecordRequest counts a caller's request for a service.
@@ -105,6 +120,9 @@
 func (b *Budget) balance(now crid.Instant, s crid.Service, fleetSize int) (spent, allowed float64) {
 	w := b.window(s)
 	w.at(now, b.params.Window)
+	if now < b.availableFrom {
+		return w.spent(), 0
+	}
 	factor := safetyFactor - (safetyFactor-calledSafetyFactor)*min(w.calls()/max(w.requests(), 1)/fullReserveShare, 1)
 	slack := b.params.Slack / float64(max(fleetSize, 1))
 	return w.spent(), factor * (b.params.Ratio*w.requests() + slack)
--- a/core/crmesh/crmesh.go
+++ b/core/crmesh/crmesh.go
@@ -103,8 +103,10 @@
 	sorted           []*peer               // the peers by name; nil: to be sorted again
 	ahead            map[crid.Daemon]*peer // peers that have reported a plan or records that this daemon lacks
 	targets          targetIndex
-	viewOutdated     bool         // the state of a peer has changed since the last view
-	lastView         crid.Instant // when the last view was published
+	viewOutdated     bool          // the state of a peer has changed since the last view
+	lastView         crid.Instant  // when the last view was published
+	owners           []crid.Daemon // of the last view
+	ownersSince      crid.Instant  // when they last changed
 	lastPull         crid.Instant
 	pullCount        int
 	lastRenewal      crid.Instant
--- a/core/crmesh/event.go
+++ b/core/crmesh/event.go
@@ -174,6 +174,7 @@
 	OwnRecord      *crregistry.Record                   `cbor:"Own" json:"Own"`         // record of this daemon's target; nil: none
 	Live           []crid.Daemon                        `cbor:"Daemons" json:"Daemons"` // this daemon and the peers that are up, without stopping ones
 	Owners         []crid.Daemon                        // Live, and recorded peers whose first heartbeat may still come
+	OwnersSince    crid.Instant                         `cbor:"-" json:"-"` // when Owners last changed
 	Members        []crid.Daemon                        // Owners, and recorded peers without heartbeats
 	Size           int                                  // daemons of the fleet, up or not, and seeds
 	Confirmed      int                                  `cbor:"Known" json:"Known"` // Size without seeds that no record names and that send no heartbeats
--- a/core/crmesh/view.go
+++ b/core/crmesh/view.go
@@ -81,6 +81,10 @@
 	if len(v.Live) <= 1 {
 		v.Owners = slices.Clone(v.Live) // no owner can be queried
 	}
+	if s.ownersSince == 0 || !slices.Equal(v.Owners, s.owners) {
+		s.owners, s.ownersSince = v.Owners, now
+	}
+	v.OwnersSince = s.ownersSince
 	return PublishView{View: v}
 }
 
--- a/io/crmesh/crmesh.go
+++ b/io/crmesh/crmesh.go
@@ -112,7 +112,7 @@
 
 func newBudget(opts Options) *crbudget.Budget {
 	own, _ := crbudget.Split(retryLimit(opts))
-	return crbudget.New(own)
+	return crbudget.New(own, crbudget.Start{At: crclock.Now(), Successor: !opts.Settings.First})
 }
 
 // retryLimit is the limit of the fleet's retries.
--- a/io/crmesh/retrypool.go
+++ b/io/crmesh/retrypool.go
@@ -29,7 +29,8 @@
 }
 
 func (o *poolOwner) take(s crid.Service, forPeer bool) bool {
-	return o.pool.Take(crclock.Now(), s, o.loop.view.Load().RateFraction(forPeer))
+	v := o.loop.view.Load()
+	return o.pool.Take(crclock.Now(), s, crbudget.Ownership{Fraction: v.RateFraction(forPeer), Since: v.OwnersSince})
 }
 
 // grant takes a retry for a peer. handled is false if this daemon does not own the pool.
--- a/io/crsite/crsite.go
+++ b/io/crsite/crsite.go
@@ -47,6 +47,7 @@
 	Target  string       `toml:"target"`  // host:port of the target
 	Seeds   []string     `toml:"seeds"`   // host:port of the control listeners of other daemons
 	Log     string       `toml:"log"`     // log level
+	First   bool         `toml:"first"`   // the whole fleet starts for the first time, so that no daemon has a predecessor
 	Listen  Listen       `toml:"listen"`
 	Store   Store        `toml:"store"`
 	Limits  Limits       `toml:"limits"`
