core/crbudget: A daemon counts on its part of the slack once it can know the fleet's size

What callers saw: nothing reported.

Cause: a daemon divides the slack by the daemons it knows. One that knows only its three seeds takes a quarter of it, and 29 of them seven times the whole. Class: a part of a fleet-wide bound that is computed from a number which a starting process does not know yet.

Change: no slack for half a window after the start. Retries for a fraction of the requests and those of the pool don't depend on the size.

--- a/core/crbudget/crbudget.go
+++ b/core/crbudget/crbudget.go
@@ -9,7 +9,8 @@
 //
 // What was spent is kept in memory. A daemon that starts again does not know what its predecessor has
 // spent of their part, and retries nothing until a window has passed; it still takes retries from the
-// [Pool].
+// [Pool]. A daemon also needs some time until it knows the size of the fleet, and so its part of the
+// slack.
 //
 // A retry also costs the calls that its run makes again at other services ([CallRates]). It is sent
 // only if the budgets of all of them cover it.
@@ -44,6 +45,9 @@
 	// daemon's part, the other daemons do not reduce their retries.
 	calledSafetyFactor = 0.6
 	fullReserveShare   = 0.5
+	// sizeUnknownShare is the fraction of a window after the start in which a daemon does not count
+	// on its part of the slack. Records and heartbeats of the others arrive within seconds.
+	sizeUnknownShare = 0.5
 	// maxReservedShare is the largest share of the budget that is kept for more urgent requests.
 	maxReservedShare = 0.5
 )
@@ -73,13 +77,17 @@
 type Budget struct {
 	params        Params
 	availableFrom crid.Instant // until then the predecessor's retries count
+	slackFrom     crid.Instant // until then the size of the fleet may not be known
 	mu            sync.Mutex
 	windows       map[crid.Service]*window
 }
 
 // New returns the budget of a daemon that has started.
 func New(p Params, started Start) *Budget {
-	b := &Budget{params: p, availableFrom: started.At, windows: make(map[crid.Service]*window)}
+	b := &Budget{
+		params: p, availableFrom: started.At, slackFrom: started.At.Add(time.Duration(sizeUnknownShare * float64(p.Window))),
+		windows: make(map[crid.Service]*window),
+	}
 	if started.Successor {
 		b.availableFrom = started.At.Add(p.Window)
 	}
@@ -124,8 +132,11 @@
 		return w.spent(), 0
 	}
 	factor := safetyFactor - (safetyFactor-calledSafetyFactor)*min(w.calls()/max(w.requests(), 1)/fullReserveShare, 1)
-	slack := b.params.Slack / float64(max(fleetSize, 1))
-	return w.spent(), factor * (b.params.Ratio*w.requests() + slack)
+	limit := b.params.Ratio * w.requests()
+	if now >= b.slackFrom {
+		limit += b.params.Slack / float64(max(fleetSize, 1))
+	}
+	return w.spent(), factor * limit
 }
 
 // Spend takes the cost of all of the given retries, or returns false when the budget does
