core/crmesh: Daemons whose targets have no record count for the size of the fleet

What callers saw: nothing reported.

Cause: View.Size counts the daemons that records name. The slack of the retry budget and the fallback buckets of accounts are divided by it. When half of the targets crash, or their records expire, the daemons beside them still serve callers, and each daemon takes twice its part. Class: a part of a fleet-wide bound by a number that does not count those who use it.

Change: a peer whose heartbeats arrive counts.

Evidence: the new test failed before: 15 of 30. Result: core/crmesh passes.

--- a/core/crmesh/event.go
+++ b/core/crmesh/event.go
@@ -176,7 +176,7 @@
 	Owners         []crid.Daemon                        // Live, and recorded peers whose first heartbeat may still come
 	OwnersSince    crid.Instant                         `cbor:"-" json:"-"` // when Owners last changed
 	Members        []crid.Daemon                        // Owners, and recorded peers without heartbeats
-	Size           int                                  // daemons of the fleet, up or not, and seeds
+	Size           int                                  // daemons that a record or a seed names, up or not, and others whose heartbeats arrive
 	Confirmed      int                                  `cbor:"Known" json:"Known"` // Size without seeds that no record names and that send no heartbeats
 	Reachable      int                                  `cbor:"Heard" json:"Heard"` // Confirmed without peers that are unresponsive or whose first heartbeat is overdue
 	Readers        []crid.Daemon                        // daemons of the own domain that read the store for it
--- a/core/crmesh/peer.go
+++ b/core/crmesh/peer.go
@@ -144,9 +144,12 @@
 // isMember reports whether a peer is known to be part of the fleet. A seed without a
 // record may be a machine that no longer exists, unless its heartbeats arrive.
 func (s *State) isMember(p *peer) bool {
-	return p.known && (p.hasRecord || !s.hasRecords || (p.lastReceived != 0 && !p.unresponsive))
+	return p.known && (p.hasRecord || !s.hasRecords || p.isHeard())
 }
 
+// isHeard reports whether a peer's heartbeats arrive.
+func (p *peer) isHeard() bool { return p.lastReceived != 0 && !p.unresponsive }
+
 // mayBeUp reports whether a peer's heartbeats arrive, or a record names it and its first
 // heartbeat is not overdue. Without the latter, a daemon that has just started would act
 // as the owner of accounts whose owner has not sent it a heartbeat yet. A peer whose
--- a/core/crmesh/size_test.go
+++ b/core/crmesh/size_test.go
@@ -1,6 +1,7 @@
 package crmesh_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -119,3 +120,24 @@
 	}
 	return v
 }
+
+// Guards against daemons that divide the fleet's limits by fewer daemons than use them, when targets crash and the daemons beside them keep running.
+func TestDaemonsWithoutARecordCountForTheSizeOfTheFleet(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s, peers := largeState(30)
+	removed := crmesh.RecordsChanged{Now: start.Add(time.Second), Revision: 6}
+	for i := 1; i <= 15; i++ {
+		removed.Changes = append(removed.Changes, crregistry.Change{Key: fmt.Sprintf("t%d", i), Revision: 6})
+	}
+	v := views(s.Step(removed))[0]
+	g.Expect(v.Targets["booking"]).To(gomega.HaveLen(15))
+	g.Expect(v.Size).To(gomega.Equal(30))
+	for at := 2 * time.Second; at <= 12*time.Second; at += 100 * time.Millisecond {
+		now := start.Add(at)
+		for i, d := range peers[15:] {
+			v = lastView(v, s.Step(received(d, i+15, now, false)))
+		}
+		v = lastView(v, s.Step(crevent.Tick{Now: now}))
+	}
+	g.Expect(v.Size).To(gomega.Equal(15), "those that sent no heartbeats any more are gone")
+}
--- a/core/crmesh/view.go
+++ b/core/crmesh/view.go
@@ -90,7 +90,7 @@
 
 // addToView adds a peer to a view. The peers are added in the order of their names.
 func (*State) addToView(v *View, p *peer) {
-	if p.known {
+	if p.known || p.isHeard() {
 		v.Size++
 	}
 	if p.unresponsive {
@@ -99,7 +99,7 @@
 	if p.heartbeat.Stopping {
 		return
 	}
-	if p.lastReceived != 0 && !p.unresponsive {
+	if p.isHeard() {
 		v.Live = append(v.Live, p.name)
 	}
 	if p.mayBeUp() {
