--- a/core/crbudget/crbudget.go
+++ b/core/crbudget/crbudget.go
@@ -28,6 +28,7 @@
 package crbudget
 
 import (
+	"cmp"
 	"slices"
 	"sync"
 	"time"
@@ -139,6 +140,28 @@
 	return w.spent(), factor * limit
 }
 
+// Usage is the use of a service's budget in the window that ends now.
+type Usage struct {
+	Service  crid.Service `json:"service"`
+	Requests float64      `json:"requests"`
+	Spent    float64      `json:"spent"`   // by retries of this daemon's requests, and Charged
+	Charged  float64      `json:"charged"` // for calls of retries whose entry did not know them
+	Allowed  float64      `json:"allowed"` // this daemon's part; zero in the first window after a restart
+}
+
+// Usage returns the use of all services' budgets, sorted by service.
+func (b *Budget) Usage(now crid.Instant, fleetSize int) []Usage {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	out := make([]Usage, 0, len(b.windows))
+	for s, w := range b.windows {
+		spent, allowed := b.balance(now, s, fleetSize)
+		out = append(out, Usage{Service: s, Requests: w.requests(), Spent: spent, Charged: w.charged(), Allowed: allowed})
+	}
+	slices.SortFunc(out, func(a, b Usage) int { return cmp.Compare(a.Service, b.Service) })
+	return out
+}
+
 // Spend takes the cost of all of the given retries, or returns false when the budget does
 // not cover one of them.
 func (b *Budget) Spend(now crid.Instant, retries ...Retry) bool {
@@ -229,6 +252,8 @@
 func (w *window) requests() float64 { return w.sum(func(iv *interval) float64 { return iv.requests }) }
 func (w *window) calls() float64    { return w.sum(func(iv *interval) float64 { return iv.calls }) }
 
+func (w *window) charged() float64 { return w.sum(func(iv *interval) float64 { return iv.charged }) }
+
 func (w *window) spent() float64 {
 	return w.sum(func(iv *interval) float64 {
 		return iv.charged + iv.spentAbove(priorities) + iv.byPriority[priorities-1]
--- a/core/crbudget/crbudget_test.go
+++ b/core/crbudget/crbudget_test.go
@@ -104,6 +104,25 @@
 	g.Expect(after).To(gomega.Equal(1.0))
 }
 
+// The state page shows what a daemon has spent of its part.
+func TestUsageListsAllServices(t *testing.T) {
+	g := gomega.NewWithT(t)
+	b := crbudget.New(params, settled)
+	for range 100 {
+		b.RecordRequest(start, "booking")
+	}
+	b.Charge(start, "booking", 0.5)
+	g.Expect(b.Spend(start, retry("booking", 28))).To(gomega.BeTrue())
+	b.RecordRequest(start, "account")
+	usage := b.Usage(start, 28)
+	g.Expect(usage).To(gomega.HaveLen(2))
+	g.Expect(usage[0].Service).To(gomega.Equal(crid.Service("account")))
+	g.Expect(usage[1]).To(gomega.And(
+		gomega.HaveField("Requests", 100.0), gomega.HaveField("Spent", 1.5), gomega.HaveField("Charged", 0.5),
+		gomega.HaveField("Allowed", gomega.BeNumerically("~", 18.6, 0.2)),
+	))
+}
+
 // Guards against small parts of which a large fleet uses only half, and against exceeding the limit.
 func TestLargeFleetUsesItsBudget(t *testing.T) {
 	g := gomega.NewWithT(t)
--- a/io/cringress/cringress.go
+++ b/io/cringress/cringress.go
@@ -62,8 +62,11 @@
 	// ObserveResponse counts a response; local means that the entry generated it, not a
 	// target. The class is zero if no route was found.
 	ObserveResponse(class crpolicy.Class, status int, local bool, latency time.Duration)
-	// ObserveRetry counts a retry on a further target.
-	ObserveRetry()
+	// ObserveRetry counts a retry on a further target; pooled means that it was taken from
+	// the pool.
+	ObserveRetry(pooled bool)
+	// ObserveRetryDenied counts a request that is not sent again for want of a retry.
+	ObserveRetryDenied()
 }
 
 // Options configure an Entry.
@@ -105,6 +108,11 @@
 // SetView replaces the view with which new requests are handled.
 func (e *Entry) SetView(v *crmesh.View) { e.view.Store(v) }
 
+// RetryUsage is the use of this daemon's part of the retry budget.
+func (e *Entry) RetryUsage() []crbudget.Usage {
+	return e.opts.Budget.Usage(e.opts.Clock(), e.view.Load().Size)
+}
+
 // InFlight is the number of requests in flight.
 func (e *Entry) InFlight() int64 { return e.inFlight.Load() }
 
--- a/io/cringress/dispatch.go
+++ b/io/cringress/dispatch.go
@@ -104,12 +104,13 @@
 		return false
 	}
 	if d.retrying && !d.takeRetry(ctx, now) {
+		d.opts.Meter.ObserveRetryDenied()
 		spent, allowed := d.opts.Budget.Balance(now, d.service, d.view.Size)
 		d.response.budget = fmt.Sprintf("%.1f of %.1f", spent, allowed)
 		return false
 	}
 	if d.retrying {
-		d.opts.Meter.ObserveRetry()
+		d.opts.Meter.ObserveRetry(d.pooled)
 		d.opts.Log.Event(crlog.RequestRetried, crlog.Fields{
 			"request": d.info.ID, "service": string(d.service), "target": string(choice.Target), "choice": choice.Reason(), "after": d.response.reason,
 		})
--- a/io/crmesh/daemon.go
+++ b/io/crmesh/daemon.go
@@ -15,6 +15,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/rcrowley/go-metrics"
 
+	"camphorroad/core/crbudget"
 	"camphorroad/core/crevent"
 	"camphorroad/core/crid"
 	"camphorroad/core/crmesh"
@@ -290,7 +291,8 @@
 	Evacuated []evacuatedDomain `json:"evacuated"`
 	// ColdMillis is the time for which the own target is known to stay cold.
 	ColdMillis int64                        `json:"cold"`
-	Homes      map[crid.Route][]crid.Region `json:"homes"` // of the routes that are bound to regions
+	Homes      map[crid.Route][]crid.Region `json:"homes"`   // of the routes that are bound to regions
+	Retries    []crbudget.Usage             `json:"retries"` // of this daemon's part of the retry budget
 }
 
 // evacuatedDomain is an evacuated domain on the state page.
@@ -307,7 +309,7 @@
 	v := d.loop.view.Load()
 	out := dump{
 		Daemons: v.Live, Silent: slices.Sorted(maps.Keys(v.Unresponsive)), Targets: v.Targets, Own: d.exit.LoadReport(), Open: d.entry.InFlight(),
-		ColdMillis: d.exit.ColdFor().Milliseconds(),
+		ColdMillis: d.exit.ColdFor().Milliseconds(), Retries: d.entry.RetryUsage(),
 	}
 	for _, e := range v.Evacuations {
 		out.Evacuated = append(out.Evacuated, evacuatedDomain{Domain: e.Domain, Revision: e.Revision, Seconds: crclock.Now().Sub(e.Since).Seconds()})
--- a/io/crmesh/meters.go
+++ b/io/crmesh/meters.go
@@ -24,10 +24,15 @@
 	registry metrics.Registry
 	latency  map[crpolicy.Class]metrics.Histogram // in nanoseconds; exported in seconds
 	retries  metrics.Counter
+	pooled   metrics.Counter // retries that were taken from the pool
+	denied   metrics.Counter // requests that were not sent again for want of a retry
 }
 
 func newMeters(r metrics.Registry) *meters {
-	m := &meters{registry: r, latency: make(map[crpolicy.Class]metrics.Histogram), retries: metrics.NewRegisteredCounter("repeats.total", r)}
+	m := &meters{
+		registry: r, latency: make(map[crpolicy.Class]metrics.Histogram), retries: metrics.NewRegisteredCounter("repeats.total", r),
+		pooled: metrics.NewRegisteredCounter("repeats.pooled.total", r), denied: metrics.NewRegisteredCounter("repeats.denied.total", r),
+	}
 	for _, class := range []crpolicy.Class{crpolicy.ClassOnce, crpolicy.ClassRepeat} {
 		sample := metrics.NewExpDecaySample(sampleSize, sampleAlpha)
 		m.latency[class] = metrics.NewRegisteredHistogram("request."+class.String()+".seconds", r, sample)
@@ -50,7 +55,15 @@
 }
 
 // ObserveRetry implements cringress.Meter.
-func (m *meters) ObserveRetry() { m.retries.Inc(1) }
+func (m *meters) ObserveRetry(pooled bool) {
+	m.retries.Inc(1)
+	if pooled {
+		m.pooled.Inc(1)
+	}
+}
+
+// ObserveRetryDenied implements cringress.Meter.
+func (m *meters) ObserveRetryDenied() { m.denied.Inc(1) }
 
 // registerGauges registers the metrics that are read when the metrics page is
 // requested.
