--- a/lab/crtarget/crtarget.go
+++ b/lab/crtarget/crtarget.go
@@ -37,6 +37,22 @@
 	Truncate       float64 // closes the connection within the response body
 	Unsealed       float64 // responds without the seal header
 	CloseDelimited float64 // responds without Content-Length and closes the connection
+
+	Limit   float64 // requests a second that it says in its responses that it takes; zero: it names none
+	Leaving bool    // it says in its responses that it is leaving
+}
+
+// announcements are the response headers in which the target tells of its limit and of its
+// leaving.
+func (b Behaviour) announcements() string {
+	headers := ""
+	if b.Limit > 0 {
+		headers += "Server-Limit: " + strconv.FormatFloat(b.Limit, 'f', -1, 64) + "\r\n"
+	}
+	if b.Leaving {
+		headers += "Server-Leaving: 1\r\n"
+	}
+	return headers
 }
 
 // Run is a request that the target executed.
@@ -263,6 +279,9 @@
 	if sealed {
 		extra += "Response-Seal: s\r\n"
 	}
+	t.mu.Lock()
+	extra += t.behaviour.announcements()
+	t.mu.Unlock()
 	_, err := fmt.Fprintf(conn, "HTTP/1.1 %d %s\r\nRequest-Id: %s\r\n%sContent-Length: %d\r\n\r\n%s",
 		status, http.StatusText(status), id, extra, len(body), body)
 	return err == nil
