core/crlimit: A target gets no more requests than the limit that it names

Cause: nothing read the limit. Class: a signal of a target that no part of the system listens to.

Change: the limit is decoded in platform, and held at the exit, the only daemon that sends requests to the target, by a token bucket in the gate. Requests, calls, trials, last resorts and health checks pass it, the most urgent first; what cannot start in time is refused at once, with the time of the next place. The exit reports as many slots as the limit keeps busy, and none free while it delays, so that placement needs no case of its own. A daemon that starts again beside the target does not know the limit: entries remember what they passed on and send it with their offers (a field in the URI, which older daemons ignore); it holds until the first response.

--- a/core/crgate/crgate.go
+++ b/core/crgate/crgate.go
@@ -7,7 +7,7 @@
 // time is refused at once, while another target can still serve it.
 //
 // While the target is cold, package crwarmup also limits the requests that it gets in a
-// second.
+// second, and while it names a limit of its own, package crlimit does.
 //
 // The wait is estimated from the service times of each kind of request
 // (core/crpace), so that a mixture of short and long requests is estimated
@@ -31,6 +31,7 @@
 	"time"
 
 	"camphorroad/core/crid"
+	"camphorroad/core/crlimit"
 	"camphorroad/core/crpace"
 	"camphorroad/core/crwarmup"
 )
@@ -128,8 +129,9 @@
 type Load struct {
 	Running  int
 	Waiting  int
-	Slots    int           // fewer while the target is cold
+	Slots    int           // fewer while the target is cold or names a limit
 	MeanTime time.Duration // mean service time; zero: not known yet
+	Delayed  bool          // the target's own limit delays the next request
 }
 
 // Gate admits requests to one target. It is safe for concurrent use.
@@ -141,6 +143,7 @@
 	closed       bool
 	serviceTimes crpace.Estimators
 	warmup       *crwarmup.Limiter
+	limit        crlimit.Limiter
 }
 
 // New returns a Gate for a target with the given number of slots.
@@ -182,7 +185,7 @@
 		return nil, &Refusal{reason: ReasonLeaving}
 	}
 	g.sweep(now)
-	if req.FreeSlot && (len(g.waiting) > 0 || len(g.running) >= g.slots || g.warmup.Wait(now, 0) > 0) {
+	if req.FreeSlot && (len(g.waiting) > 0 || len(g.running) >= g.slots || g.limitedWait(now, 0) > 0) {
 		return nil, &Refusal{reason: ReasonBusy, retryAfter: g.estimateWait(now, req, len(g.waiting))}
 	}
 	at := g.insertPosition(req)
@@ -244,7 +247,7 @@
 func (g *Gate) Load(now crid.Instant) Load {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return Load{Running: len(g.running), Waiting: len(g.waiting), Slots: g.usableSlots(now), MeanTime: g.serviceTimes.Mean()}
+	return Load{Running: len(g.running), Waiting: len(g.waiting), Slots: g.usableSlots(now), MeanTime: g.serviceTimes.Mean(), Delayed: g.limit.Wait(now, 0) > 0}
 }
 
 // SlowThreshold returns the time from which on a request of a kind counts as
--- a/core/crgate/queue.go
+++ b/core/crgate/queue.go
@@ -61,7 +61,7 @@
 			ahead++
 		}
 	}
-	limited := g.warmup.Wait(now, ahead)
+	limited := g.limitedWait(now, ahead)
 	if ahead == 0 && len(g.running) < g.slots {
 		return limited
 	}
@@ -74,7 +74,7 @@
 
 // dispatch assigns free slots to waiting requests.
 func (g *Gate) dispatch(now crid.Instant) {
-	for len(g.running) < g.slots && len(g.waiting) > 0 && g.warmup.Wait(now, 0) == 0 {
+	for len(g.running) < g.slots && len(g.waiting) > 0 && g.limitedWait(now, 0) == 0 {
 		i := g.next(now)
 		t := g.waiting[i]
 		g.waiting = slices.Delete(g.waiting, i, i+1)
@@ -85,6 +85,7 @@
 		t.granted, t.startedAt = true, now
 		g.running[t] = true
 		g.warmup.Reserve(now)
+		g.limit.Reserve(now)
 		close(t.decided)
 	}
 }
@@ -120,6 +121,7 @@
 	delete(g.running, t)
 	if !t.sent {
 		g.warmup.Cancel()
+		g.limit.Cancel()
 	}
 }
 
--- a/core/crgate/warmup.go
+++ b/core/crgate/warmup.go
@@ -21,7 +21,11 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	t.sent = true
-	return g.warmup.Send(now)
+	if !g.warmup.Send(now) {
+		g.limit.Cancel()
+		return false
+	}
+	return true
 }
 
 // ContactLost records that the target may have restarted.
@@ -50,7 +54,11 @@
 func (g *Gate) StartCheck(now crid.Instant) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.warmup.StartCheck(now)
+	if g.limit.Wait(now, 0) > 0 || !g.warmup.StartCheck(now) {
+		return false
+	}
+	g.limit.Reserve(now)
+	return true
 }
 
 // RecordCheck records the time for which the target stays cold, by a health check.
@@ -69,15 +77,14 @@
 }
 
 // usableSlots returns the number of slots that can be in use at once: as many as the
-// requests allowed in a second occupy, if the target is cold.
+// requests allowed in a second occupy, if the target is cold or names a limit.
 func (g *Gate) usableSlots(now crid.Instant) int {
-	limit := g.warmup.Limit(now)
-	if limit == 0 {
-		return g.slots
-	}
-	mean := g.serviceTimes.Mean()
-	if mean == 0 {
-		return g.slots
+	slots := g.slots
+	mean := g.serviceTimes.Mean().Seconds()
+	for _, rate := range []float64{float64(g.warmup.Limit(now)), g.limit.Rate()} {
+		if rate > 0 && mean > 0 {
+			slots = min(slots, max(int(math.Ceil(rate*mean)), 1))
+		}
 	}
-	return min(g.slots, max(int(math.Ceil(float64(limit)*mean.Seconds())), 1))
+	return slots
 }
--- a/core/crplace/balancer.go
+++ b/core/crplace/balancer.go
@@ -24,6 +24,33 @@
 	avoidance  time.Duration
 	avoidUntil crid.Instant
 	lastTrial  crid.Instant
+	limit      float64 // requests a second that the target named in its latest response; zero: none
+}
+
+// Announcement is what a target says of itself in a response.
+type Announcement struct {
+	Limit float64 `json:"limit"` // requests a second that it takes from all daemons together; zero: no limit
+}
+
+// Announce records what a target says of itself in a response that this daemon passes on.
+// The daemon beside the target does so, too, but forgets it when it starts again.
+func (b *Balancer) Announce(c Candidate, a Announcement) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.state(c.Target).limit = a.Limit
+}
+
+// Announced returns the targets whose latest responses name a limit.
+func (b *Balancer) Announced() map[crid.Target]Announcement {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	out := make(map[crid.Target]Announcement)
+	for t, s := range b.states {
+		if s.limit > 0 {
+			out[t] = Announcement{Limit: s.limit}
+		}
+	}
+	return out
 }
 
 // Balancer holds one daemon's data on the load and health of all targets. It is safe
--- a/core/crplace/choose.go
+++ b/core/crplace/choose.go
@@ -67,7 +67,8 @@
 
 func (v scoredCandidate) choice(trial, lastResort bool) Choice {
 	return Choice{
-		Candidate: v.Candidate, Trial: trial, LastResort: lastResort, UnhealthyProb: v.unhealthyProb, Utilization: v.utilization, busy: v.busy,
+		Candidate: v.Candidate, Trial: trial, LastResort: lastResort, UnhealthyProb: v.unhealthyProb, Utilization: v.utilization,
+		Limit: v.state.limit, busy: v.busy,
 	}
 }
 
--- a/core/crplace/crplace.go
+++ b/core/crplace/crplace.go
@@ -64,6 +64,7 @@
 	LastResort    bool    // no better target is left: the exit should accept the request although the target is unhealthy
 	UnhealthyProb float64 // by the newest report
 	Utilization   float64 // share of the slots taken, by the newest report and the requests sent since
+	Limit         float64 // requests a second that the target named in its latest response; zero: none
 	busy          int     // see Request.Busy
 }
 
--- a/io/crdialect/crdialect.go
+++ b/io/crdialect/crdialect.go
@@ -42,6 +42,14 @@
 	NotRun    bool          // the request was not executed and will not be
 	Warmup    time.Duration // time for which the target stays cold
 	HasWarmup bool          // Warmup is known
+	Limit     Limit
+}
+
+// Limit is the number of requests a second that a target takes from all daemons together, by
+// what its response says of it.
+type Limit struct {
+	Rate    float64 // zero: it names none
+	Unknown bool    // the response does not tell
 }
 
 // Dialect reads and writes the headers of one platform.
--- a/io/cregress/cregress.go
+++ b/io/cregress/cregress.go
@@ -74,6 +74,7 @@
 	target         atomic.Pointer[crregistry.Record]
 	stopping       atomic.Bool
 	evacuated      atomic.Bool
+	limitRefusals  atomic.Int64 // offers refused because of the target's limit
 	healthPath     atomic.Pointer[string]
 	stopDeadline   atomic.Int64 // instant by which all work must have ended; zero: none
 	nestedFailures lastTime     // of failed nested calls
@@ -174,6 +175,7 @@
 	x.estimator = crjudge.New(now)
 	x.unhealthy = false
 	x.gate.ResetWarmup(now)
+	x.gate.ResetLimit()
 }
 
 // SetStopDeadline makes the exit accept only requests that are expected to end before the
@@ -240,8 +242,12 @@
 func (x *Exit) loadReport(unhealthyProb float64) crplace.LoadReport {
 	l := x.gate.Load(x.opts.Clock())
 	r := x.target.Load()
+	load := l.Running + l.Waiting
+	if l.Delayed {
+		load = max(load, l.Slots) // entries should prefer targets that can start a request now
+	}
 	return crplace.LoadReport{
-		Load: l.Running + l.Waiting, Slots: l.Slots, UnhealthyProb: unhealthyProb, Typical: l.MeanTime,
+		Load: load, Slots: l.Slots, UnhealthyProb: unhealthyProb, Typical: l.MeanTime,
 		Closed: r == nil || r.Leaving || x.stopping.Load() || x.evacuated.Load(),
 	}
 }
@@ -256,6 +262,9 @@
 	if x.evacuated.Load() {
 		return x.refuse(now, o, refusal{reason: reasonEvacuated})
 	}
+	if before := x.gate.Limit(); x.gate.SuggestLimit(now, o.Limit) {
+		x.logLimit(before, "entry")
+	}
 	latestStart := x.latestStart(o)
 	if latestStart != 0 && now > latestStart {
 		return x.refuse(now, o, refusal{reason: "stopping"})
@@ -269,6 +278,9 @@
 	}
 	ticket, refused := x.gate.Admit(now, crgate.Request{Kind: o.Kind(), Nested: o.Nested, Priority: o.Priority, LatestStart: start, FreeSlot: o.FreeSlot})
 	if refused != nil {
+		if x.gate.Limit() > 0 {
+			x.limitRefusals.Add(1)
+		}
 		return x.refuse(now, o, refusal{
 			reason: refused.Reason().String(), retryAfter: refused.RetryAfter(), wait: refused.EstimatedWait(), maxWait: refused.MaxWait(),
 		})
--- a/io/cringress/dispatch.go
+++ b/io/cringress/dispatch.go
@@ -189,7 +189,7 @@
 	o := croffer.Offer{
 		ID: d.info.ID, From: d.opts.Self, Target: c.Target, Service: d.service, Class: d.route.Class, Priority: d.priority,
 		TimeLeft: d.deadline.Sub(now), ObjectiveLeft: d.route.Objective - now.Sub(d.started), LastResort: c.LastResort, Retry: d.retrying && !d.callsKnown,
-		RouteObjective: d.route.Objective, Nested: d.isNested(), FreeSlot: c.FreeSlotOnly(),
+		RouteObjective: d.route.Objective, Nested: d.isNested(), FreeSlot: c.FreeSlotOnly(), Limit: c.Limit,
 	}
 	if couldRetry {
 		o.Attempt = d.opts.Attempts.Limit(d.service, o.Kind(), c.Trial || c.UnhealthyProb >= crjudge.Threshold)
@@ -320,6 +320,7 @@
 		return more
 	case croffer.Answered:
 		d.mayHaveRun = true
+		d.recordAnnouncements(c, r)
 		d.response = response{status: r.Status, header: http.Header(r.Header), body: r.Body}
 		d.response.choice, d.response.loadReport = c, r.LoadReport
 		// A service that refuses calls has no room for the calls of another run either.
@@ -335,5 +336,15 @@
 	return more && d.mayRunAgain() && ctx.Err() == nil
 }
 
+// recordAnnouncements records what a response says of the target itself.
+func (d *dispatch) recordAnnouncements(c crplace.Choice, r croffer.Result) {
+	info := d.opts.Dialect.ParseResponse(r.Status, r.Header)
+	a := crplace.Announcement{Limit: info.Limit.Rate}
+	if info.Limit.Unknown {
+		a.Limit = c.Limit
+	}
+	d.opts.Balancer.Announce(c.Candidate, a)
+}
+
 // mayRunAgain reports whether a request that may have run may be retried.
 func (d *dispatch) mayRunAgain() bool { return d.route.Class == crpolicy.ClassRepeat }
--- a/io/crlog/catalogue_mesh.go
+++ b/io/crlog/catalogue_mesh.go
@@ -29,6 +29,7 @@
 	RunEnded            = 631
 	OfferRefused        = 632
 	WarmupChecked       = 633
+	TargetLimitChanged  = 634
 	RequestFailed       = 640
 	CallerDisconnected  = 641
 	RequestRetried      = 642
@@ -130,6 +131,11 @@
 			"contact with the target was lost, so that it may have restarted, and requests would have been limited",
 			"while the target is cold, for the time in the field `cold`, the requests that it gets in a second are limited", none,
 		},
+		{
+			TargetLimitChanged, LevelInfo, "target limit changed",
+			"the target began or ceased to name a limit in its responses, in requests a second; with `source` entry, an entry daemon knew of it before this one got a response",
+			"all requests to the target together are held to the limit", "the target is in need: look at its own logs",
+		},
 		{
 			RequestFailed, LevelInfo, "request not served",
 			"a request was refused or failed, or its caller disconnected",
--- a/io/crmesh/daemon.go
+++ b/io/crmesh/daemon.go
@@ -293,6 +293,10 @@
 	ColdMillis int64                        `json:"cold"`
 	Homes      map[crid.Route][]crid.Region `json:"homes"`   // of the routes that are bound to regions
 	Retries    []crbudget.Usage             `json:"retries"` // of this daemon's part of the retry budget
+	// Announced is what the own target says of itself in its responses, and Told what other
+	// targets have said in responses that this daemon passed on.
+	Announced cregress.Announced                   `json:"announced"`
+	Told      map[crid.Target]crplace.Announcement `json:"told"`
 }
 
 // evacuatedDomain is an evacuated domain on the state page.
@@ -310,6 +314,7 @@
 	out := dump{
 		Daemons: v.Live, Silent: slices.Sorted(maps.Keys(v.Unresponsive)), Targets: v.Targets, Own: d.exit.LoadReport(), Open: d.entry.InFlight(),
 		ColdMillis: d.exit.ColdFor().Milliseconds(), Retries: d.entry.RetryUsage(),
+		Announced: d.exit.Announced(), Told: d.balancer.Announced(),
 	}
 	for _, e := range v.Evacuations {
 		out.Evacuated = append(out.Evacuated, evacuatedDomain{Domain: e.Domain, Revision: e.Revision, Seconds: crclock.Now().Sub(e.Since).Seconds()})
--- a/io/crmesh/meters.go
+++ b/io/crmesh/meters.go
@@ -6,6 +6,7 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	"camphorroad/core/crplace"
 	"camphorroad/core/crpolicy"
 	"camphorroad/io/cringress"
 	"camphorroad/io/crwatch"
@@ -73,6 +74,9 @@
 		"target.slots":                           func() int64 { return int64(d.exit.LoadReport().Slots) },
 		"target.sick.percent":                    func() int64 { return int64(d.exit.LoadReport().UnhealthyProb * 100) },
 		"target.cold.milliseconds":               func() int64 { return d.exit.ColdFor().Milliseconds() },
+		"target.limit.millis":                    func() int64 { return int64(d.exit.Announced().Limit * 1000) },
+		"target.limit.refused.total":             func() int64 { return d.exit.Announced().Refused },
+		"targets.limited":                        func() int64 { return d.countTold(func(a crplace.Announcement) bool { return a.Limit > 0 }) },
 		"domains.evacuated":                      func() int64 { return int64(len(d.loop.view.Load().Evacuations)) },
 		"requests.open":                          d.entry.InFlight,
 		"peers.silent":                           func() int64 { return int64(len(d.loop.view.Load().Unresponsive)) },
@@ -90,6 +94,16 @@
 	}
 }
 
+// countTold counts the targets that have told this daemon something of themselves.
+func (d *daemon) countTold(of func(crplace.Announcement) bool) (n int64) {
+	for _, a := range d.balancer.Announced() {
+		if of(a) {
+			n++
+		}
+	}
+	return n
+}
+
 func (d *daemon) planVersion() int64 {
 	if p := d.loop.view.Load().Plan; p != nil {
 		return int64(p.Version())
--- a/io/croffer/croffer.go
+++ b/io/croffer/croffer.go
@@ -16,6 +16,7 @@
 
 import (
 	"context"
+	"math"
 	"strconv"
 	"strings"
 	"time"
@@ -49,6 +50,9 @@
 	// Attempt is the time that the target gets for the request, if it can be sent to another
 	// one afterwards; zero: all the time left. It is sent like FreeSlot.
 	Attempt time.Duration `cbor:"-"`
+	// Limit is the limit that the target named in its latest response to this entry, in
+	// requests a second; zero: none. It is sent like FreeSlot.
+	Limit float64 `cbor:"-"`
 }
 
 // query returns the fields that are sent in the URI.
@@ -60,6 +64,9 @@
 	if o.Attempt > 0 {
 		q += "&" + queryAttempt + strconv.FormatInt(o.Attempt.Milliseconds(), 10)
 	}
+	if o.Limit > 0 {
+		q += "&" + queryLimit + strconv.FormatFloat(o.Limit, 'g', -1, 64)
+	}
 	if q == "?" {
 		return ""
 	}
@@ -77,6 +84,11 @@
 				o.Attempt = time.Duration(ms) * time.Millisecond
 			}
 		}
+		if value, ok := strings.CutPrefix(field, queryLimit); ok {
+			if rate, err := strconv.ParseFloat(value, 64); err == nil && rate > 0 && !math.IsInf(rate, 0) {
+				o.Limit = rate
+			}
+		}
 	}
 }
 
--- a/io/croffer/server.go
+++ b/io/croffer/server.go
@@ -23,6 +23,7 @@
 const (
 	queryFreeSlot = "slot=free" // see Offer.FreeSlot
 	queryAttempt  = "attempt="  // in milliseconds; see Offer.Attempt
+	queryLimit    = "limit="    // in requests a second; see Offer.Limit
 )
 
 // maxBodyBytes bounds the body of a peer's request, which may contain a caller's
