A target that says in its responses that it leaves gets no more requests

What callers saw: nothing reported.

Cause: a target that leaves says so in its responses, and only the record was read, which comes seconds later or never. Class: a signal of a target that no part of the system listens to.

Change: the exit refuses everything from the first such response on, what waits and what is reserved included, and tells the peers at once. An entry that passed one on offers the target nothing more: the exit's daemon may start again and forget. Both end with another process of the target, by its start time in the record. A 421 is the answer of another target and tells nothing.

--- a/core/crmesh/view.go
+++ b/core/crmesh/view.go
@@ -39,7 +39,7 @@
 			continue
 		}
 		x.targets[r.Service] = append(x.targets[r.Service], crplace.Candidate{
-			Target: r.Target, Daemon: DaemonOf(r.Address), Domain: r.Domain, Slots: r.Slots, Cold: r.Warmup > 0,
+			Target: r.Target, Daemon: DaemonOf(r.Address), Domain: r.Domain, Slots: r.Slots, Cold: r.Warmup > 0, StartedMillis: r.StartedMillis,
 		})
 	}
 	return x
--- a/core/crplace/balancer.go
+++ b/core/crplace/balancer.go
@@ -25,11 +25,17 @@
 	avoidUntil crid.Instant
 	lastTrial  crid.Instant
 	limit      float64 // requests a second that the target named in its latest response; zero: none
+	leaving    bool    // a process of the target has said that it leaves
+	leavingAs  int64   // Candidate.StartedMillis of that process
 }
 
+// leaves reports whether the process of a candidate has said that it leaves.
+func (s *targetState) leaves(c Candidate) bool { return s.leaving && s.leavingAs == c.StartedMillis }
+
 // Announcement is what a target says of itself in a response.
 type Announcement struct {
-	Limit float64 `json:"limit"` // requests a second that it takes from all daemons together; zero: no limit
+	Limit   float64 `json:"limit"` // requests a second that it takes from all daemons together; zero: no limit
+	Leaving bool    `json:"leaving"`
 }
 
 // Announce records what a target says of itself in a response that this daemon passes on.
@@ -37,17 +43,21 @@
 func (b *Balancer) Announce(c Candidate, a Announcement) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.state(c.Target).limit = a.Limit
+	s := b.state(c.Target)
+	s.limit = a.Limit
+	if a.Leaving {
+		s.leaving, s.leavingAs = true, c.StartedMillis
+	}
 }
 
-// Announced returns the targets whose latest responses name a limit.
+// Announced returns the targets whose latest responses name a limit, or say that they leave.
 func (b *Balancer) Announced() map[crid.Target]Announcement {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	out := make(map[crid.Target]Announcement)
 	for t, s := range b.states {
-		if s.limit > 0 {
-			out[t] = Announcement{Limit: s.limit}
+		if s.limit > 0 || s.leaving {
+			out[t] = Announcement{Limit: s.limit, Leaving: s.leaving}
 		}
 	}
 	return out
--- a/core/crplace/choose.go
+++ b/core/crplace/choose.go
@@ -110,7 +110,7 @@
 			continue
 		}
 		s := b.state(c.Target)
-		if s.reported && s.report.Closed {
+		if (s.reported && s.report.Closed) || s.leaves(c) {
 			continue
 		}
 		v := scoredCandidate{Candidate: c, state: s, unhealthyProb: s.report.UnhealthyProb, busy: req.Busy}
--- a/core/crplace/crplace.go
+++ b/core/crplace/crplace.go
@@ -28,6 +28,8 @@
 	Domain crid.Domain
 	Slots  int
 	Cold   bool // started recently and still slow
+	// StartedMillis identifies the target's process, as its name may be used again.
+	StartedMillis int64 `json:"-"`
 }
 
 // LoadReport is the report of an exit on its target.
--- a/core/crplace/crplace_test.go
+++ b/core/crplace/crplace_test.go
@@ -262,3 +262,24 @@
 	g.Expect(c.Domain).To(gomega.Equal(crid.Domain("b")))
 	g.Expect(c.FreeSlotOnly()).To(gomega.BeTrue())
 }
+
+// Guards against an entry that offers requests to a target that told it that it leaves, once the exit's daemon has started again and forgotten it.
+func TestLeavingTargetIsNotChosenAgain(t *testing.T) {
+	g := gomega.NewWithT(t)
+	b := crplace.NewBalancer()
+	leaving := crplace.Candidate{Target: "t1", Daemon: "d1", Domain: "a", Slots: 4, StartedMillis: 5}
+	choose := func(c crplace.Candidate) bool {
+		_, ok := b.Choose(crid.Instant(time.Hour), []crplace.Candidate{c}, crplace.Request{Class: crpolicy.ClassOnce, Domain: "a", Rand: func() float64 { return 0 }})
+		return ok
+	}
+	g.Expect(choose(leaving)).To(gomega.BeTrue())
+	b.Announce(leaving, crplace.Announcement{Leaving: true})
+	b.Announce(leaving, crplace.Announcement{})
+	g.Expect(choose(leaving)).To(gomega.BeFalse(), "an answer that was sent before does not end it")
+	b.Report("t1", crplace.LoadReport{Slots: 4})
+	g.Expect(choose(leaving)).To(gomega.BeFalse(), "its exit has forgotten it")
+	g.Expect(b.Announced()).To(gomega.HaveKeyWithValue(crid.Target("t1"), crplace.Announcement{Leaving: true}))
+	restarted := leaving
+	restarted.StartedMillis = 6
+	g.Expect(choose(restarted)).To(gomega.BeTrue(), "another process under the same name")
+}
--- a/io/crdialect/crdialect.go
+++ b/io/crdialect/crdialect.go
@@ -43,6 +43,7 @@
 	Warmup    time.Duration // time for which the target stays cold
 	HasWarmup bool          // Warmup is known
 	Limit     Limit
+	Leaving   bool // the target is going to stop
 }
 
 // Limit is the number of requests a second that a target takes from all daemons together, by
--- a/io/cregress/announce.go
+++ b/io/cregress/announce.go
@@ -4,18 +4,36 @@
 	"strconv"
 
 	"camphorroad/core/crid"
+	"camphorroad/core/crregistry"
 	"camphorroad/io/crdialect"
 	"camphorroad/io/crlog"
 )
 
-// handleAnnouncements acts on what a response says of the target itself.
-func (x *Exit) handleAnnouncements(now crid.Instant, info crdialect.ResponseInfo) {
+// reasonLeaving is the reason of refusals once the target has said that it leaves.
+const reasonLeaving = "leaving"
+
+// targetProcess identifies one process of a target.
+type targetProcess struct {
+	target        crid.Target
+	startedMillis int64
+}
+
+func processOf(r *crregistry.Record) targetProcess {
+	return targetProcess{target: r.Target, startedMillis: r.StartedMillis}
+}
+
+// handleAnnouncements acts on what a response says of the target itself: the limit that it
+// names, and whether it leaves.
+func (x *Exit) handleAnnouncements(now crid.Instant, r crregistry.Record, info crdialect.ResponseInfo) {
 	if !info.Limit.Unknown {
 		before := x.gate.Limit()
 		if x.gate.AnnounceLimit(now, info.Limit.Rate) {
 			x.logLimit(before, "target")
 		}
 	}
+	if info.Leaving {
+		x.markLeaving(r)
+	}
 }
 
 // logLimit logs a change of the limit. One that merely varies is not logged.
@@ -32,13 +50,31 @@
 
 func formatRate(rate float64) string { return strconv.FormatFloat(rate, 'f', 2, 64) }
 
+// markLeaving refuses all requests until there is another process of the target.
+func (x *Exit) markLeaving(r crregistry.Record) {
+	p := processOf(&r)
+	if old := x.leaving.Swap(&p); old != nil && *old == p {
+		return
+	}
+	x.gate.Close()
+	x.opts.Log.Event(crlog.TargetLeaving, crlog.Fields{"target": string(r.Target)})
+	x.opts.OnTargetChange()
+}
+
+// isLeaving reports whether the target has said that it leaves.
+func (x *Exit) isLeaving(r *crregistry.Record) bool {
+	p := x.leaving.Load()
+	return p != nil && r != nil && *p == processOf(r)
+}
+
 // Announced describes what the target says of itself in its responses.
 type Announced struct {
-	Limit   float64 `json:"limit"`   // requests a second that it takes; zero: it names no limit
+	Limit   float64 `json:"limit"` // requests a second that it takes; zero: it names no limit
+	Leaving bool    `json:"leaving"`
 	Refused int64   `json:"refused"` // offers refused because of the limit
 }
 
 // Announced returns what the target says of itself.
 func (x *Exit) Announced() Announced {
-	return Announced{Limit: x.gate.Limit(), Refused: x.limitRefusals.Load()}
+	return Announced{Limit: x.gate.Limit(), Leaving: x.isLeaving(x.target.Load()), Refused: x.limitRefusals.Load()}
 }
--- a/io/cregress/check.go
+++ b/io/cregress/check.go
@@ -34,7 +34,9 @@
 	}
 	x.pool.Put(conn)
 	info := x.opts.Dialect.ParseResponse(resp.Status, resp.Header)
-	x.handleAnnouncements(x.opts.Clock(), info)
+	if r := x.target.Load(); r != nil {
+		x.handleAnnouncements(x.opts.Clock(), *r, info)
+	}
 	if !info.HasWarmup && resp.Status != http.StatusOK {
 		return // the target did not run the check
 	}
--- a/io/cregress/cregress.go
+++ b/io/cregress/cregress.go
@@ -74,7 +74,8 @@
 	target         atomic.Pointer[crregistry.Record]
 	stopping       atomic.Bool
 	evacuated      atomic.Bool
-	limitRefusals  atomic.Int64 // offers refused because of the target's limit
+	leaving        atomic.Pointer[targetProcess] // process that has said that it leaves; nil: none
+	limitRefusals  atomic.Int64                  // offers refused because of the target's limit
 	healthPath     atomic.Pointer[string]
 	stopDeadline   atomic.Int64 // instant by which all work must have ended; zero: none
 	nestedFailures lastTime     // of failed nested calls
@@ -154,7 +155,7 @@
 // openGate opens the gate if the target may get requests.
 func (x *Exit) openGate(now crid.Instant) {
 	r := x.target.Load()
-	if r == nil || r.Leaving || x.stopping.Load() || x.evacuated.Load() {
+	if r == nil || r.Leaving || x.stopping.Load() || x.evacuated.Load() || x.isLeaving(r) {
 		return
 	}
 	x.gate.Open()
@@ -248,7 +249,7 @@
 	}
 	return crplace.LoadReport{
 		Load: load, Slots: l.Slots, UnhealthyProb: unhealthyProb, Typical: l.MeanTime,
-		Closed: r == nil || r.Leaving || x.stopping.Load() || x.evacuated.Load(),
+		Closed: r == nil || r.Leaving || x.stopping.Load() || x.evacuated.Load() || x.isLeaving(r),
 	}
 }
 
@@ -262,6 +263,9 @@
 	if x.evacuated.Load() {
 		return x.refuse(now, o, refusal{reason: reasonEvacuated})
 	}
+	if x.isLeaving(r) {
+		return x.refuse(now, o, refusal{reason: reasonLeaving})
+	}
 	if before := x.gate.Limit(); x.gate.SuggestLimit(now, o.Limit) {
 		x.logLimit(before, "entry")
 	}
@@ -379,6 +383,10 @@
 		x.gate.Cancel(x.opts.Clock(), rv.ticket)
 		return x.notSent(reasonEvacuated, 0)
 	}
+	if x.isLeaving(target) {
+		x.gate.Cancel(x.opts.Clock(), rv.ticket)
+		return x.notSent(reasonLeaving, 0)
+	}
 	run := &run{exit: x, reservation: rv, request: r, target: *target}
 	return run.do(ctx)
 }
--- a/io/cregress/run.go
+++ b/io/cregress/run.go
@@ -153,7 +153,7 @@
 	now := x.opts.Clock()
 	took := now.Sub(r.started)
 	info := x.opts.Dialect.ParseResponse(resp.Status, resp.Header)
-	x.handleAnnouncements(now, info)
+	x.handleAnnouncements(now, r.target, info)
 	if info.NotRun {
 		x.gate.Release(now, r.reservation.ticket, 0)
 		return croffer.Result{Outcome: croffer.Rejected, Reason: "the target answered " + strconv.Itoa(resp.Status), LoadReport: x.LoadReport()}
--- a/io/cringress/dispatch.go
+++ b/io/cringress/dispatch.go
@@ -339,7 +339,7 @@
 // recordAnnouncements records what a response says of the target itself.
 func (d *dispatch) recordAnnouncements(c crplace.Choice, r croffer.Result) {
 	info := d.opts.Dialect.ParseResponse(r.Status, r.Header)
-	a := crplace.Announcement{Limit: info.Limit.Rate}
+	a := crplace.Announcement{Limit: info.Limit.Rate, Leaving: info.Leaving}
 	if info.Limit.Unknown {
 		a.Limit = c.Limit
 	}
--- a/io/crlog/catalogue_mesh.go
+++ b/io/crlog/catalogue_mesh.go
@@ -30,6 +30,7 @@
 	OfferRefused        = 632
 	WarmupChecked       = 633
 	TargetLimitChanged  = 634
+	TargetLeaving       = 635
 	RequestFailed       = 640
 	CallerDisconnected  = 641
 	RequestRetried      = 642
@@ -136,6 +137,11 @@
 			"the target began or ceased to name a limit in its responses, in requests a second; with `source` entry, an entry daemon knew of it before this one got a response",
 			"all requests to the target together are held to the limit", "the target is in need: look at its own logs",
 		},
+		{
+			TargetLeaving, LevelInfo, "target leaving",
+			"the target said in a response that it is going to stop",
+			"it gets no more requests; those that waited for it are sent to other targets", none,
+		},
 		{
 			RequestFailed, LevelInfo, "request not served",
 			"a request was refused or failed, or its caller disconnected",
