lab/crsoak: Targets that name a limit, and that say that they leave

Cause: the soak's targets said nothing of themselves, so that no series of faults could break the two new rules.

Two checks: the limit in any four seconds, and that no daemon sends anything to a target that told it so two seconds before, unless it was killed, stopped or paused.

--- a/io/crmesh/announce_test.go
+++ b/io/crmesh/announce_test.go
@@ -57,6 +57,8 @@
 	g.Expect(mostRuns(f.machines[0].target.Runs(), named.Add(time.Second), window)).To(gomega.BeNumerically("<=", highest))
 	g.Expect(len(f.machines[0].target.Runs())).To(gomega.BeNumerically(">", 5), "it still gets what it takes")
 	g.Expect(failed).To(gomega.BeNumerically("<=", 3))
+	g.Expect(f.machines[0].log.String()).To(gomega.ContainSubstring(`"event":634`))
+	g.Expect(f.machines[2].state()).To(gomega.MatchRegexp(`"told": {\s+"i-0": {\s+"limit": 2.5,\s+"leaving": false`))
 }
 
 // Guards against requests to a target that says in its responses that it leaves, while its record says nothing of it.
@@ -77,4 +79,6 @@
 		g.Expect(f.machines[2].call(http.MethodPost, "/hold/", "k1").status).To(gomega.Equal(http.StatusOK))
 	}
 	g.Expect(f.machines[0].target.Runs()).To(gomega.HaveLen(told))
+	g.Expect(f.machines[0].log.String()).To(gomega.ContainSubstring(`"event":635`))
+	g.Expect(f.machines[2].state()).To(gomega.MatchRegexp(`"told": {\s+"i-0": {\s+"limit": 0,\s+"leaving": true`))
 }
--- a/lab/crsoak/check.go
+++ b/lab/crsoak/check.go
@@ -34,6 +34,7 @@
 	allRuns         []crtarget.Run
 	injections      []injection
 	drainStarts     []drainStart
+	limits          []namedLimit
 	stops           []daemonStop
 	unexpectedExits []string
 	keys            *keyring
@@ -60,6 +61,8 @@
 	}
 	o.checkQuota(v)
 	o.checkRetryBudget(v)
+	o.checkLimits(v)
+	o.checkLeaving(v)
 }
 
 func (o *observations) checkResponse(v *violations, c call) {
--- a/lab/crsoak/crsoak.go
+++ b/lab/crsoak/crsoak.go
@@ -228,6 +228,7 @@
 	}
 	s.injector.mu.Lock()
 	o.injections, o.drainStarts, o.stops = slices.Clone(s.injector.injections), slices.Clone(s.injector.drainStarts), slices.Clone(s.injector.stops)
+	o.limits = slices.Clone(s.injector.limits)
 	s.injector.mu.Unlock()
 	s.fleet.mu.Lock()
 	o.unexpectedExits = slices.Clone(s.fleet.unexpectedExits)
--- a/lab/crsoak/fault.go
+++ b/lab/crsoak/fault.go
@@ -78,6 +78,7 @@
 	mu          sync.Mutex
 	injections  []injection
 	drainStarts []drainStart
+	limits      []namedLimit
 	stops       []daemonStop
 	errs        []error
 	version     int
@@ -91,6 +92,13 @@
 	at       time.Time
 }
 
+// namedLimit records that a target named a limit in its responses.
+type namedLimit struct {
+	targetID string
+	rate     float64 // requests a second
+	from, to time.Time
+}
+
 // daemonStop records a stop of a daemon by SIGTERM.
 type daemonStop struct {
 	machine  int
@@ -169,10 +177,11 @@
 	case "target":
 		behaviour := grayFailure(r.IntN(8))
 		return in.forEach(f.machines, func(m *machine) error {
-			target, _ := m.currentTarget()
+			target, id := m.currentTarget()
 			target.SetBehaviour(behaviour)
 			sleep(ctx, f.duration)
 			target.SetBehaviour(healthyBehaviour())
+			in.nameLimit(ctx, f, target, id)
 			return nil
 		})
 	case "crash", "leave":
@@ -325,9 +334,12 @@
 func (in *injector) replaceTarget(ctx context.Context, m *machine, f fault) error {
 	m.replaceMu.Lock()
 	defer m.replaceMu.Unlock()
-	_, id := m.currentTarget()
+	target, id := m.currentTarget()
 	if f.kind == "leave" {
 		in.fleet.register(m, true)
+		leaving := healthyBehaviour()
+		leaving.Leaving = true
+		target.SetBehaviour(leaving)
 		in.mu.Lock()
 		in.drainStarts = append(in.drainStarts, drainStart{targetID: id, at: time.Now()})
 		in.mu.Unlock()
@@ -339,6 +351,28 @@
 	return in.fleet.startTarget(m)
 }
 
+// limitTime is how long a target names a limit. It covers the time after which the limit
+// binds, and one window in which requests are counted.
+const limitTime = limitDelay + limitWindow + time.Second
+
+// nameLimit makes a third of the targets name a limit for a while after a partial failure.
+func (in *injector) nameLimit(ctx context.Context, f fault, target *crtarget.Target, id string) {
+	r := rand.New(rand.NewPCG(f.seed, 1)) // draws of its own: those of the other faults stay the same
+	if r.IntN(3) != 0 {
+		return
+	}
+	limited := healthyBehaviour()
+	limited.Limit = 1 + 4*r.Float64()
+	limit := namedLimit{targetID: id, rate: limited.Limit, from: time.Now()}
+	target.SetBehaviour(limited)
+	sleep(ctx, limitTime)
+	limit.to = time.Now()
+	target.SetBehaviour(healthyBehaviour())
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	in.limits = append(in.limits, limit)
+}
+
 // publishConfig publishes a new version of the configuration. For a "withdraw" fault
 // it also rotates a key of one account.
 func (in *injector) publishConfig(f fault) error {
