--- a/lab/crstage/crstage.go
+++ b/lab/crstage/crstage.go
@@ -147,6 +147,9 @@
 	Machines int
 	Net      int    // second byte of the loopback addresses
 	Key      string // API key of the only account
+
+	Limit   float64 // requests a second that the first target says it takes; zero: it names no limit
+	Leaving bool    // the first target says that it leaves, and its record does not
 }
 
 // Machine is one loopback address with a target and the settings of a daemon.
@@ -204,6 +207,9 @@
 	if err != nil {
 		return err
 	}
+	if i == 0 {
+		target.SetBehaviour(crtarget.Behaviour{Limit: opts.Limit, Leaving: opts.Leaving})
+	}
 	m.target = target
 	s.machines = append(s.machines, m)
 	cfg := Settings{
