core/crquota: New owners of an account stay within the tolerance of its limit

What callers saw: nothing reported.

Cause: the owner of an account keeps its bucket in memory. A new owner starts with half of the burst, which holds for three new owners in a window if the burst is no larger than the rate. Class: a bound over a time window whose counts are lost when a daemon starts again, or another one takes over.

Change: a new bucket holds no more than a third of what the limit may be exceeded by in a window. The settings tell the window and the tolerance (quotatime and quotaover, filled in by the platform; 5 s and 0.25).

With a burst of the rate a new bucket holds half of it, as before.

--- a/core/crquota/crquota.go
+++ b/core/crquota/crquota.go
@@ -29,11 +29,27 @@
 	"camphorroad/core/crid"
 )
 
-// startFraction is the fraction of the burst that a new bucket holds. A new owner has no record of
-// the tokens that its predecessor granted: a full bucket would grant the burst twice, and an
-// empty one would refuse callers within their rate.
+// startFraction is the fraction of the burst that a new bucket holds at most. A new owner has no
+// record of the tokens that its predecessor granted: a full bucket would grant the burst twice, and
+// an empty one would refuse callers within their rate.
 const startFraction = 0.5
 
+// maxNewOwners is the number of owners that an account may get one after the other in one window
+// without exceeding its limit.
+const maxNewOwners = 3
+
+// Tolerance is how far accounts may exceed their limit.
+type Tolerance struct {
+	Window  time.Duration // in which requests are counted
+	Overage float64       // share of the limit in a window, rate x Window + burst
+}
+
+// startTokens returns the number of tokens in a new owner's bucket.
+func (t Tolerance) startTokens(rate, burst float64) float64 {
+	tolerated := t.Overage * (rate*t.Window.Seconds() + burst)
+	return max(min(burst*startFraction, tolerated/maxNewOwners), 1)
+}
+
 // ownerIdleTime is the time without requests after which a bucket is dropped. It is usually full
 // by then, while a new one holds half.
 const ownerIdleTime = time.Minute
@@ -134,18 +150,21 @@
 // OwnerLimiter keeps the buckets of the accounts that this daemon owns. It is safe for
 // concurrent use.
 type OwnerLimiter struct {
-	mu      sync.Mutex
-	buckets buckets
+	tolerance Tolerance
+	mu        sync.Mutex
+	buckets   buckets
 }
 
 // NewOwnerLimiter returns a limiter without buckets.
-func NewOwnerLimiter() *OwnerLimiter { return &OwnerLimiter{buckets: newBuckets(ownerIdleTime)} }
+func NewOwnerLimiter(t Tolerance) *OwnerLimiter {
+	return &OwnerLimiter{tolerance: t, buckets: newBuckets(ownerIdleTime)}
+}
 
 // Take takes a token of the account, or returns the time until there is one.
 func (l *OwnerLimiter) Take(now crid.Instant, a crid.Account, rate, burst float64) (ok bool, wait time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	capacity := max(burst, 1)
-	b := l.buckets.bucket(now, a, func() float64 { return max(capacity*startFraction, 1) })
+	b := l.buckets.bucket(now, a, func() float64 { return l.tolerance.startTokens(rate, capacity) })
 	return b.take(now, rate, capacity)
 }
--- a/core/crquota/partition_test.go
+++ b/core/crquota/partition_test.go
@@ -23,7 +23,7 @@
 		}
 		taken := 0
 		for _, reachable := range sides {
-			l := crquota.NewOwnerLimiter()
+			l := crquota.NewOwnerLimiter(tolerance)
 			fraction := crquota.RateFraction(reachable, size)
 			for at := start; at < start.Add(span*time.Second); at = at.Add(10 * time.Millisecond) {
 				if ok, _ := l.Take(at, "small", rate*fraction, burst*fraction); ok {
@@ -149,7 +149,7 @@
 	for i := range 20 {
 		d := crid.Daemon([]byte{'a' + byte(i)})
 		f.daemons = append(f.daemons, d)
-		f.limiters[d] = crquota.NewOwnerLimiter()
+		f.limiters[d] = crquota.NewOwnerLimiter(tolerance)
 	}
 	owner := crquota.Owner("large", f.daemons)
 	next := crquota.Relay("large", f.daemons, owner, "")
--- a/io/crmesh/fleet_test.go
+++ b/io/crmesh/fleet_test.go
@@ -148,7 +148,7 @@
 		Seeds:   []string{"127.0.0.10:" + strconv.Itoa(f.basePort+5)},
 		Listen:  crsite.Listen{Caller: at(1), Ready: at(2), Control: at(5), Ports: []int{f.basePort + 3, f.basePort + 4}},
 		Store:   crsite.Store{Address: strings.TrimPrefix(m.store.URL, "http://")},
-		Bounds:  crsite.Bounds{DrainMillis: 2000, GraceSeconds: 3, Ratio: 0.2, Slack: 200, WindowSeconds: 10, WarmupRatio: 1},
+		Bounds:  crsite.Bounds{DrainMillis: 2000, GraceSeconds: 3, Ratio: 0.2, Slack: 200, WindowSeconds: 10, WarmupRatio: 1, QuotaSeconds: 5, QuotaOverage: 0.25},
 		Regions: f.regions,
 	}
 	f.machines = append(f.machines, m)
--- a/io/crmesh/quota.go
+++ b/io/crmesh/quota.go
@@ -35,7 +35,11 @@
 }
 
 func newOwnerLimiter(opts Options, loop *loop) *ownerLimiter {
-	return &ownerLimiter{self: crid.Daemon(opts.Settings.Address), loop: loop, limiter: crquota.NewOwnerLimiter()}
+	b := opts.Settings.Bounds
+	return &ownerLimiter{
+		self: crid.Daemon(opts.Settings.Address), loop: loop,
+		limiter: crquota.NewOwnerLimiter(crquota.Tolerance{Window: b.QuotaWindow(), Overage: b.QuotaOverage}),
+	}
 }
 
 // decide returns how a token request for an account is handled: granted here, or
--- a/io/crsite/crsite.go
+++ b/io/crsite/crsite.go
@@ -28,6 +28,8 @@
 	defaultRatio         = 0.2
 	defaultWindowSeconds = 10
 	defaultWarmupRatio   = 1
+	defaultQuotaSeconds  = 5
+	defaultQuotaOverage  = 0.25
 )
 
 // Error reports an invalid settings file.
@@ -92,6 +94,8 @@
 	Slack         float64 `toml:"slack"`     // retries that the whole fleet may make in a window, in addition to Ratio
 	WindowSeconds float64 `toml:"window"`    // length of the window in which retries are counted
 	WarmupRatio   float64 `toml:"warmratio"` // multiple of the rate that a cold target tolerates, up to which it may get requests
+	QuotaSeconds  float64 `toml:"quotatime"` // length of the window in which requests of an account are counted
+	QuotaOverage  float64 `toml:"quotaover"` // share of its limit in a window by which an account may exceed it
 	WarmupSlack   float64 `toml:"warmslack"` // requests that a cold target may get in a second in addition to that
 }
 
@@ -123,6 +127,11 @@
 	return time.Duration(b.WindowSeconds * float64(time.Second))
 }
 
+// QuotaWindow returns the length of the window in which requests of an account are counted.
+func (b Bounds) QuotaWindow() time.Duration {
+	return time.Duration(b.QuotaSeconds * float64(time.Second))
+}
+
 // Load reads and validates a settings file.
 func Load(file string) (Settings, error) {
 	data, err := os.ReadFile(file)
@@ -134,7 +143,7 @@
 
 // Parse decodes and validates settings. The name of the file is used in errors.
 func Parse(file string, data []byte) (Settings, error) {
-	s := Settings{Log: "info", Bounds: Bounds{DrainMillis: defaultDrainMillis, GraceSeconds: defaultGraceSeconds, Ratio: defaultRatio, WindowSeconds: defaultWindowSeconds, WarmupRatio: defaultWarmupRatio}}
+	s := Settings{Log: "info", Bounds: Bounds{DrainMillis: defaultDrainMillis, GraceSeconds: defaultGraceSeconds, Ratio: defaultRatio, WindowSeconds: defaultWindowSeconds, QuotaSeconds: defaultQuotaSeconds, QuotaOverage: defaultQuotaOverage, WarmupRatio: defaultWarmupRatio}}
 	dec := toml.NewDecoder(bytes.NewReader(data))
 	dec.DisallowUnknownFields()
 	if err := dec.Decode(&s); err != nil {
@@ -190,6 +199,9 @@
 	if s.Bounds.WarmupRatio < 1 || s.Bounds.WarmupSlack < 0 {
 		return errors.New("bounds: warmratio must be at least 1, warmslack not negative")
 	}
+	if s.Bounds.QuotaSeconds <= 0 || s.Bounds.QuotaOverage < 0 {
+		return errors.New("bounds: quotatime must be positive, quotaover not negative")
+	}
 	for domain, region := range s.Regions {
 		if region == "" {
 			return fmt.Errorf("regions.%s: missing", domain)
--- a/io/crsite/crsite_test.go
+++ b/io/crsite/crsite_test.go
@@ -57,6 +57,20 @@
 	g.Expect(s.Regions).To(gomega.Equal(crregion.Map{"tokyo-a": "tokyo"}))
 }
 
+func TestQuotaAndFirstStartAreRead(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s, err := crsite.Parse("boot.toml", []byte(validSettings))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(s.First).To(gomega.BeFalse())
+	g.Expect(s.Bounds.QuotaWindow()).To(gomega.Equal(5 * time.Second))
+	g.Expect(s.Bounds.QuotaOverage).To(gomega.Equal(0.25))
+	s, err = crsite.Parse("boot.toml", []byte("first = true\n"+validSettings+"quotatime = 2.5\nquotaover = 0.1\n"))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(s.First).To(gomega.BeTrue())
+	g.Expect(s.Bounds.QuotaWindow()).To(gomega.Equal(2500 * time.Millisecond))
+	g.Expect(s.Bounds.QuotaOverage).To(gomega.Equal(0.1))
+}
+
 // A target leaves just as the store recovers. Its missing record looks like one that
 // expired during the outage, and must be dropped before the target exits.
 func TestMissingRecordTTLIsShorterThanDrain(t *testing.T) {
@@ -70,19 +84,21 @@
 
 func TestInvalidSettingsAreReported(t *testing.T) {
 	for name, c := range map[string]struct{ old, new, want string }{
-		"syntax":      {`domain = "a"`, `domain = `, "line 4"},
-		"unknown key": {`domain = "a"`, `zone = "a"`, "zone"},
-		"type":        {`memory = 284`, `memory = "much"`, "line 19"},
-		"address":     {`address = "10.1.0.5"`, `address = "here"`, "address"},
-		"no service":  {`service = "s1"`, `service = ""`, "service: missing"},
-		"no port":     {`caller = "10.1.0.5:8402"`, `caller = "10.1.0.5"`, "listen.caller"},
-		"no host":     {`ports = [7660, 7675]`, "host = \"here\"\nports = [7660, 7675]", "listen.host"},
-		"one port":    {`[7660, 7675]`, `[7660]`, "listen.ports"},
-		"no grace":    {`grace = 6`, `grace = 0`, "bounds"},
-		"low ratio":   {`grace = 6`, "grace = 6\nwarmratio = 0.5", "warmratio"},
-		"low slack":   {`grace = 6`, "grace = 6\nwarmslack = -1", "warmslack"},
-		"no region":   {`[bounds]`, "[regions]\na = \"\"\n[bounds]", "regions.a"},
-		"region type": {`[bounds]`, "[regions]\na = 7\n[bounds]", "line 22"},
+		"syntax":       {`domain = "a"`, `domain = `, "line 4"},
+		"unknown key":  {`domain = "a"`, `zone = "a"`, "zone"},
+		"type":         {`memory = 284`, `memory = "much"`, "line 19"},
+		"address":      {`address = "10.1.0.5"`, `address = "here"`, "address"},
+		"no service":   {`service = "s1"`, `service = ""`, "service: missing"},
+		"no port":      {`caller = "10.1.0.5:8402"`, `caller = "10.1.0.5"`, "listen.caller"},
+		"no host":      {`ports = [7660, 7675]`, "host = \"here\"\nports = [7660, 7675]", "listen.host"},
+		"one port":     {`[7660, 7675]`, `[7660]`, "listen.ports"},
+		"no grace":     {`grace = 6`, `grace = 0`, "bounds"},
+		"no quotatime": {`grace = 6`, "grace = 6\nquotatime = 0", "quotatime"},
+		"low overage":  {`grace = 6`, "grace = 6\nquotaover = -1", "quotaover"},
+		"low ratio":    {`grace = 6`, "grace = 6\nwarmratio = 0.5", "warmratio"},
+		"low slack":    {`grace = 6`, "grace = 6\nwarmslack = -1", "warmslack"},
+		"no region":    {`[bounds]`, "[regions]\na = \"\"\n[bounds]", "regions.a"},
+		"region type":  {`[bounds]`, "[regions]\na = 7\n[bounds]", "line 22"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			g := gomega.NewWithT(t)
