io/crwatch: Peers deliver a record that the watches have passed over

Cause: during the compact fault watches end without a change that was made meanwhile, and with the revision after it. Four of six daemons kept the record of a target whose address another process had; each request sent there was answered 421. Two others had the new record and told so in their heartbeats. The four pulled it from them every 0.4 s for ten seconds and got nothing: they asked with the revision that their watches had reached, by which they were up to date. Class: a mark of progress that is taken for what is held.

Change: what a daemon holds of the records is the revision of its latest list or change. Pulls ask with it, and answer by it. The watches go on from where they were.

--- a/io/crwatch/crwatch.go
+++ b/io/crwatch/crwatch.go
@@ -131,7 +131,8 @@
 	opts        Options
 	mu          sync.Mutex
 	values      map[Scope]map[string]Item
-	revisions   map[Scope]crid.Revision
+	revisions   map[Scope]crid.Revision // that the watches have reached
+	recordsAt   crid.Revision           // revision of the latest list or change of the records, which the watches may have passed
 	failures    atomic.Int64
 	lastRead    map[Scope]crid.Instant            // of the last answer, or of the start of Run
 	compactions int                               // times that the store reported compacted history
@@ -216,9 +217,12 @@
 		f.values[scope][i.Key] = i
 	}
 	f.revisions[scope] = max(f.revisions[scope], revision)
+	if scope == Records && (complete || len(items) > 0) {
+		f.recordsAt = max(f.recordsAt, revision)
+	}
 	switch {
 	case scope == Records && complete:
-		f.history.reset(revision)
+		f.history.reset(f.revisions[scope])
 	case scope == Records:
 		f.history.add(items)
 	}
--- a/io/crwatch/update.go
+++ b/io/crwatch/update.go
@@ -13,11 +13,12 @@
 	Configuration crid.Revision
 }
 
-// Revisions returns the newest revisions that this daemon holds.
+// Revisions returns the newest revisions that this daemon holds. That of the records is not
+// the one that its watches have reached: they may have passed over a change that peers hold.
 func (f *Follower) Revisions() Revisions {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return Revisions{Records: f.revisions[Records], Configuration: f.configurationRevision()}
+	return Revisions{Records: f.recordsAt, Configuration: f.configurationRevision()}
 }
 
 // configurationRevision returns the revision of the configuration held; zero: none.
@@ -44,10 +45,10 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	u := Update{Configuration: f.compress(f.configurationFor(peer.Configuration))}
-	if f.revisions[Records] <= peer.Records {
+	if f.recordsAt <= peer.Records {
 		return u
 	}
-	u.RecordsRevision = f.revisions[Records]
+	u.RecordsRevision = f.recordsAt
 	for _, i := range f.values[Records] {
 		u.Records = append(u.Records, i)
 	}
@@ -75,7 +76,7 @@
 	}
 	f.applyConfiguration(now, configuration, 0, false)
 	f.mu.Lock()
-	newer := u.RecordsRevision > f.revisions[Records]
+	newer := u.RecordsRevision > f.recordsAt
 	if newer {
 		f.storeItems(Records, u.Records, u.RecordsRevision, true)
 	}
--- a/io/crwatch/verify_test.go
+++ b/io/crwatch/verify_test.go
@@ -72,3 +72,36 @@
 		})
 	}
 }
+
+// Guards against a daemon whose watches passed over a change, and which peers then cannot tell of it.
+func TestPeersDeliverAChangeThatTheWatchesPassedOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		s, start := &forgetfulStore{}, time.Now()
+		follow := func(targets *int) *crwatch.Follower {
+			return crwatch.New(crwatch.Options{
+				Store: s, Decoder: fakeDecoder{}, Clock: func() crid.Instant { return crid.Instant(time.Hour + time.Since(start)) },
+				Emit: func(ev crevent.Event) {
+					if l, ok := ev.(crmesh.RecordsListed); ok {
+						*targets = len(l.Changes)
+					}
+				},
+				ReaderCount: func() int { return 6 }, ReadsFirst: func() bool { return false }, Log: crlog.New(io.Discard, "info", "test"),
+			})
+		}
+		behindTargets, currentTargets := 0, 0
+		behind, current := follow(&behindTargets), follow(&currentTargets)
+		ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
+		defer cancel()
+		time.AfterFunc(5*time.Second, func() {
+			s.changed.Store(true)
+			_ = current.Run(ctx, crwatch.Records) // a daemon that starts after the change
+		})
+		g.Expect(behind.Run(ctx, crwatch.Records)).To(gomega.Succeed())
+		g.Expect(currentTargets).To(gomega.Equal(2))
+		g.Expect(behindTargets).To(gomega.Equal(1))
+		g.Expect(behind.Apply(current.UpdateFor(behind.Revisions()))).To(gomega.Succeed())
+		g.Expect(behindTargets).To(gomega.Equal(2))
+		g.Expect(current.UpdateFor(behind.Revisions()).Records).To(gomega.BeEmpty(), "nothing is copied twice")
+	})
+}
