io/cregress: A late response of a process that has left does not close the exit for the next one

A response that says that its target leaves may arrive after another process has taken the target's place in the record; the gate was then closed until the next change of the record.

Change: replacing, evacuating and marking the target take turns, and only the current process can be marked. The experiment's daemons have run for a window, as they had before a budget knew its start.

--- a/core/crlimit/crlimit.go
+++ b/core/crlimit/crlimit.go
@@ -3,8 +3,8 @@
 // applies the limit, at the only daemon that sends requests to the target.
 //
 // The limit holds for as long as the responses name one, and changes with each of them. It
-// is a token bucket without a burst worth mentioning: a target in need is not helped by
-// requests that come at once.
+// is a token bucket with a small burst, since requests that come at once do not help a target
+// in need.
 //
 // A daemon that starts again does not know the limit until the first response. Until then it
 // follows the entry daemons that have received one ([Limiter.Suggest]).
@@ -38,7 +38,7 @@
 type Limiter struct {
 	rate       float64 // requests a second; zero: no limit
 	announced  bool    // a response has told whether there is a limit
-	tokens     float64 // negative while reservations made before the limit are paid back
+	tokens     float64 // requests that may be sent now
 	refilledAt crid.Instant
 }
 
--- a/io/cregress/announce.go
+++ b/io/cregress/announce.go
@@ -52,10 +52,16 @@
 
 // markLeaving refuses all requests until there is another process of the target.
 func (x *Exit) markLeaving(r crregistry.Record) {
+	x.lifecycle.Lock()
+	defer x.lifecycle.Unlock()
 	p := processOf(&r)
-	if old := x.leaving.Swap(&p); old != nil && *old == p {
+	if old := x.leaving.Load(); old != nil && *old == p {
 		return
 	}
+	if current := x.target.Load(); current == nil || processOf(current) != p {
+		return // a late response of a process that is gone
+	}
+	x.leaving.Store(&p)
 	x.gate.Close()
 	x.opts.Log.Event(crlog.TargetLeaving, crlog.Fields{"target": string(r.Target)})
 	x.opts.OnTargetChange()
@@ -71,7 +77,7 @@
 type Announced struct {
 	Limit   float64 `json:"limit"` // requests a second that it takes; zero: it names no limit
 	Leaving bool    `json:"leaving"`
-	Refused int64   `json:"refused"` // offers refused because of the limit
+	Refused int64   `json:"refused"` // offers refused while it named a limit
 }
 
 // Announced returns what the target says of itself.
--- a/io/cregress/cregress.go
+++ b/io/cregress/cregress.go
@@ -72,10 +72,11 @@
 	gate           *crgate.Gate
 	pool           *crlink.Pool
 	target         atomic.Pointer[crregistry.Record]
+	lifecycle      sync.Mutex // held while the target is replaced, evacuated or marked as leaving
 	stopping       atomic.Bool
 	evacuated      atomic.Bool
 	leaving        atomic.Pointer[targetProcess] // process that has said that it leaves; nil: none
-	limitRefusals  atomic.Int64                  // offers refused because of the target's limit
+	limitRefusals  atomic.Int64                  // offers refused while the target named a limit
 	healthPath     atomic.Pointer[string]
 	stopDeadline   atomic.Int64 // instant by which all work must have ended; zero: none
 	nestedFailures lastTime     // of failed nested calls
@@ -121,6 +122,8 @@
 
 // SetTarget sets the target's record; nil means that there is none.
 func (x *Exit) SetTarget(r *crregistry.Record) {
+	x.lifecycle.Lock()
+	defer x.lifecycle.Unlock()
 	now := x.opts.Clock()
 	old := x.target.Swap(r)
 	if r == nil || r.Leaving {
@@ -139,6 +142,8 @@
 // SetEvacuated sets whether the daemon's domain is evacuated. While it is, nothing is sent
 // to the target, and requests that wait for it are refused. Afterwards it may be cold.
 func (x *Exit) SetEvacuated(evacuated bool) {
+	x.lifecycle.Lock()
+	defer x.lifecycle.Unlock()
 	if x.evacuated.Swap(evacuated) == evacuated {
 		return
 	}
--- a/lab/crexperiment/world.go
+++ b/lab/crexperiment/world.go
@@ -135,7 +135,7 @@
 			domain := crid.Domain(fmt.Sprintf("d%d", i%w.x.Domains))
 			e := &entry{
 				world: w, domain: domain, balancer: crplace.NewBalancer(),
-				budget:  crbudget.New(own, crbudget.Start{At: startTime}),
+				budget:  crbudget.New(own, crbudget.Start{At: startTime.Add(-budgetWindow)}),
 				reports: make(map[crid.Target]crplace.LoadReport), estimators: make(map[crid.Target]*crjudge.Estimator),
 				failures: make(map[crid.Target]int), ejectedUntil: make(map[crid.Target]crid.Instant),
 			}
