lab/crtarget: A limit that the target names outlasts its partial failures

The daemons were right.

Change: the limit and the leaving of the fake are apart from its behaviour, and one limit of a target ends before another begins.

--- a/io/crmesh/announce_test.go
+++ b/io/crmesh/announce_test.go
@@ -37,7 +37,7 @@
 	)
 	g := gomega.NewWithT(t)
 	f := newFleet(t, 3)
-	f.machines[0].target.SetBehaviour(crtarget.Behaviour{Limit: limit})
+	f.machines[0].target.SetLimit(limit)
 	named := time.Now()
 	failed := 0
 	for i := range requests {
@@ -65,7 +65,7 @@
 func TestTargetThatSaysItLeavesGetsNoRequests(t *testing.T) {
 	g := gomega.NewWithT(t)
 	f := newFleet(t, 3)
-	f.machines[0].target.SetBehaviour(crtarget.Behaviour{Leaving: true})
+	f.machines[0].target.SetLeaving()
 	for range 30 {
 		g.Expect(f.machines[2].call(http.MethodPost, "/hold/", "k1").status).To(gomega.Equal(http.StatusOK))
 	}
--- a/lab/crsoak/crsoak.go
+++ b/lab/crsoak/crsoak.go
@@ -123,7 +123,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s.injector = &injector{fleet: s.fleet, keys: s.keys, version: 1}
+	s.injector = &injector{limited: make(map[string]bool), fleet: s.fleet, keys: s.keys, version: 1}
 	if err := crstage.Publish(s.fleet.store, 1, accounts()); err != nil {
 		return nil, err
 	}
--- a/lab/crsoak/fault.go
+++ b/lab/crsoak/fault.go
@@ -79,6 +79,7 @@
 	injections  []injection
 	drainStarts []drainStart
 	limits      []namedLimit
+	limited     map[string]bool // IDs of the targets that name a limit now
 	stops       []daemonStop
 	errs        []error
 	version     int
@@ -337,9 +338,7 @@
 	target, id := m.currentTarget()
 	if f.kind == "leave" {
 		in.fleet.register(m, true)
-		leaving := healthyBehaviour()
-		leaving.Leaving = true
-		target.SetBehaviour(leaving)
+		target.SetLeaving()
 		in.mu.Lock()
 		in.drainStarts = append(in.drainStarts, drainStart{targetID: id, at: time.Now()})
 		in.mu.Unlock()
@@ -361,18 +360,31 @@
 	if r.IntN(3) != 0 {
 		return
 	}
-	limited := healthyBehaviour()
-	limited.Limit = 1 + 4*r.Float64()
-	limit := namedLimit{targetID: id, rate: limited.Limit, from: time.Now()}
-	target.SetBehaviour(limited)
+	limit := namedLimit{targetID: id, rate: 1 + 4*r.Float64(), from: time.Now()}
+	if !in.beginLimit(id) {
+		return
+	}
+	target.SetLimit(limit.rate)
 	sleep(ctx, limitTime)
 	limit.to = time.Now()
-	target.SetBehaviour(healthyBehaviour())
+	target.SetLimit(0)
 	in.mu.Lock()
 	defer in.mu.Unlock()
+	delete(in.limited, id)
 	in.limits = append(in.limits, limit)
 }
 
+// beginLimit reports whether a target names no limit yet, and records that it does now.
+func (in *injector) beginLimit(id string) bool {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	if in.limited[id] {
+		return false
+	}
+	in.limited[id] = true
+	return true
+}
+
 // publishConfig publishes a new version of the configuration. For a "withdraw" fault
 // it also rotates a key of one account.
 func (in *injector) publishConfig(f fault) error {
--- a/lab/crstage/crstage.go
+++ b/lab/crstage/crstage.go
@@ -208,7 +208,10 @@
 		return err
 	}
 	if i == 0 {
-		target.SetBehaviour(crtarget.Behaviour{Limit: opts.Limit, Leaving: opts.Leaving})
+		target.SetLimit(opts.Limit)
+		if opts.Leaving {
+			target.SetLeaving()
+		}
 	}
 	m.target = target
 	s.machines = append(s.machines, m)
--- a/lab/crtarget/crtarget.go
+++ b/lab/crtarget/crtarget.go
@@ -37,22 +37,6 @@
 	Truncate       float64 // closes the connection within the response body
 	Unsealed       float64 // responds without the seal header
 	CloseDelimited float64 // responds without Content-Length and closes the connection
-
-	Limit   float64 // requests a second that it says in its responses that it takes; zero: it names none
-	Leaving bool    // it says in its responses that it is leaving
-}
-
-// announcements are the response headers in which the target tells of its limit and of its
-// leaving.
-func (b Behaviour) announcements() string {
-	headers := ""
-	if b.Limit > 0 {
-		headers += "Server-Limit: " + strconv.FormatFloat(b.Limit, 'f', -1, 64) + "\r\n"
-	}
-	if b.Leaving {
-		headers += "Server-Leaving: 1\r\n"
-	}
-	return headers
 }
 
 // Run is a request that the target executed.
@@ -78,6 +62,8 @@
 	listener  net.Listener
 	mu        sync.Mutex
 	behaviour Behaviour
+	limit     float64 // see SetLimit
+	leaving   bool    // see SetLeaving
 	runs      []Run
 	cancelled int // requests whose connection closed before they finished
 	running   int
@@ -108,6 +94,36 @@
 	t.behaviour = b
 }
 
+// SetLimit sets the requests a second that the target says in its responses that it takes.
+// With zero it names no limit.
+func (t *Target) SetLimit(rate float64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.limit = rate
+}
+
+// SetLeaving makes the target say in its responses that it leaves.
+func (t *Target) SetLeaving() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.leaving = true
+}
+
+// announcements are the response headers in which the target tells of its limit and of its
+// leaving.
+func (t *Target) announcements() string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	headers := ""
+	if t.limit > 0 {
+		headers += "Server-Limit: " + strconv.FormatFloat(t.limit, 'f', -1, 64) + "\r\n"
+	}
+	if t.leaving {
+		headers += "Server-Leaving: 1\r\n"
+	}
+	return headers
+}
+
 // Runs returns the executed requests in the order of their start.
 func (t *Target) Runs() []Run {
 	t.mu.Lock()
@@ -279,9 +295,7 @@
 	if sealed {
 		extra += "Response-Seal: s\r\n"
 	}
-	t.mu.Lock()
-	extra += t.behaviour.announcements()
-	t.mu.Unlock()
+	extra += t.announcements()
 	_, err := fmt.Fprintf(conn, "HTTP/1.1 %d %s\r\nRequest-Id: %s\r\n%sContent-Length: %d\r\n\r\n%s",
 		status, http.StatusText(status), id, extra, len(body), body)
 	return err == nil
