core/crmesh: A daemon that falls silent without notice keeps its part of the accounts' rates

Cause: the records of the cut off daemons expire, and the side that reaches the store forgot them at once. It counted 16 of 16 daemons and granted the whole rate, while the other side, which keeps all records, granted its 0.49. Ruled out for this part: fallback buckets, which grant nothing after 8.5 s. Change: a peer that has sent heartbeats and fell silent without notice (no stop, no leaving target) stays a member for two minutes after its last heartbeat. Members divide the rates, and rank as owners of accounts.

--- a/core/crmesh/crmesh.go
+++ b/core/crmesh/crmesh.go
@@ -32,8 +32,11 @@
 	// as unresponsive. One may be lost, and two in a row rarely are.
 	maxMissedHeartbeats = 3
 	// peerRetention is how long a peer that no record and no seed names is kept without a
-	// heartbeat.
+	// heartbeat, if it left with notice.
 	peerRetention = 20 * time.Second
+	// lostPeerRetention is the same for a peer that fell silent without notice. It may be cut
+	// off from this daemon and from the store, and grant its part of the accounts' rates.
+	lostPeerRetention = 2 * time.Minute
 	// pullDelay is how long a daemon waits after a peer has named a newer plan or
 	// record before it pulls it. The store batches changes over half a second, so that it
 	// usually delivers them before the end of the delay and no pull is needed.
@@ -224,7 +227,7 @@
 			p.knownSince = now
 			p.joined = now.Sub(s.listedAt) > startupTime
 		}
-		p.known, p.hasRecord = true, true
+		p.known, p.hasRecord, p.leaving = true, true, r.Leaving
 		p.domain = r.Domain
 	}
 	s.syncPartners()
@@ -264,7 +267,7 @@
 func (s *State) tick(now crid.Instant) []crevent.Effect {
 	changed := s.registry.Sweep(now)
 	for _, p := range s.sortedPeers() {
-		if !p.known && (p.lastReceived == 0 || now.Sub(p.lastReceived) > peerRetention) {
+		if !p.known && (p.lastReceived == 0 || now.Sub(p.lastReceived) > p.retention()) {
 			s.removePeer(p.name)
 			changed = true
 			continue
--- a/core/crmesh/event.go
+++ b/core/crmesh/event.go
@@ -175,9 +175,9 @@
 	Live           []crid.Daemon                        `cbor:"Daemons" json:"Daemons"` // this daemon and the peers that are up, without stopping ones
 	Owners         []crid.Daemon                        // Live, and recorded peers whose first heartbeat may still come
 	OwnersSince    crid.Instant                         `cbor:"-" json:"-"` // when Owners last changed
-	Members        []crid.Daemon                        // Owners, and recorded peers without heartbeats
+	Members        []crid.Daemon                        // Owners, recorded peers without heartbeats, and peers that fell silent without notice
 	Size           int                                  // daemons that a record or a seed names, up or not, and others whose heartbeats arrive
-	Confirmed      int                                  `cbor:"Known" json:"Known"` // Size without seeds that no record names and that send no heartbeats
+	Confirmed      int                                  `cbor:"Known" json:"Known"` // daemons that a record names, and those that have sent heartbeats and not announced that they leave
 	Reachable      int                                  `cbor:"Heard" json:"Heard"` // Confirmed without peers that are unresponsive or whose first heartbeat is overdue
 	Readers        []crid.Daemon                        // daemons of the own domain that read the store for it
 	ReadsFirst     bool                                 // this daemon is the first reader of the whole fleet
--- a/core/crmesh/peer.go
+++ b/core/crmesh/peer.go
@@ -17,6 +17,7 @@
 	heartbeat          Heartbeat
 	known              bool         // named by a record or as a seed
 	hasRecord          bool         // named by a record
+	leaving            bool         // its latest record says that its target is leaving
 	domain             crid.Domain  // empty: not known
 	lastSent           crid.Instant // when the latest heartbeat was sent to it
 	lastOffer          crid.Instant // when its latest offer arrived; zero: none
@@ -144,7 +145,22 @@
 // isMember reports whether a peer is known to be part of the fleet. A seed without a
 // record may be a machine that no longer exists, unless its heartbeats arrive.
 func (s *State) isMember(p *peer) bool {
-	return p.known && (p.hasRecord || !s.hasRecords || p.isHeard())
+	return p.hasRecord || p.mayServe() || p.known && (!s.hasRecords || p.isHeard())
+}
+
+// mayServe reports whether a peer has sent heartbeats, and not announced that it leaves. If it
+// is silent and has no record, it may be cut off from this daemon and from the store.
+func (p *peer) mayServe() bool { return p.lastReceived != 0 && !p.leftWithNotice() }
+
+func (p *peer) leftWithNotice() bool { return p.leaving || p.heartbeat.Stopping }
+
+// retention returns how long a peer that no record and no seed names is kept without a
+// heartbeat.
+func (p *peer) retention() time.Duration {
+	if p.leftWithNotice() {
+		return peerRetention
+	}
+	return lostPeerRetention
 }
 
 // isHeard reports whether a peer's heartbeats arrive.
--- a/core/crmesh/view.go
+++ b/core/crmesh/view.go
@@ -105,7 +105,7 @@
 	if p.mayBeUp() {
 		v.Owners = append(v.Owners, p.name)
 	}
-	if p.mayBeUp() || p.hasRecord {
+	if p.mayBeUp() || p.hasRecord || p.mayServe() {
 		v.Members = append(v.Members, p.name)
 	}
 }
