core/crquota: An account has no new owner before the old one must have noticed that it is cut off

Cause: the owner that is cut off grants the whole rate for up to five seconds (three heartbeats of 1.7 s are missed first), while the other side uses fallback buckets of its whole part, then a new owner of 1.1 of its part by a count of reachable daemons that is as old, whose bucket starts with a third of what the tolerance allows. Evidence: grants printed in a trial: 44 a half second from the owner, 20 from fallback buckets, then 65 in the new owner's first half second at fraction 0.76. Change: a daemon that is silent for one and a half heartbeats does not count for the rate. Until an unreachable owner must have noticed that, no other daemon grants at the rate; fallback buckets grant what the tolerance leaves for that time (0.5 of the rate here). An owner that replaces one that it cannot reach starts with one token. Restarts during a partition still break it in a trial: next.

--- a/core/crmesh/crmesh.go
+++ b/core/crmesh/crmesh.go
@@ -31,6 +31,9 @@
 	// maxMissedHeartbeats is the number of missed heartbeats after which a peer counts
 	// as unresponsive. One may be lost, and two in a row rarely are.
 	maxMissedHeartbeats = 3
+	// doubtfulHeartbeats is the number of heartbeat intervals without a heartbeat after which
+	// a peer does not count for the fraction of the rates that this daemon grants.
+	doubtfulHeartbeats = 1.5
 	// peerRetention is how long a peer that no record and no seed names is kept without a
 	// heartbeat, if it left with notice.
 	peerRetention = 20 * time.Second
@@ -246,12 +249,13 @@
 	if p == nil {
 		p = s.addPeer(ev.From)
 	}
-	changed := p.lastReceived == 0 || p.unresponsive || !sameRole(p.heartbeat, ev.Heartbeat)
+	changed := p.lastReceived == 0 || p.unresponsive || p.doubtful || !sameRole(p.heartbeat, ev.Heartbeat)
 	newlyUnavailable := p.lastReceived != 0 && ev.Heartbeat.StoreUnavailable && !p.heartbeat.StoreUnavailable
 	if p.heartbeat.Incarnation != ev.Heartbeat.Incarnation && s.sameDomain(p) && slices.Contains(s.readers(), s.params.Self) {
 		p.lastSent = 0 // a new daemon reads the store directly until it knows a reader
 	}
-	p.lastReceived, p.heartbeat, p.unresponsive, p.overdue, p.requestsUnanswered = ev.Now, ev.Heartbeat, false, false, false
+	p.lastReceived, p.heartbeat = ev.Now, ev.Heartbeat
+	p.unresponsive, p.overdue, p.doubtful, p.granting, p.requestsUnanswered = false, false, false, false, false
 	s.trackNewer(ev.Now, p)
 	effects := make([]crevent.Effect, 0, 3)
 	if ev.Heartbeat.Target != "" {
@@ -275,11 +279,7 @@
 		if p.knownSince == 0 {
 			p.knownSince = now // a seed
 		}
-		unresponsive, overdue := p.requestsUnanswered || s.missesHeartbeats(now, p), s.isOverdue(now, p)
-		if unresponsive != p.unresponsive || overdue != p.overdue {
-			p.unresponsive, p.overdue = unresponsive, overdue
-			changed = true
-		}
+		changed = s.updateReach(now, p) || changed
 	}
 	s.viewOutdated = s.viewOutdated || changed
 	return append(s.dueHeartbeats(now), s.pull(now)...)
--- a/core/crmesh/event.go
+++ b/core/crmesh/event.go
@@ -176,9 +176,11 @@
 	Owners         []crid.Daemon                        // Live, and recorded peers whose first heartbeat may still come
 	OwnersSince    crid.Instant                         `cbor:"-" json:"-"` // when Owners last changed
 	Members        []crid.Daemon                        // Owners, recorded peers without heartbeats, and peers that fell silent without notice
+	Granting       []crid.Daemon                        // Members that are unresponsive and may not have noticed yet that they are cut off
+	NoticeTime     time.Duration                        // in which an owner of accounts notices that a part of the fleet is cut off
 	Size           int                                  // daemons that a record or a seed names, up or not, and others whose heartbeats arrive
 	Confirmed      int                                  `cbor:"Known" json:"Known"` // daemons that a record names, and those that have sent heartbeats and not announced that they leave
-	Reachable      int                                  `cbor:"Heard" json:"Heard"` // Confirmed without peers that are unresponsive or whose first heartbeat is overdue
+	Reachable      int                                  `cbor:"Heard" json:"Heard"` // Confirmed without peers whose heartbeats are overdue
 	Readers        []crid.Daemon                        // daemons of the own domain that read the store for it
 	ReadsFirst     bool                                 // this daemon is the first reader of the whole fleet
 	ReadersPending bool                                 `cbor:"Coming" json:"Coming"`   // the first heartbeat of a peer of the own domain is still expected, or there are no records
@@ -191,9 +193,15 @@
 
 // TokenAction returns how a daemon with this view handles a token request for an account.
 func (v *View) TokenAction(a crid.Account, self crid.Daemon, origin crquota.Origin) crquota.Action {
-	return crquota.Decide(a, v.Members, v.Owners, self, origin)
+	return crquota.Decide(a, crquota.Fleet{Members: v.Members, Reachable: v.Owners, Granting: v.Granting}, self, origin)
 }
 
+// Owns reports whether an account belongs to a daemon also when all members are reachable.
+func (v *View) Owns(a crid.Account, d crid.Daemon) bool { return crquota.Owner(a, v.Members) == d }
+
+// FleetSize returns the number of daemons among which the fallback buckets divide a rate.
+func (v *View) FleetSize() int { return max(v.Size, v.Confirmed) }
+
 // RateFraction returns the fraction of an account's rate that this daemon grants as its
 // owner. A daemon that receives no heartbeats may be one of many that have just started,
 // each of which would grant the whole rate to its own callers. If a peer requests the
--- a/core/crmesh/partner.go
+++ b/core/crmesh/partner.go
@@ -54,7 +54,7 @@
 }
 
 func (d *domainReach) add(p *peer) {
-	up := !p.unresponsive && !p.overdue
+	up := !p.unresponsive && !p.overdue && !p.doubtful
 	d.members++
 	if up {
 		d.reachable++
@@ -96,6 +96,24 @@
 	}
 }
 
+// noticeInterval returns the time between the heartbeats by which a peer, or this daemon,
+// notices that the other is cut off. Partners notice it for the other members of their domain.
+func (s *State) noticeInterval(p *peer) time.Duration {
+	if s.isLarge() && !s.sameDomain(p) {
+		return max(s.params.RemoteInterval, s.minInterval())
+	}
+	return s.idleInterval(p)
+}
+
+// noticeTime returns the time in which a daemon notices that a part of the fleet is cut off.
+func (s *State) noticeTime() time.Duration {
+	var longest time.Duration
+	for _, p := range s.peers {
+		longest = max(longest, s.noticeInterval(p))
+	}
+	return doubtfulAfter(longest)
+}
+
 // remoteInterval returns the time between heartbeats to a peer of another domain without a
 // recent offer.
 func (s *State) remoteInterval(p *peer) time.Duration {
--- a/core/crmesh/peer.go
+++ b/core/crmesh/peer.go
@@ -32,6 +32,8 @@
 	partner            bool         // see arePartners
 	joined             bool         // its record appeared while this daemon was running
 	overdue            bool         // its first heartbeat has not arrived within the time after which other peers count as unresponsive
+	doubtful           bool         // its heartbeat is overdue, and it may be unresponsive soon
+	granting           bool         // unresponsive, and may not have noticed yet that it is cut off
 }
 
 // trackNewer records that a peer has a plan, records or evacuations that this daemon lacks, until the
@@ -116,6 +118,31 @@
 	return now.Sub(p.lastReceived) > maxMissedHeartbeats*s.idleInterval(p)
 }
 
+// updateReach updates what a peer's silence says of it, and reports whether that changed.
+func (s *State) updateReach(now crid.Instant, p *peer) bool {
+	before := *p
+	p.unresponsive = p.requestsUnanswered || s.missesHeartbeats(now, p)
+	p.overdue = s.isOverdue(now, p)
+	p.doubtful = p.lastReceived != 0 && now.Sub(p.lastReceived) > doubtfulAfter(s.idleInterval(p))
+	p.granting = p.unresponsive && !p.leftWithNotice() && now.Sub(s.contactLost(p)) < doubtfulAfter(s.noticeInterval(p))
+	return p.unresponsive != before.unresponsive || p.overdue != before.overdue || p.doubtful != before.doubtful || p.granting != before.granting
+}
+
+// doubtfulAfter returns the silence after which a peer becomes doubtful that sends heartbeats
+// in the given interval.
+func doubtfulAfter(interval time.Duration) time.Duration {
+	return time.Duration(doubtfulHeartbeats * float64(interval))
+}
+
+// contactLost returns the time since which an unresponsive peer may have been cut off, at the
+// latest.
+func (s *State) contactLost(p *peer) crid.Instant {
+	if p.unansweredSince > p.lastReceived {
+		return p.unansweredSince
+	}
+	return p.lastReceived.Add(s.idleInterval(p))
+}
+
 // unansweredTimeout is how long a peer may leave token requests unanswered, without a
 // heartbeat, before it counts as unresponsive. Peers of other domains send a heartbeat
 // every two seconds in a fleet of a hundred. Three missed ones take six seconds, in which
@@ -137,7 +164,8 @@
 	if ev.Now.Sub(p.unansweredSince) < unansweredTimeout {
 		return nil
 	}
-	p.unresponsive, p.requestsUnanswered = true, true
+	p.requestsUnanswered = true
+	s.updateReach(ev.Now, p)
 	s.viewOutdated = true
 	return nil
 }
--- a/core/crmesh/view.go
+++ b/core/crmesh/view.go
@@ -58,6 +58,7 @@
 		Size:           1,
 		Confirmed:      1,
 		Reachable:      1,
+		NoticeTime:     s.noticeTime(),
 		Unresponsive:   make(map[crid.Daemon]bool),
 		Evacuations:    s.evacuations.List(),
 		OwnEvacuated:   s.evacuations.Contains(s.params.Domain),
@@ -99,6 +100,9 @@
 	if p.heartbeat.Stopping {
 		return
 	}
+	if p.granting {
+		v.Granting = append(v.Granting, p.name)
+	}
 	if p.isHeard() {
 		v.Live = append(v.Live, p.name)
 	}
--- a/core/crquota/crquota.go
+++ b/core/crquota/crquota.go
@@ -10,13 +10,15 @@
 //
 // In a network partition several daemons may own the same account. Each then grants only the
 // fraction of the rate that its reachable daemons are of the fleet, so that the sum stays near
-// the rate.
+// the rate. A daemon replaces an owner that it cannot reach only when that one must have noticed
+// the partition; until then its side has the fallback buckets.
 //
 // # Usage
 //
 //	owner := crquota.Owner(account, daemons)
 //	ok, wait := ownerLimiter.Take(now, account, rate*crquota.RateFraction(reachable, fleetSize), burst)
-//	ok, wait = fallbackLimiter.Take(now, account, rate, burst, fleetSize)
+//	fraction := tolerance.FallbackFraction(rate, burst, noticeTime)
+//	ok, wait = fallbackLimiter.Take(now, account, rate*fraction, burst*fraction, fleetSize)
 package crquota
 
 import (
@@ -50,6 +52,20 @@
 	return max(min(burst*startFraction, tolerated/maxNewOwners), 1)
 }
 
+// FallbackFraction returns the fraction of an account's rate that the fallback buckets of all
+// daemons grant together. It is what the tolerance leaves when an owner that is cut off from the
+// rest of the fleet grants the whole rate until it notices, and the sides of the partition
+// grant up to partitionSlack afterwards.
+func (t Tolerance) FallbackFraction(rate, burst float64, noticeTime time.Duration) float64 {
+	if rate <= 0 || noticeTime <= 0 {
+		return 1
+	}
+	window := t.Window.Seconds()
+	notice := min(noticeTime.Seconds(), window)
+	tolerated := t.Overage*(window+burst/rate) - (partitionSlack-1)*(window-notice)
+	return min(max(tolerated/notice, 0), 1)
+}
+
 // ownerIdleTime is the time without requests after which a bucket is dropped. It is usually full
 // by then, while a new one holds half.
 const ownerIdleTime = time.Minute
@@ -168,3 +184,16 @@
 	b := l.buckets.bucket(now, a, func() float64 { return l.tolerance.startTokens(rate, capacity) })
 	return b.take(now, rate, capacity)
 }
+
+// TakeOver is Take for an account whose owner this daemon has replaced at since because it cannot
+// reach it. The bucket starts with one token then, since the other owner may be running and
+// grant the burst.
+func (l *OwnerLimiter) TakeOver(now crid.Instant, a crid.Account, rate, burst float64, since crid.Instant) (ok bool, wait time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	b := l.buckets.bucket(now, a, func() float64 { return 1 })
+	if b.usedAt.Before(since) {
+		b.tokens, b.usedAt = min(b.tokens, 1), since
+	}
+	return b.take(now, rate, max(burst, 1))
+}
--- a/io/crmesh/quota.go
+++ b/io/crmesh/quota.go
@@ -35,11 +35,13 @@
 }
 
 func newOwnerLimiter(opts Options, loop *loop) *ownerLimiter {
+	return &ownerLimiter{self: crid.Daemon(opts.Settings.Address), loop: loop, limiter: crquota.NewOwnerLimiter(quotaTolerance(opts))}
+}
+
+// quotaTolerance returns how far accounts may exceed their limits.
+func quotaTolerance(opts Options) crquota.Tolerance {
 	b := opts.Settings.Bounds
-	return &ownerLimiter{
-		self: crid.Daemon(opts.Settings.Address), loop: loop,
-		limiter: crquota.NewOwnerLimiter(crquota.Tolerance{Window: b.QuotaWindow(), Overage: b.QuotaOverage}),
-	}
+	return crquota.Tolerance{Window: b.QuotaWindow(), Overage: b.QuotaOverage}
 }
 
 // decide returns how a token request for an account is handled: granted here, or
@@ -69,16 +71,20 @@
 		return true, 0
 	}
 	fraction := v.RateFraction(forPeer)
-	return l.limiter.Take(crclock.Now(), a.Name, a.Rate*fraction, a.Burst*fraction)
+	if v.Owns(a.Name, l.self) {
+		return l.limiter.Take(crclock.Now(), a.Name, a.Rate*fraction, a.Burst*fraction)
+	}
+	return l.limiter.TakeOver(crclock.Now(), a.Name, a.Rate*fraction, a.Burst*fraction, v.OwnersSince)
 }
 
 // quota requests tokens from the owner of an account. While the owner does not answer,
-// it uses a fallback bucket, which has this daemon's fraction of the rate.
+// it uses a fallback bucket, which has a fraction of this daemon's part of the rate.
 type quota struct {
 	self         crid.Daemon
 	loop         *loop
 	owner        *ownerLimiter
 	fallback     *crquota.FallbackLimiter
+	tolerance    crquota.Tolerance
 	channel      *crbeat.Channel
 	log          *crlog.Logger
 	mu           sync.Mutex
@@ -89,7 +95,8 @@
 
 func newQuota(opts Options, loop *loop, owner *ownerLimiter, ch *crbeat.Channel, l *crlog.Logger) *quota {
 	q := &quota{
-		self: crid.Daemon(opts.Settings.Address), loop: loop, owner: owner, fallback: crquota.NewFallbackLimiter(rand.Float64), channel: ch, log: l,
+		self: crid.Daemon(opts.Settings.Address), loop: loop, owner: owner, channel: ch, log: l,
+		fallback: crquota.NewFallbackLimiter(rand.Float64), tolerance: quotaTolerance(opts),
 		backoffUntil: make(map[tokenRoute]crid.Instant),
 	}
 	ch.SetRelay(q.relay)
@@ -125,7 +132,8 @@
 		}
 		excluded = append(excluded, d)
 	}
-	return q.fallback.Take(crclock.Now(), a.Name, a.Rate, a.Burst, v.Size)
+	fraction := q.tolerance.FallbackFraction(a.Rate, a.Burst, v.NoticeTime)
+	return q.fallback.Take(crclock.Now(), a.Name, a.Rate*fraction, a.Burst*fraction, v.FleetSize())
 }
 
 // relay requests a token on behalf of a peer.
