core/crmesh: A daemon that starts during a partition learns how many members fell silent before

Cause: a daemon that starts knows the records alone. Once those of the cut off daemons have expired, it takes its side for the whole fleet, and as an owner grants the whole rate. Change: heartbeats tell how many members their sender knows only by heartbeats that stopped. A daemon that started within the retention of such members counts those that its peers report beyond its own. The number travels beside the heartbeat's array, so that a daemon of an older version accepts it.

--- a/core/crmesh/event.go
+++ b/core/crmesh/event.go
@@ -29,6 +29,9 @@
 	// EvacuationRevision is the latest change of an evacuation; zero: none. It is sent
 	// beside the other fields, so that daemons of a version without it accept them.
 	EvacuationRevision crid.Revision `cbor:"-"`
+	// SilentMembers is the number of members without a record that have sent this daemon
+	// heartbeats, and no longer do. It is sent beside the other fields, too.
+	SilentMembers int `cbor:"-"`
 }
 
 // LoadReport returns the state of the target in the heartbeat.
@@ -138,6 +141,7 @@
 		PlanVersion        uint64        `cbor:"Version" json:"Version"`
 		RecordRevision     crid.Revision `cbor:"Revision" json:"Revision"`
 		EvacuationRevision crid.Revision `cbor:"Evacuated" json:"Evacuated"`
+		SilentMembers      int           `cbor:"-" json:"-"`
 	}
 	// UpdateTarget passes the state of a peer's target to target selection.
 	UpdateTarget struct {
--- a/core/crmesh/partition_test.go
+++ b/core/crmesh/partition_test.go
@@ -86,7 +86,7 @@
 			for _, to := range eff.To {
 				if peer := f.byName[to]; peer.side == d.side {
 					f.step(peer, crmesh.HeartbeatReceived{Now: ev.At(), From: d.name, Heartbeat: crmesh.Heartbeat{
-						Incarnation: 1, Stopping: eff.Stopping, StoreUnavailable: eff.StoreUnavailable, RecordRevision: eff.RecordRevision,
+						Incarnation: 1, Stopping: eff.Stopping, StoreUnavailable: eff.StoreUnavailable, RecordRevision: eff.RecordRevision, SilentMembers: eff.SilentMembers,
 					}})
 				}
 			}
@@ -318,3 +318,27 @@
 		}
 	}
 }
+
+// Guards against an owner that starts again during a partition, and does not know of the daemons whose records have expired.
+func TestRestartedOwnerCountsMembersThatFellSilent(t *testing.T) {
+	const n, cut = 29, 13
+	f := newQuotaFleet(1, n, 88, 88)
+	var lost []*quotaDaemon
+	f.play(4*time.Second, map[time.Duration]func(crid.Instant){
+		4 * time.Second: func(now crid.Instant) { lost = f.cutOff(now, cut) },
+		7 * time.Second: func(now crid.Instant) { f.expire(now, lost) },
+		12 * time.Second: func(now crid.Instant) {
+			var left []crregistry.Change
+			for i, d := range f.daemons {
+				if d.side == 0 {
+					left = append(left, f.records[i])
+				}
+			}
+			i := slices.IndexFunc(f.daemons, func(d *quotaDaemon) bool { return d.side == 0 })
+			f.start(now, f.daemons[i], left)
+		},
+	})
+	if sum := f.fraction(0) + f.fraction(1); sum > 1.11 {
+		t.Errorf("the sides grant %.2f of the rate", sum)
+	}
+}
--- a/core/crmesh/partner.go
+++ b/core/crmesh/partner.go
@@ -77,7 +77,7 @@
 }
 
 // countReachable sets the numbers of known daemons and of those that can be reached.
-func (s *State) countReachable(v *View) {
+func (s *State) countReachable(now crid.Instant, v *View) {
 	domains := make(map[crid.Domain]*domainReach)
 	for _, p := range s.sortedPeers() {
 		if !s.isMember(p) {
@@ -94,6 +94,34 @@
 	for _, d := range domains {
 		v.Reachable += d.estimate()
 	}
+	v.Confirmed += s.unknownMembers(now)
+}
+
+// silentMembers returns the number of members that this daemon knows only because it has
+// received heartbeats from them.
+func (s *State) silentMembers() int {
+	n := 0
+	for _, p := range s.peers {
+		if p.isLost() {
+			n++
+		}
+	}
+	return n
+}
+
+// unknownMembers returns the number of members that fell silent and whose records expired
+// before this daemon started, by the reports of its peers.
+func (s *State) unknownMembers(now crid.Instant) int {
+	if s.listedAt == 0 || now.Sub(s.listedAt) > lostPeerRetention {
+		return 0
+	}
+	reported := 0
+	for _, p := range s.peers {
+		if p.isHeard() {
+			reported = max(reported, p.heartbeat.SilentMembers)
+		}
+	}
+	return max(reported-s.silentMembers(), 0)
 }
 
 // noticeInterval returns the time between the heartbeats by which a peer, or this daemon,
--- a/core/crmesh/peer.go
+++ b/core/crmesh/peer.go
@@ -180,6 +180,9 @@
 // is silent and has no record, it may be cut off from this daemon and from the store.
 func (p *peer) mayServe() bool { return p.lastReceived != 0 && !p.leftWithNotice() }
 
+// isLost reports whether a peer counts as a member only because it may serve.
+func (p *peer) isLost() bool { return !p.hasRecord && p.unresponsive && p.mayServe() }
+
 func (p *peer) leftWithNotice() bool { return p.leaving || p.heartbeat.Stopping }
 
 // retention returns how long a peer that no record and no seed names is kept without a
@@ -266,7 +269,7 @@
 	}
 	b := SendHeartbeats{
 		To: to, Stopping: s.stopping, StoreUnavailable: s.storeUnavailable, RecordRevision: s.registry.LatestChange(),
-		EvacuationRevision: s.evacuations.Revision(),
+		EvacuationRevision: s.evacuations.Revision(), SilentMembers: s.silentMembers(),
 	}
 	if s.plan != nil {
 		b.PlanVersion = s.plan.Version()
--- a/core/crmesh/view.go
+++ b/core/crmesh/view.go
@@ -68,7 +68,7 @@
 		ReadsFirst:     s.readsFirst(),
 		ReadersPending: s.readersPending(),
 	}
-	s.countReachable(v)
+	s.countReachable(now, v)
 	for _, p := range s.sortedPeers() {
 		s.addToView(v, p)
 	}
--- a/io/crmesh/loop.go
+++ b/io/crmesh/loop.go
@@ -130,6 +130,7 @@
 		PlanVersion:        eff.PlanVersion,
 		RecordRevision:     eff.RecordRevision,
 		EvacuationRevision: eff.EvacuationRevision,
+		SilentMembers:      eff.SilentMembers,
 	}
 }
 
