--- a/io/crfeed/fleet_test.go
+++ b/io/crfeed/fleet_test.go
@@ -1,6 +1,7 @@
 package crfeed_test
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -220,6 +221,8 @@
 	failed  map[crid.Daemon]bool // daemons that do not run
 	hung    map[crid.Daemon]bool // daemons that do not answer queries
 	started time.Time
+
+	readerCount int // of the fleet, by which watches draw their waits; zero: as it is
 }
 
 // newFleet returns a fleet with one domain per size.
@@ -253,13 +256,15 @@
 		Readers: func() []crid.Daemon { return m.view.Load().Readers }, ReadersPending: func() bool { return m.view.Load().ReadersPending },
 	})
 	m.follower = crwatch.New(crwatch.Options{
-		Store: m.feed, Decoder: versionDecoder{}, Clock: f.now, Emit: m.emit, Log: log, ReaderCount: func() int { return m.view.Load().StoreReaders },
+		Store: m.feed, Decoder: versionDecoder{}, Clock: f.now, Emit: m.emit, Log: log, ReaderCount: m.countReaders,
 		ReadsFirst: func() bool { return m.view.Load().ReadsFirst },
 	})
 	f.members[id] = m
 	f.store.register(m)
 }
 
+func (m *member) countReaders() int { return cmp.Or(m.fleet.readerCount, m.view.Load().StoreReaders) }
+
 // run runs the fleet for a duration of virtual time.
 func (f *fleet) run(t *testing.T, d time.Duration) {
 	t.Helper()
--- a/io/crfeed/outage_test.go
+++ b/io/crfeed/outage_test.go
@@ -50,6 +50,7 @@
 	count             int
 	shortest, longest time.Duration
 	afterChange       bool // the first outage follows a change, and only the watches after the change are lost
+	readerCount       int  // see fleet
 }
 
 // outages returns random outages.
@@ -73,6 +74,7 @@
 	t.Helper()
 	r := rand.New(rand.NewPCG(seed, 0))
 	f := newFleet(sizes...)
+	f.readerCount = p.readerCount
 	f.store.outages = p.outages(r, f.started)
 	until := f.store.outages[p.count-1].until
 	if p.afterChange {
@@ -133,6 +135,11 @@
 	checkOutages(t, outageParams{count: 1, shortest: time.Second, longest: 2 * time.Second, afterChange: true})
 }
 
+// Guards against a silence that nobody detects because all watches after a change have drawn long waits.
+func TestAChangeIsInForceInTimeWhenWatchesDrawLongWaits(t *testing.T) {
+	checkOutages(t, outageParams{count: 1, shortest: time.Second, longest: 2 * time.Second, afterChange: true, readerCount: 40})
+}
+
 // The backoff after unanswered calls grows over repeated outages, and could delay the first call after the last.
 func TestAChangeIsInForceInTimeAfterRepeatedOutages(t *testing.T) {
 	checkOutages(t, outageParams{count: 4, shortest: time.Millisecond, longest: time.Second})
