core/crmesh: Only an owner that was heard before is replaced with an empty bucket

Cause: a daemon that has not heard from its peers yet grants itself; it counted as replacing an unreachable owner, and began with one token. Change: members whose heartbeats have stopped are listed apart (View.Silent), and only they count as replaced. A peer that was never heard cannot have granted tokens to this side, and its part is left to it by the fraction of the rate.

--- a/core/crmesh/event.go
+++ b/core/crmesh/event.go
@@ -1,6 +1,7 @@
 package crmesh
 
 import (
+	"slices"
 	"time"
 
 	"camphorroad/core/crevacuation"
@@ -180,7 +181,8 @@
 	Owners         []crid.Daemon                        // Live, and recorded peers whose first heartbeat may still come
 	OwnersSince    crid.Instant                         `cbor:"-" json:"-"` // when Owners last changed
 	Members        []crid.Daemon                        // Owners, recorded peers without heartbeats, and peers that fell silent without notice
-	Granting       []crid.Daemon                        // Members that are unresponsive and may not have noticed yet that they are cut off
+	Silent         []crid.Daemon                        // Members whose heartbeats have stopped
+	Granting       []crid.Daemon                        // those of Silent that may not have noticed yet that they are cut off
 	NoticeTime     time.Duration                        // in which an owner of accounts notices that a part of the fleet is cut off
 	Size           int                                  // daemons that a record or a seed names, up or not, and others whose heartbeats arrive
 	Confirmed      int                                  `cbor:"Known" json:"Known"` // daemons that a record names, and those that have sent heartbeats and not announced that they leave
@@ -200,8 +202,11 @@
 	return crquota.Decide(a, crquota.Fleet{Members: v.Members, Reachable: v.Owners, Granting: v.Granting}, self, origin)
 }
 
-// Owns reports whether an account belongs to a daemon also when all members are reachable.
-func (v *View) Owns(a crid.Account, d crid.Daemon) bool { return crquota.Owner(a, v.Members) == d }
+// ReplacesOwner reports whether an account that a daemon owns belongs to one of the members
+// whose heartbeats have stopped.
+func (v *View) ReplacesOwner(a crid.Account, d crid.Daemon) bool {
+	return crquota.Owner(a, append(slices.Clone(v.Silent), d)) != d
+}
 
 // FleetSize returns the number of daemons among which the fallback buckets divide a rate.
 func (v *View) FleetSize() int { return max(v.Size, v.Confirmed) }
--- a/core/crmesh/partition_test.go
+++ b/core/crmesh/partition_test.go
@@ -151,11 +151,11 @@
 
 func (f *quotaFleet) grant(now crid.Instant, d *quotaDaemon, forPeer bool) bool {
 	fraction := d.view.RateFraction(forPeer)
-	if d.view.Owns(quotaAccount, d.name) {
-		ok, _ := d.owner.Take(now, quotaAccount, f.rate*fraction, f.burst*fraction)
+	if d.view.ReplacesOwner(quotaAccount, d.name) {
+		ok, _ := d.owner.TakeOver(now, quotaAccount, f.rate*fraction, f.burst*fraction, d.view.OwnersSince)
 		return ok
 	}
-	ok, _ := d.owner.TakeOver(now, quotaAccount, f.rate*fraction, f.burst*fraction, d.view.OwnersSince)
+	ok, _ := d.owner.Take(now, quotaAccount, f.rate*fraction, f.burst*fraction)
 	return ok
 }
 
@@ -342,3 +342,23 @@
 		t.Errorf("the sides grant %.2f of the rate", sum)
 	}
 }
+
+// Guards against refusals below the rate by a daemon that has just started and owns an account until it hears from its peers.
+func TestDaemonReplacesOnlyOwnersThatItHasHeard(t *testing.T) {
+	f := newQuotaFleet(1, 3, 500, 500)
+	now := start.Add(quotaStep)
+	for _, d := range f.daemons {
+		f.start(now, d, f.records)
+	}
+	for _, d := range f.daemons {
+		granted := 0
+		for range 30 {
+			if f.grant(now, d, false) {
+				granted++
+			}
+		}
+		if granted < 30 {
+			t.Errorf("%d of 30 requests were granted at the start, at a rate of 500 and a burst of 500", granted)
+		}
+	}
+}
--- a/core/crmesh/peer.go
+++ b/core/crmesh/peer.go
@@ -124,7 +124,7 @@
 	p.unresponsive = p.requestsUnanswered || s.missesHeartbeats(now, p)
 	p.overdue = s.isOverdue(now, p)
 	p.doubtful = p.lastReceived != 0 && now.Sub(p.lastReceived) > doubtfulAfter(s.idleInterval(p))
-	p.granting = p.unresponsive && !p.leftWithNotice() && now.Sub(s.contactLost(p)) < doubtfulAfter(s.noticeInterval(p))
+	p.granting = p.unresponsive && p.mayServe() && now.Sub(s.contactLost(p)) < doubtfulAfter(s.noticeInterval(p))
 	return p.unresponsive != before.unresponsive || p.overdue != before.overdue || p.doubtful != before.doubtful || p.granting != before.granting
 }
 
--- a/core/crmesh/view.go
+++ b/core/crmesh/view.go
@@ -100,6 +100,9 @@
 	if p.heartbeat.Stopping {
 		return
 	}
+	if p.unresponsive && p.mayServe() {
+		v.Silent = append(v.Silent, p.name)
+	}
 	if p.granting {
 		v.Granting = append(v.Granting, p.name)
 	}
--- a/io/crmesh/quota.go
+++ b/io/crmesh/quota.go
@@ -71,10 +71,10 @@
 		return true, 0
 	}
 	fraction := v.RateFraction(forPeer)
-	if v.Owns(a.Name, l.self) {
-		return l.limiter.Take(crclock.Now(), a.Name, a.Rate*fraction, a.Burst*fraction)
+	if v.ReplacesOwner(a.Name, l.self) {
+		return l.limiter.TakeOver(crclock.Now(), a.Name, a.Rate*fraction, a.Burst*fraction, v.OwnersSince)
 	}
-	return l.limiter.TakeOver(crclock.Now(), a.Name, a.Rate*fraction, a.Burst*fraction, v.OwnersSince)
+	return l.limiter.Take(crclock.Now(), a.Name, a.Rate*fraction, a.Burst*fraction)
 }
 
 // quota requests tokens from the owner of an account. While the owner does not answer,
