io/cringress: The sides of a partition share the slack of the retry budget

Cause: the same as of the accounts' limits. Each daemon takes its part of the slack by the number of daemons that it knows; once the records of the cut off ones have expired, the side that reaches the store divides by its own number. Evidence: 16 of 29 daemons that reach the store use 1/16 each, the others 1/29: 1.45 of the slack. Change: budgets divide by the same count as fallback buckets, which includes members that fell silent without notice. Result: TestSidesOfAPartitionShareTheRetryBudget fails with the former count (1.45), passes.

--- a/core/crmesh/event.go
+++ b/core/crmesh/event.go
@@ -208,7 +208,8 @@
 	return crquota.Owner(a, append(slices.Clone(v.Silent), d)) != d
 }
 
-// FleetSize returns the number of daemons among which the fallback buckets divide a rate.
+// FleetSize returns the number of daemons among which the fallback buckets divide a rate, and
+// retry budgets their slack.
 func (v *View) FleetSize() int { return max(v.Size, v.Confirmed) }
 
 // RateFraction returns the fraction of an account's rate that this daemon grants as its
--- a/core/crmesh/partition_test.go
+++ b/core/crmesh/partition_test.go
@@ -319,6 +319,24 @@
 	}
 }
 
+// Guards against sides of a partition that together use more than the slack of the retry budget once records have expired.
+func TestSidesOfAPartitionShareTheRetryBudget(t *testing.T) {
+	const n, cut = 29, 13
+	f := newQuotaFleet(1, n, 88, 88)
+	var lost []*quotaDaemon
+	f.play(quotaDayLength, map[time.Duration]func(crid.Instant){
+		4 * time.Second: func(now crid.Instant) { lost = f.cutOff(now, cut) },
+		7 * time.Second: func(now crid.Instant) { f.expire(now, lost) },
+	})
+	sum := 0.0
+	for _, d := range f.daemons {
+		sum += 1 / float64(d.view.FleetSize())
+	}
+	if sum > 1.01 {
+		t.Errorf("the daemons use %.2f of the slack", sum)
+	}
+}
+
 // Guards against an owner that starts again during a partition, and does not know of the daemons whose records have expired.
 func TestRestartedOwnerCountsMembersThatFellSilent(t *testing.T) {
 	const n, cut = 29, 13
--- a/io/cringress/cringress.go
+++ b/io/cringress/cringress.go
@@ -110,7 +110,7 @@
 
 // RetryUsage is the use of this daemon's part of the retry budget.
 func (e *Entry) RetryUsage() []crbudget.Usage {
-	return e.opts.Budget.Usage(e.opts.Clock(), e.view.Load().Size)
+	return e.opts.Budget.Usage(e.opts.Clock(), e.view.Load().FleetSize())
 }
 
 // InFlight is the number of requests in flight.
--- a/io/cringress/dispatch.go
+++ b/io/cringress/dispatch.go
@@ -105,7 +105,7 @@
 	}
 	if d.retrying && !d.takeRetry(ctx, now) {
 		d.opts.Meter.ObserveRetryDenied()
-		spent, allowed := d.opts.Budget.Balance(now, d.service, d.view.Size)
+		spent, allowed := d.opts.Budget.Balance(now, d.service, d.view.FleetSize())
 		d.response.budget = fmt.Sprintf("%.1f of %.1f", spent, allowed)
 		return false
 	}
@@ -160,7 +160,7 @@
 
 // retry is a retry at a service, as the budget counts it.
 func (d *dispatch) retry(s crid.Service, cost float64) crbudget.Retry {
-	return crbudget.Retry{Service: s, Priority: d.priority, FleetSize: d.view.Size, Cost: cost}
+	return crbudget.Retry{Service: s, Priority: d.priority, FleetSize: d.view.FleetSize(), Cost: cost}
 }
 
 // learnCalls learns which calls the run of a retry makes again. They are known if the request
