core/crmesh: An owner of accounts learns which peers do not receive its heartbeats

Cause: its own unanswered requests and missing heartbeats tell a daemon that it cannot reach an owner. The owner learns nothing of it while the links work in one direction only, or enough of its peers' datagrams arrive: it grants the whole rate beside the one that replaces it. Change: heartbeats to peers whose own are overdue say so (BFD does the same), and such peers do not count for the owner's fraction. The flag travels beside the heartbeat's array.

--- a/core/crmesh/crmesh.go
+++ b/core/crmesh/crmesh.go
@@ -249,7 +249,7 @@
 	if p == nil {
 		p = s.addPeer(ev.From)
 	}
-	changed := p.lastReceived == 0 || p.unresponsive || p.doubtful || !sameRole(p.heartbeat, ev.Heartbeat) || p.heartbeat.SilentMembers != ev.Heartbeat.SilentMembers
+	changed := p.lastReceived == 0 || p.unresponsive || p.doubtful || !sameRole(p.heartbeat, ev.Heartbeat) || !sameReach(p.heartbeat, ev.Heartbeat)
 	newlyUnavailable := p.lastReceived != 0 && ev.Heartbeat.StoreUnavailable && !p.heartbeat.StoreUnavailable
 	if p.heartbeat.Incarnation != ev.Heartbeat.Incarnation && s.sameDomain(p) && slices.Contains(s.readers(), s.params.Self) {
 		p.lastSent = 0 // a new daemon reads the store directly until it knows a reader
--- a/core/crmesh/event.go
+++ b/core/crmesh/event.go
@@ -33,6 +33,9 @@
 	// SilentMembers is the number of members without a record that have sent this daemon
 	// heartbeats, and no longer do. It is sent beside the other fields, too.
 	SilentMembers int `cbor:"-"`
+	// Unheard reports that the sender has received no heartbeat from the receiver for a while.
+	// It is sent beside the other fields, too.
+	Unheard bool `cbor:"-"`
 }
 
 // LoadReport returns the state of the target in the heartbeat.
@@ -143,6 +146,7 @@
 		RecordRevision     crid.Revision `cbor:"Revision" json:"Revision"`
 		EvacuationRevision crid.Revision `cbor:"Evacuated" json:"Evacuated"`
 		SilentMembers      int           `cbor:"-" json:"-"`
+		Unheard            bool          `cbor:"-" json:"-"` // the receivers' own heartbeats are overdue
 	}
 	// UpdateTarget passes the state of a peer's target to target selection.
 	UpdateTarget struct {
@@ -186,7 +190,7 @@
 	NoticeTime     time.Duration                        // in which an owner of accounts notices that a part of the fleet is cut off
 	Size           int                                  // daemons that a record or a seed names, up or not, and others whose heartbeats arrive
 	Confirmed      int                                  `cbor:"Known" json:"Known"` // daemons that a record names, and those that have sent heartbeats and not announced that they leave
-	Reachable      int                                  `cbor:"Heard" json:"Heard"` // Confirmed without peers whose heartbeats are overdue
+	Reachable      int                                  `cbor:"Heard" json:"Heard"` // Confirmed without peers whose heartbeats are overdue here, or this daemon's there
 	Readers        []crid.Daemon                        // daemons of the own domain that read the store for it
 	ReadsFirst     bool                                 // this daemon is the first reader of the whole fleet
 	ReadersPending bool                                 `cbor:"Coming" json:"Coming"`   // the first heartbeat of a peer of the own domain is still expected, or there are no records
--- a/core/crmesh/partner.go
+++ b/core/crmesh/partner.go
@@ -54,7 +54,7 @@
 }
 
 func (d *domainReach) add(p *peer) {
-	up := !p.unresponsive && !p.overdue && !p.doubtful
+	up := !p.unresponsive && !p.overdue && !p.doubtful && !p.heartbeat.Unheard
 	d.members++
 	if up {
 		d.reachable++
--- a/core/crmesh/peer.go
+++ b/core/crmesh/peer.go
@@ -259,20 +259,32 @@
 }
 
 func (s *State) heartbeatsTo(peers []*peer, now crid.Instant) []crevent.Effect {
-	if len(peers) == 0 {
-		return nil
-	}
-	to := make([]crid.Daemon, 0, len(peers))
+	var heard, unheard []crid.Daemon
 	for _, p := range peers {
 		p.lastSent = now
-		to = append(to, p.name)
+		if p.unresponsive || p.doubtful {
+			unheard = append(unheard, p.name)
+		} else {
+			heard = append(heard, p.name)
+		}
+	}
+	effects := make([]crevent.Effect, 0, 2)
+	if len(heard) > 0 {
+		effects = append(effects, s.heartbeat(heard, false))
 	}
-	b := SendHeartbeats{
+	if len(unheard) > 0 {
+		effects = append(effects, s.heartbeat(unheard, true))
+	}
+	return effects
+}
+
+func (s *State) heartbeat(to []crid.Daemon, unheard bool) SendHeartbeats {
+	hb := SendHeartbeats{
 		To: to, Stopping: s.stopping, StoreUnavailable: s.storeUnavailable, RecordRevision: s.registry.LatestChange(),
-		EvacuationRevision: s.evacuations.Revision(), SilentMembers: s.silentMembers(),
+		EvacuationRevision: s.evacuations.Revision(), SilentMembers: s.silentMembers(), Unheard: unheard,
 	}
 	if s.plan != nil {
-		b.PlanVersion = s.plan.Version()
+		hb.PlanVersion = s.plan.Version()
 	}
-	return []crevent.Effect{b}
+	return hb
 }
--- a/core/crmesh/reader.go
+++ b/core/crmesh/reader.go
@@ -86,6 +86,12 @@
 	return a.Stopping == b.Stopping && a.StoreUnavailable == b.StoreUnavailable && (a.RecordRevision > 0) == (b.RecordRevision > 0)
 }
 
+// sameReach reports whether two heartbeats of a peer agree on what determines the fraction of
+// the rates that this daemon grants.
+func sameReach(a, b Heartbeat) bool {
+	return a.SilentMembers == b.SilentMembers && a.Unheard == b.Unheard
+}
+
 // rank orders daemons by a hash, so that work is spread independently of their addresses.
 // Each salt gives another order.
 func rank(d crid.Daemon, salt string) uint64 { return xxhash.Sum64String(string(d) + "\x00" + salt) }
--- a/io/crbeat/crbeat.go
+++ b/io/crbeat/crbeat.go
@@ -53,9 +53,10 @@
 	Request   *tokenRequest     `cbor:"2,keyasint,omitempty"`
 	Response  *tokenResponse    `cbor:"3,keyasint,omitempty"`
 	Retry     *retryRequest     `cbor:"4,keyasint,omitempty"`
-	// EvacuationRevision and SilentMembers are those of the heartbeat.
+	// EvacuationRevision, SilentMembers and Unheard are those of the heartbeat.
 	EvacuationRevision crid.Revision `cbor:"5,keyasint,omitempty"`
 	SilentMembers      int           `cbor:"6,keyasint,omitempty"`
+	Unheard            bool          `cbor:"7,keyasint,omitempty"`
 }
 
 type tokenRequest struct {
@@ -145,7 +146,7 @@
 	switch {
 	case m.Heartbeat != nil:
 		hb := *m.Heartbeat
-		hb.EvacuationRevision, hb.SilentMembers = m.EvacuationRevision, max(m.SilentMembers, 0)
+		hb.EvacuationRevision, hb.SilentMembers, hb.Unheard = m.EvacuationRevision, max(m.SilentMembers, 0), m.Unheard
 		c.opts.OnHeartbeat(crid.Daemon(from.Addr().Unmap().String()), hb)
 	case m.Request != nil:
 		c.handleRequest(ctx, from, *m.Request)
@@ -166,7 +167,9 @@
 
 // SendHeartbeat sends a heartbeat to peers.
 func (c *Channel) SendHeartbeat(to []crid.Daemon, hb crmesh.Heartbeat) {
-	data, err := cbor.Marshal(message{Heartbeat: &hb, EvacuationRevision: hb.EvacuationRevision, SilentMembers: hb.SilentMembers})
+	data, err := cbor.Marshal(message{
+		Heartbeat: &hb, EvacuationRevision: hb.EvacuationRevision, SilentMembers: hb.SilentMembers, Unheard: hb.Unheard,
+	})
 	if err != nil {
 		return
 	}
--- a/io/crmesh/loop.go
+++ b/io/crmesh/loop.go
@@ -131,6 +131,7 @@
 		RecordRevision:     eff.RecordRevision,
 		EvacuationRevision: eff.EvacuationRevision,
 		SilentMembers:      eff.SilentMembers,
+		Unheard:            eff.Unheard,
 	}
 }
 
