io/crmesh: Metrics of tokens that owners, their replacements and fallback buckets grant

Change: counters of tokens granted as the owner, in place of an unreachable one, and by fallback buckets; gauges of the members and of those that can be reached, by which rates are divided. Behaviour is as before. Result: TestMetricsPage names them.

--- a/io/crmesh/crmesh_test.go
+++ b/io/crmesh/crmesh_test.go
@@ -127,6 +127,7 @@
 	g.Eventually(metrics, 3*time.Second).Should(gomega.ContainSubstring("camphorroad_peers_alive 1"))
 	body := metrics()
 	for _, line := range []string{
+		"camphorroad_fleet_members 2", "camphorroad_tokens_granted_total", "camphorroad_tokens_replacing_total 0", "camphorroad_tokens_fallback_total",
 		"camphorroad_answers_target_200_total 1", "camphorroad_answers_own_401_total 1", "camphorroad_request_repeat_seconds_count 1",
 		"camphorroad_plan_version 1", "camphorroad_target_slots 4",
 	} {
--- a/io/crmesh/meters.go
+++ b/io/crmesh/meters.go
@@ -82,6 +82,8 @@
 		"requests.open":                          d.entry.InFlight,
 		"peers.silent":                           func() int64 { return int64(len(d.loop.view.Load().Unresponsive)) },
 		"peers.alive":                            func() int64 { return int64(len(d.loop.view.Load().Live) - 1) },
+		"fleet.members":                          func() int64 { return int64(d.loop.view.Load().Confirmed) },
+		"fleet.reachable":                        func() int64 { return int64(d.loop.view.Load().Reachable) },
 		"plan.version":                           d.planVersion,
 		"store.calls.total":                      d.feed.StoreCalls,
 		"feed.asked.total":                       d.feed.ReaderQueries,
--- a/io/crmesh/quota.go
+++ b/io/crmesh/quota.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
 	"camphorroad/core/crid"
 	"camphorroad/core/crmesh"
 	"camphorroad/core/crplan"
@@ -29,13 +31,18 @@
 
 // ownerLimiter keeps the token buckets of the accounts that this daemon owns.
 type ownerLimiter struct {
-	self    crid.Daemon
-	loop    *loop
-	limiter *crquota.OwnerLimiter
+	self      crid.Daemon
+	loop      *loop
+	limiter   *crquota.OwnerLimiter
+	granted   metrics.Counter // tokens granted as an account's owner
+	replacing metrics.Counter // of these, those granted in place of an owner that is unreachable
 }
 
-func newOwnerLimiter(opts Options, loop *loop) *ownerLimiter {
-	return &ownerLimiter{self: crid.Daemon(opts.Settings.Address), loop: loop, limiter: crquota.NewOwnerLimiter(quotaTolerance(opts))}
+func newOwnerLimiter(opts Options, loop *loop, r metrics.Registry) *ownerLimiter {
+	return &ownerLimiter{
+		self: crid.Daemon(opts.Settings.Address), loop: loop, limiter: crquota.NewOwnerLimiter(quotaTolerance(opts)),
+		granted: metrics.NewRegisteredCounter("tokens.granted.total", r), replacing: metrics.NewRegisteredCounter("tokens.replacing.total", r),
+	}
 }
 
 // quotaTolerance returns how far accounts may exceed their limits.
@@ -70,11 +77,24 @@
 	if !known || a.Rate <= 0 {
 		return true, 0
 	}
-	fraction := v.RateFraction(forPeer)
-	if v.ReplacesOwner(a.Name, l.self) {
-		return l.limiter.TakeOver(crclock.Now(), a.Name, a.Rate*fraction, a.Burst*fraction, v.OwnersSince)
+	fraction, replaces := v.RateFraction(forPeer), v.ReplacesOwner(a.Name, l.self)
+	if replaces {
+		ok, wait = l.limiter.TakeOver(crclock.Now(), a.Name, a.Rate*fraction, a.Burst*fraction, v.OwnersSince)
+	} else {
+		ok, wait = l.limiter.Take(crclock.Now(), a.Name, a.Rate*fraction, a.Burst*fraction)
+	}
+	l.count(ok, replaces)
+	return ok, wait
+}
+
+func (l *ownerLimiter) count(granted, replaces bool) {
+	if !granted {
+		return
+	}
+	l.granted.Inc(1)
+	if replaces {
+		l.replacing.Inc(1)
 	}
-	return l.limiter.Take(crclock.Now(), a.Name, a.Rate*fraction, a.Burst*fraction)
 }
 
 // quota requests tokens from the owner of an account. While the owner does not answer,
@@ -85,6 +105,7 @@
 	owner        *ownerLimiter
 	fallback     *crquota.FallbackLimiter
 	tolerance    crquota.Tolerance
+	fromFallback metrics.Counter // tokens taken from the fallback buckets
 	channel      *crbeat.Channel
 	log          *crlog.Logger
 	mu           sync.Mutex
@@ -93,10 +114,11 @@
 
 var _ cringress.Quota = (*quota)(nil)
 
-func newQuota(opts Options, loop *loop, owner *ownerLimiter, ch *crbeat.Channel, l *crlog.Logger) *quota {
+func newQuota(opts Options, loop *loop, owner *ownerLimiter, ch *crbeat.Channel, r metrics.Registry, l *crlog.Logger) *quota {
 	q := &quota{
 		self: crid.Daemon(opts.Settings.Address), loop: loop, owner: owner, channel: ch, log: l,
 		fallback: crquota.NewFallbackLimiter(rand.Float64), tolerance: quotaTolerance(opts),
+		fromFallback: metrics.NewRegisteredCounter("tokens.fallback.total", r),
 		backoffUntil: make(map[tokenRoute]crid.Instant),
 	}
 	ch.SetRelay(q.relay)
@@ -133,7 +155,11 @@
 		excluded = append(excluded, d)
 	}
 	fraction := q.tolerance.FallbackFraction(a.Rate, a.Burst, v.NoticeTime)
-	return q.fallback.Take(crclock.Now(), a.Name, a.Rate*fraction, a.Burst*fraction, v.FleetSize())
+	ok, wait = q.fallback.Take(crclock.Now(), a.Name, a.Rate*fraction, a.Burst*fraction, v.FleetSize())
+	if ok {
+		q.fromFallback.Inc(1)
+	}
+	return ok, wait
 }
 
 // relay requests a token on behalf of a peer.
