--- a/core/crmesh/crmesh.go
+++ b/core/crmesh/crmesh.go
@@ -113,6 +113,7 @@
 	lastView         crid.Instant  // when the last view was published
 	owners           []crid.Daemon // of the last view
 	ownersSince      crid.Instant  // when they last changed
+	silentMembers    int           // see Heartbeat.SilentMembers
 	lastPull         crid.Instant
 	pullCount        int
 	lastRenewal      crid.Instant
@@ -255,7 +256,7 @@
 		p.lastSent = 0 // a new daemon reads the store directly until it knows a reader
 	}
 	p.lastReceived, p.heartbeat = ev.Now, ev.Heartbeat
-	p.unresponsive, p.overdue, p.doubtful, p.granting, p.requestsUnanswered = false, false, false, false, false
+	p.reach, p.requestsUnanswered = reach{}, false
 	s.trackNewer(ev.Now, p)
 	effects := make([]crevent.Effect, 0, 3)
 	if ev.Heartbeat.Target != "" {
@@ -269,18 +270,24 @@
 }
 
 func (s *State) tick(now crid.Instant) []crevent.Effect {
-	changed := s.registry.Sweep(now)
+	changed, silent := s.registry.Sweep(now), 0
 	for _, p := range s.sortedPeers() {
-		if !p.known && (p.lastReceived == 0 || now.Sub(p.lastReceived) > p.retention()) {
-			s.removePeer(p.name)
+		if p.isForgotten(now) {
+			s.forget(p)
 			changed = true
+		}
+		if s.peers[p.name] == nil {
 			continue
 		}
 		if p.knownSince == 0 {
 			p.knownSince = now // a seed
 		}
 		changed = s.updateReach(now, p) || changed
+		if p.isSilentMember() {
+			silent++
+		}
 	}
+	s.silentMembers = silent
 	s.viewOutdated = s.viewOutdated || changed
 	return append(s.dueHeartbeats(now), s.pull(now)...)
 }
--- a/core/crmesh/partition_test.go
+++ b/core/crmesh/partition_test.go
@@ -171,3 +171,21 @@
 		b(now)
 	}
 }
+
+// Guards against a seed that counts for the accounts' rates for good after its machine was lost.
+func TestLostSeedCountsForALimitedTime(t *testing.T) {
+	s := crmesh.New(params())
+	s.Step(recordsListed())
+	seed := crmesh.HeartbeatReceived{Now: start, From: "10.0.0.9", Heartbeat: crmesh.Heartbeat{Incarnation: 1, RecordRevision: 5}}
+	v := views(s.Step(seed))[0]
+	members := func(after time.Duration) int {
+		v = lastView(v, s.Step(crevent.Tick{Now: start.Add(after)}))
+		return v.Confirmed
+	}
+	if n := members(time.Minute); n != 4 {
+		t.Errorf("%d members a minute after the seed fell silent, it may be cut off and is the fourth", n)
+	}
+	if n := members(3 * time.Minute); n != 3 {
+		t.Errorf("%d members three minutes after the seed fell silent, three have records", n)
+	}
+}
--- a/core/crmesh/partner.go
+++ b/core/crmesh/partner.go
@@ -97,18 +97,6 @@
 	v.Confirmed += s.unknownMembers(now)
 }
 
-// silentMembers returns the number of members that this daemon knows only because it has
-// received heartbeats from them.
-func (s *State) silentMembers() int {
-	n := 0
-	for _, p := range s.peers {
-		if p.isLost() {
-			n++
-		}
-	}
-	return n
-}
-
 // unknownMembers returns the number of members that fell silent and whose records expired
 // before this daemon started, by the reports of its peers.
 func (s *State) unknownMembers(now crid.Instant) int {
@@ -121,7 +109,7 @@
 			reported = max(reported, p.heartbeat.SilentMembers)
 		}
 	}
-	return max(reported-s.silentMembers(), 0)
+	return max(reported-s.silentMembers, 0)
 }
 
 // noticeInterval returns the time between the heartbeats by which a peer, or this daemon,
--- a/core/crmesh/peer.go
+++ b/core/crmesh/peer.go
@@ -9,8 +9,17 @@
 	"camphorroad/core/crid"
 )
 
+// reach is what the silence of a peer says of it.
+type reach struct {
+	unresponsive bool // its heartbeats have stopped, or it answers no token requests
+	overdue      bool // its first heartbeat has not arrived within the time after which other peers count as unresponsive
+	doubtful     bool // its heartbeat is overdue, and it may be unresponsive soon
+	granting     bool // unresponsive, and may not have noticed yet that it is cut off
+}
+
 // peer is the state that a daemon holds for another one.
 type peer struct {
+	reach
 	name               crid.Daemon
 	readerRank         uint64       // its rank in the order of the readers
 	lastReceived       crid.Instant // when its latest heartbeat arrived; zero: none yet
@@ -25,15 +34,11 @@
 	newerPlanVersion   uint64       // plan version that it reported at newerSince
 	newerRevision      crid.Revision
 	newerEvacuation    crid.Revision
-	unresponsive       bool
 	unansweredSince    crid.Instant // when it first left a token request unanswered after its latest heartbeat; zero: never
 	knownSince         crid.Instant // when it became known
 	requestsUnanswered bool         // unresponsive because it answers no token requests
 	partner            bool         // see arePartners
 	joined             bool         // its record appeared while this daemon was running
-	overdue            bool         // its first heartbeat has not arrived within the time after which other peers count as unresponsive
-	doubtful           bool         // its heartbeat is overdue, and it may be unresponsive soon
-	granting           bool         // unresponsive, and may not have noticed yet that it is cut off
 }
 
 // trackNewer records that a peer has a plan, records or evacuations that this daemon lacks, until the
@@ -108,24 +113,18 @@
 	return cmp.Or(cmp.Compare(rank(a, salt), rank(b, salt)), cmp.Compare(a, b)) < 0
 }
 
-// missesHeartbeats reports whether the heartbeats of a peer have stopped.
-// A peer without any heartbeat so far may just have started; a request to it shows
-// whether it is up.
-func (s *State) missesHeartbeats(now crid.Instant, p *peer) bool {
-	if p.lastReceived == 0 {
-		return false
-	}
-	return now.Sub(p.lastReceived) > maxMissedHeartbeats*s.idleInterval(p)
-}
-
 // updateReach updates what a peer's silence says of it, and reports whether that changed.
+// A peer without any heartbeat so far may just have started; a request to it shows whether
+// it is up.
 func (s *State) updateReach(now crid.Instant, p *peer) bool {
-	before := *p
-	p.unresponsive = p.requestsUnanswered || s.missesHeartbeats(now, p)
-	p.overdue = s.isOverdue(now, p)
-	p.doubtful = p.lastReceived != 0 && now.Sub(p.lastReceived) > doubtfulAfter(s.idleInterval(p))
+	before := p.reach
+	interval := s.idleInterval(p)
+	heard, silence := p.lastReceived != 0, now.Sub(p.lastReceived)
+	p.unresponsive = p.requestsUnanswered || heard && silence > maxMissedHeartbeats*interval
+	p.overdue = !heard && now.Sub(p.knownSince) > maxMissedHeartbeats*interval
+	p.doubtful = heard && silence > doubtfulAfter(interval)
 	p.granting = p.unresponsive && p.mayServe() && now.Sub(s.contactLost(p)) < doubtfulAfter(s.noticeInterval(p))
-	return p.unresponsive != before.unresponsive || p.overdue != before.overdue || p.doubtful != before.doubtful || p.granting != before.granting
+	return p.reach != before
 }
 
 // doubtfulAfter returns the silence after which a peer becomes doubtful that sends heartbeats
@@ -180,18 +179,35 @@
 // is silent and has no record, it may be cut off from this daemon and from the store.
 func (p *peer) mayServe() bool { return p.lastReceived != 0 && !p.leftWithNotice() }
 
-// isLost reports whether a peer counts as a member only because it may serve.
-func (p *peer) isLost() bool { return !p.hasRecord && p.unresponsive && p.mayServe() }
+// isSilentMember reports whether a peer counts as a member only because it may serve.
+func (p *peer) isSilentMember() bool { return !p.hasRecord && p.unresponsive && p.mayServe() }
 
 func (p *peer) leftWithNotice() bool { return p.leaving || p.heartbeat.Stopping }
 
-// retention returns how long a peer that no record and no seed names is kept without a
-// heartbeat.
-func (p *peer) retention() time.Duration {
+// isForgotten reports whether a peer without a record has sent no heartbeat for so long that
+// nothing of it counts any more.
+func (p *peer) isForgotten(now crid.Instant) bool {
+	if p.hasRecord {
+		return false
+	}
+	if p.lastReceived == 0 {
+		return !p.known
+	}
+	retention := lostPeerRetention
 	if p.leftWithNotice() {
-		return peerRetention
+		retention = peerRetention
 	}
-	return lostPeerRetention
+	return now.Sub(p.lastReceived) > retention
+}
+
+// forget removes a peer. A seed is kept as one that was never heard.
+func (s *State) forget(p *peer) {
+	if !p.known {
+		s.removePeer(p.name)
+		return
+	}
+	delete(s.ahead, p.name)
+	p.lastReceived, p.heartbeat, p.newerSince = 0, Heartbeat{}, 0
 }
 
 // isHeard reports whether a peer's heartbeats arrive.
@@ -209,11 +225,6 @@
 	return !p.unresponsive
 }
 
-// isOverdue reports whether the first heartbeat of a peer is overdue.
-func (s *State) isOverdue(now crid.Instant, p *peer) bool {
-	return p.lastReceived == 0 && now.Sub(p.knownSince) > maxMissedHeartbeats*s.idleInterval(p)
-}
-
 func (s *State) sameDomain(p *peer) bool { return p.domain == s.params.Domain }
 
 // interested reports whether a peer needs the state of this daemon's target.
@@ -281,7 +292,7 @@
 func (s *State) heartbeat(to []crid.Daemon, unheard bool) SendHeartbeats {
 	hb := SendHeartbeats{
 		To: to, Stopping: s.stopping, StoreUnavailable: s.storeUnavailable, RecordRevision: s.registry.LatestChange(),
-		EvacuationRevision: s.evacuations.Revision(), SilentMembers: s.silentMembers(), Unheard: unheard,
+		EvacuationRevision: s.evacuations.Revision(), SilentMembers: s.silentMembers, Unheard: unheard,
 	}
 	if s.plan != nil {
 		hb.PlanVersion = s.plan.Version()
