io/crwatch: A daemon claims only the records that it holds, and the first reader lists again at once

Change: a list for a peer says the revision of the latest list or change that it holds; a peer that listed there may continue from it. While a peer is known to have had a change that this daemon lacks, the first reader lists again at once, each two seconds at most. Result: io/crwatch, io/crfeed pass; calls of the store grow only while a change is lacking.

--- a/core/crmesh/crmesh.go
+++ b/core/crmesh/crmesh.go
@@ -264,7 +264,7 @@
 	}
 	s.viewOutdated = s.viewOutdated || changed
 	if newlyUnavailable {
-		effects = append(effects, s.renewWatches(ev.Now)...)
+		effects = append(effects, s.renewWatches(ev.Now, false)...)
 	}
 	return append(effects, s.pull(ev.Now)...)
 }
--- a/core/crmesh/event.go
+++ b/core/crmesh/event.go
@@ -156,7 +156,9 @@
 	// Pull fetches plan and records from a peer.
 	Pull struct{ From crid.Daemon }
 	// RenewWatches replaces the watches on the store, which may no longer deliver changes.
-	RenewWatches struct{}
+	RenewWatches struct {
+		Missed bool `json:",omitempty"` // a peer has a change that this daemon lacks
+	}
 )
 
 // EffectName implements crevent.Effect.
--- a/core/crmesh/peer.go
+++ b/core/crmesh/peer.go
@@ -90,18 +90,18 @@
 	}
 	s.lastPull = now
 	s.pullCount++
-	return append(s.renewWatches(now), Pull{From: best})
+	return append(s.renewWatches(now, true), Pull{From: best})
 }
 
 // renewWatches renews this daemon's watches when they probably no longer deliver changes:
 // a peer reports the store as unavailable, or has a change that they should have
 // delivered. Otherwise each watch would detect that only at the end of its wait.
-func (s *State) renewWatches(now crid.Instant) []crevent.Effect {
+func (s *State) renewWatches(now crid.Instant, missed bool) []crevent.Effect {
 	if s.lastRenewal != 0 && now.Sub(s.lastRenewal) < renewInterval {
 		return nil
 	}
 	s.lastRenewal = now
-	return []crevent.Effect{RenewWatches{}}
+	return []crevent.Effect{RenewWatches{Missed: missed}}
 }
 
 // pullsBefore reports whether peer a is pulled from in preference to b.
--- a/io/crfeed/fleet_test.go
+++ b/io/crfeed/fleet_test.go
@@ -317,7 +317,11 @@
 		case crmesh.Pull:
 			go m.pull(ctx, eff.From)
 		case crmesh.RenewWatches:
-			m.follower.RestartWatches()
+			if eff.Missed {
+				m.follower.RecordMissedChange()
+			} else {
+				m.follower.RestartWatches()
+			}
 		}
 	}
 }
--- a/io/crmesh/loop.go
+++ b/io/crmesh/loop.go
@@ -110,11 +110,19 @@
 		case crmesh.Pull:
 			go d.pull(ctx, eff.From)
 		case crmesh.RenewWatches:
-			d.follower.RestartWatches()
+			d.renewWatches(eff)
 		}
 	}
 }
 
+func (d *daemon) renewWatches(eff crmesh.RenewWatches) {
+	if eff.Missed {
+		d.follower.RecordMissedChange()
+		return
+	}
+	d.follower.RestartWatches()
+}
+
 func (d *daemon) heartbeat(eff crmesh.SendHeartbeats) crmesh.Heartbeat {
 	report := d.exit.LoadReport()
 	return crmesh.Heartbeat{
--- a/io/crwatch/crwatch.go
+++ b/io/crwatch/crwatch.go
@@ -110,6 +110,9 @@
 	// verifyInterval is the time after which the first reader lists a scope again. A watch
 	// whose answer passed over a change returns none of it later, and no other daemon has it.
 	verifyInterval = 10 * time.Second
+	// minVerifyInterval is the least time between two lists of the first reader while a peer
+	// has a change that this daemon lacks. Each list is billed.
+	minVerifyInterval = 2 * time.Second
 	// outageThreshold is the time of continuous failures after which the store counts
 	// as unavailable. A single connection reset is no outage.
 	outageThreshold = 300 * time.Millisecond
@@ -133,6 +136,7 @@
 	values      map[Scope]map[string]Item
 	revisions   map[Scope]crid.Revision // that the watches have reached
 	recordsAt   crid.Revision           // revision of the latest list or change of the records, which the watches may have passed
+	verifyDue   map[Scope]bool          // a peer has a change that the watches may have passed over
 	failures    atomic.Int64
 	lastRead    map[Scope]crid.Instant            // of the last answer, or of the start of Run
 	compactions int                               // times that the store reported compacted history
@@ -152,6 +156,7 @@
 		revisions: make(map[Scope]crid.Revision),
 		lastRead:  make(map[Scope]crid.Instant),
 		cancels:   make(map[Scope]context.CancelCauseFunc),
+		verifyDue: make(map[Scope]bool),
 
 		compressed:  make(map[string]compressedValue),
 		unavailable: map[Scope]bool{Records: true, Configuration: true},
@@ -183,6 +188,16 @@
 	f.cancelWatches(errRestarted)
 }
 
+// RecordMissedChange sends the pending watches again because a peer has a change that this
+// daemon lacks. The first reader lists the scopes again, since the watches may have passed
+// over it.
+func (f *Follower) RecordMissedChange() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.verifyDue[Records], f.verifyDue[Configuration] = true, true
+	f.cancelWatches(errRestarted)
+}
+
 // cancelWatches cancels the pending watches. The caller holds the lock.
 func (f *Follower) cancelWatches(cause error) {
 	for _, cancel := range f.cancels {
@@ -222,7 +237,7 @@
 	}
 	switch {
 	case scope == Records && complete:
-		f.history.reset(f.revisions[scope])
+		f.history.reset(f.revisions[scope], f.recordsAt)
 	case scope == Records:
 		f.history.add(items)
 	}
--- a/io/crwatch/history.go
+++ b/io/crwatch/history.go
@@ -23,24 +23,27 @@
 type history struct {
 	items         []Item
 	completeAfter crid.Revision // all changes after this revision are kept
+	listedAt      crid.Revision // revision of the list that the changes follow; a peer that listed here continues from it
 }
 
 // add appends changes and drops the oldest ones beyond maxHistory.
 func (h *history) add(items []Item) {
 	h.items = append(h.items, items...)
 	if drop := len(h.items) - maxHistory; drop > 0 {
-		h.completeAfter = h.items[drop-1].Revision
+		h.completeAfter, h.listedAt = h.items[drop-1].Revision, 0
 		h.items = append([]Item(nil), h.items[drop:]...)
 	}
 }
 
 // reset drops all changes. A complete list does not show what was removed before its
-// revision.
-func (h *history) reset(revision crid.Revision) { h.items, h.completeAfter = nil, revision }
+// revision. The watches may have reached a later one.
+func (h *history) reset(reached, listedAt crid.Revision) {
+	h.items, h.completeAfter, h.listedAt = nil, reached, listedAt
+}
 
 // after returns the changes after a revision, or [ErrCompacted] if some were dropped.
 func (h *history) after(r crid.Revision) ([]Item, error) {
-	if r < h.completeAfter {
+	if r < h.completeAfter && r != h.listedAt {
 		return nil, ErrCompacted
 	}
 	var out []Item
@@ -64,7 +67,11 @@
 	for _, i := range f.values[scope] {
 		items = append(items, i)
 	}
-	return f.compress(items), max(f.revisions[scope], firstRevision), nil
+	at := f.revisions[scope]
+	if scope == Records {
+		at = f.recordsAt // the watches may have passed over a change
+	}
+	return f.compress(items), max(at, firstRevision), nil
 }
 
 // ChangesAfter returns the changes of a scope after a revision, compressed, as soon as
--- a/io/crwatch/scope.go
+++ b/io/crwatch/scope.go
@@ -34,7 +34,7 @@
 	if !s.upToDate() {
 		return s.list(ctx)
 	}
-	if s.opts.ReadsFirst() && s.opts.Clock().Sub(s.verifiedAt) >= verifyInterval {
+	if s.opts.ReadsFirst() && s.shouldVerify() {
 		return s.verify(ctx)
 	}
 	items, revision, err := s.watch(ctx)
@@ -145,7 +145,7 @@
 		return err
 	}
 	s.recordSuccess()
-	s.verifiedAt = s.opts.Clock()
+	s.recordVerified()
 	s.listed, s.after, s.listedAt, s.aligned = true, revision, compactions, true
 	s.apply(items, revision, true)
 	s.setUnavailable(s.scope, false)
@@ -157,6 +157,17 @@
 	return nil
 }
 
+// shouldVerify reports whether the first reader lists the scope again.
+func (s *scopeFollower) shouldVerify() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	interval := verifyInterval
+	if s.verifyDue[s.scope] {
+		interval = minVerifyInterval
+	}
+	return s.opts.Clock().Sub(s.verifiedAt) >= interval
+}
+
 // verify lists the scope, and applies the list if the watches have passed over a change.
 func (s *scopeFollower) verify(ctx context.Context) error {
 	items, revision, err := s.opts.Store.List(ctx, s.scope)
@@ -164,7 +175,7 @@
 		return err
 	}
 	s.recordSuccess()
-	s.verifiedAt = s.opts.Clock()
+	s.recordVerified()
 	if s.matches(items) && len(s.endedEvacuations(items, revision)) == 0 {
 		return nil
 	}
@@ -174,6 +185,13 @@
 	return nil
 }
 
+func (s *scopeFollower) recordVerified() {
+	s.verifiedAt = s.opts.Clock()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.verifyDue[s.scope] = false
+}
+
 // matches reports whether the copy has all items of a list up to the revision that the
 // watches have reached. They still deliver later ones.
 func (s *scopeFollower) matches(items []Item) bool {
--- a/io/crwatch/verify_test.go
+++ b/io/crwatch/verify_test.go
@@ -105,3 +105,66 @@
 		g.Expect(current.UpdateFor(behind.Revisions()).Records).To(gomega.BeEmpty(), "nothing is copied twice")
 	})
 }
+
+// peerStore lists what a peer holds.
+type peerStore struct {
+	forgetfulStore
+
+	peer *crwatch.Follower
+}
+
+func (s *peerStore) List(_ context.Context, scope crwatch.Scope) ([]crwatch.Item, crid.Revision, error) {
+	return s.peer.Snapshot(scope)
+}
+
+// Guards against a daemon that lists through a peer which missed a change, and then claims to have it.
+func TestListOfAPeerThatMissedAChangeDoesNotHideIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		s, start := &forgetfulStore{}, time.Now()
+		follow := func(store crwatch.Store) *crwatch.Follower {
+			return crwatch.New(crwatch.Options{
+				Store: store, Decoder: fakeDecoder{}, Clock: func() crid.Instant { return crid.Instant(time.Hour + time.Since(start)) },
+				Emit: func(crevent.Event) {}, ReaderCount: func() int { return 6 }, ReadsFirst: func() bool { return false }, Log: crlog.New(io.Discard, "info", "test"),
+			})
+		}
+		behind := follow(s)
+		through, current := &peerStore{peer: behind}, follow(s)
+		started := follow(through)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+		time.AfterFunc(5*time.Second, func() {
+			s.changed.Store(true)
+			through.changed.Store(true)
+			_ = current.Run(ctx, crwatch.Records)
+		})
+		time.AfterFunc(30*time.Second, func() { _ = started.Run(ctx, crwatch.Records) })
+		g.Expect(behind.Run(ctx, crwatch.Records)).To(gomega.Succeed())
+		g.Expect(started.UpdateFor(behind.Revisions()).Records).To(gomega.BeEmpty(), "it has nothing that the peer lacks")
+		g.Expect(current.UpdateFor(started.Revisions()).Records).To(gomega.HaveLen(2))
+	})
+}
+
+// Guards against a change that a peer is known to have had, and that no daemon finds for ten seconds.
+func TestFirstReaderListsAgainWhenAPeerHasAChangeItLacks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		s, start := &forgetfulStore{}, time.Now()
+		var found time.Duration
+		f := crwatch.New(crwatch.Options{
+			Store: s, Decoder: fakeDecoder{}, Clock: func() crid.Instant { return crid.Instant(time.Hour + time.Since(start)) },
+			Emit: func(ev crevent.Event) {
+				if l, ok := ev.(crmesh.RecordsListed); ok && len(l.Changes) == 2 && found == 0 {
+					found = time.Since(start)
+				}
+			},
+			ReaderCount: func() int { return 6 }, ReadsFirst: func() bool { return true }, Log: crlog.New(io.Discard, "info", "test"),
+		})
+		ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+		defer cancel()
+		time.AfterFunc(2500*time.Millisecond, func() { s.changed.Store(true) })
+		time.AfterFunc(8*time.Second, f.RecordMissedChange)
+		g.Expect(f.Run(ctx, crwatch.Records)).To(gomega.Succeed())
+		g.Expect(found).To(gomega.BeNumerically("~", 8*time.Second, 500*time.Millisecond))
+	})
+}
