--- a/core/crquota/decide.go
+++ b/core/crquota/decide.go
@@ -48,8 +48,8 @@
 // because it could not reach the first one, both would grant the whole rate to the daemons that
 // reach them, and the account would get 1.5 times its limit. A daemon that owns an account only
 // because it cannot reach another therefore first sends the request to a third daemon, which may
-// reach the first owner. It grants the token itself only if that fails, and not before the other
-// owner must have noticed that it is cut off, and grants only its part of the rate.
+// reach the first owner. It grants the token itself only if that fails, and only after the time in
+// which the first owner notices that it is cut off and reduces what it grants.
 func Decide(a crid.Account, f Fleet, self crid.Daemon, origin Origin) Action {
 	owner := Owner(a, f.Reachable)
 	if owner != self && owner != "" {
