--- a/core/crmesh/event.go
+++ b/core/crmesh/event.go
@@ -30,8 +30,8 @@
 	// EvacuationRevision is the latest change of an evacuation; zero: none. It is sent
 	// beside the other fields, so that daemons of a version without it accept them.
 	EvacuationRevision crid.Revision `cbor:"-"`
-	// SilentMembers is the number of members without a record that have sent this daemon
-	// heartbeats, and no longer do. It is sent beside the other fields, too.
+	// SilentMembers is the number of members that the sender knows only by heartbeats that have
+	// stopped. It is sent beside the other fields, too.
 	SilentMembers int `cbor:"-"`
 	// Unheard reports that the sender has received no heartbeat from the receiver for a while.
 	// It is sent beside the other fields, too.
