core/crbudget: A failing test of retries after a start whose calls exceed the called service's budget

Cause: entries do not know what a repeated run calls before their own target has had 20 runs, and never beside a target of another service; and calls of repeated runs count as requests, which raises the limit that daemons compute.

--- a/core/crbudget/called_test.go
+++ b/core/crbudget/called_test.go
@@ -21,6 +21,7 @@
 	bookTargets     int
 	sick            []bool // book targets that fail most runs before they call
 	rejecting       bool   // desk rejects everything
+	failing         bool   // desk fails most runs, and so do the book runs that called it
 	requests, again int    // at desk, and those beyond the first of a request
 }
 
