core/crbudget: A retry pays for the calls that its run makes, from the first failed request on

Cause: an entry knew the calls of a run only after 20 runs on its own target, and never beside a target of another service; it paid the average number though a run repeated for a failed call makes that call for certain; and calls of repeated runs counted as requests. Change: exits report calls with responses (CallReport), entries estimate (CallCosts) and pay from their part or the pool (Payment); repeated calls are no requests; event 642 says who paid. Tests: harnesses follow the new calls of the package. TestCallRatesFollowTheRuns no longer has the state 'not known yet', which is gone; the two tests of calls count first calls only as requests, which is stricter.

--- a/core/crbudget/called_test.go
+++ b/core/crbudget/called_test.go
@@ -18,6 +18,7 @@
 	owner           crbudget.Ownership
 	budgets         []*crbudget.Budget
 	rates           []*crbudget.CallRates
+	costs           []*crbudget.CallCosts
 	bookTargets     int
 	sick            []bool // book targets that fail most runs before they call
 	rejecting       bool   // desk rejects everything
@@ -31,7 +32,8 @@
 	own, pooled := crbudget.Split(p)
 	f := &callingFleet{
 		rng: rand.New(rand.NewPCG(seed, 9)), own: own, pool: crbudget.NewPool(pooled), owner: owned, bookTargets: bookTargets, //nolint:gosec // a test must be reproducible
-		budgets: make([]*crbudget.Budget, daemons), rates: make([]*crbudget.CallRates, daemons), sick: make([]bool, bookTargets),
+		budgets: make([]*crbudget.Budget, daemons), rates: make([]*crbudget.CallRates, daemons),
+		costs: make([]*crbudget.CallCosts, daemons), sick: make([]bool, bookTargets),
 	}
 	for i := range f.budgets {
 		f.start(i, settled)
@@ -40,7 +42,7 @@
 }
 
 func (f *callingFleet) start(i int, started crbudget.Start) {
-	f.budgets[i], f.rates[i] = crbudget.New(f.own, started), crbudget.NewCallRates()
+	f.budgets[i], f.rates[i], f.costs[i] = crbudget.New(f.own, started), crbudget.NewCallRates(), crbudget.NewCallCosts()
 }
 
 // look handles a repeatable request for book. A retry goes to a target that is not sick.
@@ -51,22 +53,46 @@
 	if f.run(now, target, false, true) {
 		return
 	}
-	cost := []crbudget.Retry{{Service: "book", Priority: 2, FleetSize: len(f.budgets), Cost: 1}}
-	known := false
-	if entry < f.bookTargets {
-		var calls []crbudget.Call
-		calls, known = f.rates[entry].Calls()
-		for _, c := range calls {
-			cost = append(cost, crbudget.Retry{Service: c.Service, Priority: 2, FleetSize: len(f.budgets), Cost: c.PerRun})
-		}
-	}
-	if !f.budgets[entry].Spend(now, cost...) {
+	ok, charged := f.spendForLook(now, entry, f.rates[target].Report(now))
+	if !ok {
 		return
 	}
 	for f.sick[target] {
 		target = f.rng.IntN(f.bookTargets)
 	}
-	f.run(now, target, true, known)
+	f.run(now, target, true, charged)
+}
+
+// spendForLook spends a retry of a look and the calls that its run makes, given the report of the
+// run before it.
+func (f *callingFleet) spendForLook(now crid.Instant, entry int, r crbudget.CallReport) (ok, charged bool) {
+	f.costs[entry].Record("book", r)
+	cost := []crbudget.Retry{{Service: "book", Priority: 2, FleetSize: len(f.budgets), Cost: 1}}
+	for _, c := range f.costs[entry].Estimate("book", r.Failed) {
+		cost = append(cost, crbudget.Retry{Service: c.Service, Priority: 2, FleetSize: len(f.budgets), Cost: c.PerRun})
+	}
+	payment := crbudget.NewPayment(f.budgets[entry])
+	take := func(s crid.Service) bool { return f.pool.Take(now, s, f.owner) }
+	return payment.Pay(now, cost, take), len(cost) > 1
+}
+
+// recordCall counts a call that a book target makes. The exit knows the share of retries among
+// the runs on its target, which is all of them here.
+func (f *callingFleet) recordCall(now crid.Instant, target int, repeat, charged bool) {
+	f.rates[target].RecordCall("desk")
+	recordCall(f.budgets[target], now, repeat, charged)
+}
+
+// recordCall counts a call to desk at the daemon where it enters.
+func recordCall(b *crbudget.Budget, now crid.Instant, repeat, charged bool) {
+	if !repeat {
+		b.RecordCall(now, "desk", 0)
+		return
+	}
+	b.RecordCall(now, "desk", 1)
+	if !charged {
+		b.Charge(now, "desk", 1)
+	}
 }
 
 // run runs a look on a book target; it reports whether the target did not fail.
@@ -76,13 +102,7 @@
 		return false
 	}
 	if f.rng.Float64() < callsPerRun {
-		f.rates[target].RecordCall("desk")
-		f.budgets[target].RecordRequest(now, "desk")
-		cost := 0.0
-		if repeat && !charged {
-			cost = 1
-		}
-		f.budgets[target].Charge(now, "desk", cost)
+		f.recordCall(now, target, repeat, charged)
 		if repeat {
 			f.again++
 		}
--- a/core/crbudget/callrates_test.go
+++ b/core/crbudget/callrates_test.go
@@ -22,17 +22,14 @@
 			}
 		}
 	}
-	record(10, 1.4)
-	_, known := r.Calls()
-	g.Expect(known).To(gomega.BeFalse())
-	record(100, 1.4)
-	calls, known := r.Calls()
-	g.Expect(known).To(gomega.BeTrue())
-	g.Expect(calls).To(gomega.HaveLen(1))
-	g.Expect(calls[0].PerRun).To(gomega.BeNumerically("~", 1.4, 0.1))
+	g.Expect(r.Report(start)).To(gomega.Equal(crbudget.CallReport{}))
+	record(110, 1.4)
+	report := r.Report(start)
+	g.Expect(report.Runs).To(gomega.BeNumerically(">", 50))
+	g.Expect(report.Calls).To(gomega.HaveLen(1))
+	g.Expect(report.Calls[0].PerRun).To(gomega.BeNumerically("~", 1.4, 0.1))
 	record(1000, 0)
-	calls, _ = r.Calls()
-	g.Expect(calls).To(gomega.BeEmpty())
+	g.Expect(r.Report(start).Calls).To(gomega.BeEmpty())
 }
 
 func TestRetryNeedsTheBudgetsOfAllServices(t *testing.T) {
@@ -74,16 +71,16 @@
 		own, pooled := crbudget.Split(crbudget.Params{Ratio: 0.2, Slack: slack, Window: window})
 		pool := crbudget.NewPool(pooled)
 		entries := make([]*crbudget.Budget, daemons)
-		rates := make([]*crbudget.CallRates, daemons)
+		rates, costs := make([]*crbudget.CallRates, daemons), make([]*crbudget.CallCosts, daemons)
 		for i := range entries {
-			entries[i], rates[i] = crbudget.New(own, settled), crbudget.NewCallRates()
+			entries[i], rates[i], costs[i] = crbudget.New(own, settled), crbudget.NewCallRates(), crbudget.NewCallCosts()
 		}
 		requests, repeats := make([]int, length/step), make([]int, length/step)
 		retried := 0
 		for n := range requests {
 			now := start.Add(time.Duration(n) * step)
 			rejecting := now.Sub(start) > 8*time.Second && now.Sub(start) < 16*time.Second
-			run := func(repeat, charged bool) {
+			run := func(repeat, charged bool) crbudget.CallReport {
 				target := rng.IntN(daemons)
 				rates[target].RecordRun()
 				for range 2 {
@@ -91,21 +88,18 @@
 						continue
 					}
 					rates[target].RecordCall("desk")
-					entries[target].RecordRequest(now, "desk")
-					requests[n]++
+					recordCall(entries[target], now, repeat, charged)
 					if repeat {
 						repeats[n]++
-					}
-					if repeat && !charged {
-						entries[target].Charge(now, "desk", 1)
 					} else {
-						entries[target].Charge(now, "desk", 0)
+						requests[n]++
 					}
 					retry := crbudget.Retry{Service: "desk", Priority: 2, FleetSize: daemons, Cost: 1}
 					if rejecting && (entries[target].Spend(now, retry) || pool.Take(now, "desk", owned)) {
 						repeats[n]++
 					}
 				}
+				return rates[target].Report(now)
 			}
 			if rng.Float64() < holds*step.Seconds() {
 				entries[rng.IntN(daemons)].RecordRequest(now, "book")
@@ -116,18 +110,18 @@
 				}
 				entry := rng.IntN(daemons)
 				entries[entry].RecordRequest(now, "book")
-				run(false, true)
+				report := run(false, true)
 				if !rejecting && rng.Float64() < 0.5 {
 					continue
 				}
 				cost := []crbudget.Retry{{Service: "book", Priority: 2, FleetSize: daemons, Cost: 1}}
-				calls, known := rates[entry].Calls()
-				for _, c := range calls {
+				costs[entry].Record("book", report)
+				for _, c := range costs[entry].Estimate("book", report.Failed) {
 					cost = append(cost, crbudget.Retry{Service: c.Service, Priority: 2, FleetSize: daemons, Cost: c.PerRun})
 				}
 				if entries[entry].Spend(now, cost...) {
 					retried++
-					run(true, known)
+					run(true, len(cost) > 1)
 				}
 			}
 		}
--- a/core/crbudget/callstart_test.go
+++ b/core/crbudget/callstart_test.go
@@ -13,29 +13,12 @@
 func (f *callingFleet) lookWithCall(now crid.Instant) {
 	entry, target, calls := f.rng.IntN(len(f.budgets)), f.rng.IntN(f.bookTargets), f.rng.Float64() < callsPerRun
 	f.budgets[entry].RecordRequest(now, "book")
-	if !f.runWithCall(now, target, calls, false, false) && f.spendForLook(now, entry) {
-		f.runWithCall(now, f.rng.IntN(f.bookTargets), calls, true, f.callsKnown(entry))
+	if f.runWithCall(now, target, calls, false, false) {
+		return
 	}
-}
-
-func (f *callingFleet) callsKnown(entry int) bool {
-	if entry >= f.bookTargets {
-		return false
+	if ok, charged := f.spendForLook(now, entry, f.rates[target].Report(now)); ok {
+		f.runWithCall(now, f.rng.IntN(f.bookTargets), calls, true, charged)
 	}
-	_, known := f.rates[entry].Calls()
-	return known
-}
-
-// spendForLook spends a retry of a look and the calls that its run makes.
-func (f *callingFleet) spendForLook(now crid.Instant, entry int) bool {
-	cost := []crbudget.Retry{{Service: "book", Priority: 2, FleetSize: len(f.budgets), Cost: 1}}
-	if f.callsKnown(entry) {
-		calls, _ := f.rates[entry].Calls()
-		for _, c := range calls {
-			cost = append(cost, crbudget.Retry{Service: c.Service, Priority: 2, FleetSize: len(f.budgets), Cost: c.PerRun})
-		}
-	}
-	return f.budgets[entry].Spend(now, cost...)
 }
 
 // runWithCall runs a look on a book target; it reports whether the run succeeded.
@@ -44,13 +27,7 @@
 	if !calls {
 		return f.rng.Float64() < 0.95
 	}
-	f.rates[target].RecordCall("desk")
-	f.budgets[target].RecordRequest(now, "desk")
-	cost := 0.0
-	if repeat && !charged {
-		cost = 1
-	}
-	f.budgets[target].Charge(now, "desk", cost)
+	f.recordCall(now, target, repeat, charged)
 	if repeat {
 		f.again++
 	} else {
@@ -60,11 +37,14 @@
 		return true
 	}
 	r := crbudget.Retry{Service: "desk", Priority: 2, FleetSize: len(f.budgets), Cost: 1}
-	if !f.budgets[target].Spend(now, r) && !f.pool.Take(now, "desk", f.owner) {
-		return false
+	if f.budgets[target].Spend(now, r) || f.pool.Take(now, "desk", f.owner) {
+		f.again++
+		if f.deskRun() {
+			return true
+		}
 	}
-	f.again++
-	return f.deskRun()
+	f.rates[target].RecordFailure(now, "desk")
+	return false
 }
 
 // deskRun runs a call on a desk target.
--- a/core/crbudget/crbudget.go
+++ b/core/crbudget/crbudget.go
@@ -12,8 +12,9 @@
 // [Pool]. A daemon also needs some time until it knows the size of the fleet, and so its part of the
 // slack.
 //
-// A retry also costs the calls that its run makes again at other services ([CallRates]). It is sent
-// only if the budgets of all of them cover it.
+// A retry also costs the calls that its run makes again at other services. The daemons beside
+// the targets count them ([CallRates]), and report them to the entries ([CallCosts]). A retry is sent
+// only if the budgets of all of these services cover it.
 //
 // A part of the budget is kept for urgent requests while they need it. When a service rejects half
 // of its requests, the budget covers a third of the retries, and without this order the less urgent
@@ -176,15 +177,24 @@
 	return true
 }
 
+// RecordCall counts a call of a target as a request for the service called. repeated is the
+// probability that the run which makes it is a retry: then the call is no new request, but one
+// more arrival of it.
+func (b *Budget) RecordCall(now crid.Instant, s crid.Service, repeated float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	iv := b.window(s).at(now, b.params.Window)
+	iv.requests += 1 - repeated
+	iv.calls += 1 - repeated
+}
+
 // Charge counts requests that arrive because of retries elsewhere: a request that runs again makes
 // its calls again, and those are retries for the service called. It is for the calls of runs whose
 // entry did not know their number, and so did not spend it with the retry.
 func (b *Budget) Charge(now crid.Instant, s crid.Service, cost float64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	iv := b.window(s).at(now, b.params.Window)
-	iv.charged += cost
-	iv.calls++
+	b.window(s).at(now, b.params.Window).charged += cost
 }
 
 // Refund returns the cost of retries that did not reach a target.
--- a/core/crbudget/crbudget_test.go
+++ b/core/crbudget/crbudget_test.go
@@ -193,9 +193,10 @@
 	for calls, expected := range map[int]int{5: 36, 1: 48} {
 		b := crbudget.New(crbudget.Params{Ratio: 0.2, Slack: 58.5, Window: 10 * time.Second}, settled)
 		for i := range 10 {
-			b.RecordRequest(start, "s")
 			if i < calls {
-				b.Charge(start, "s", 0)
+				b.RecordCall(start, "s", 0)
+			} else {
+				b.RecordRequest(start, "s")
 			}
 		}
 		n := 0
--- a/io/cregress/cregress.go
+++ b/io/cregress/cregress.go
@@ -83,7 +83,8 @@
 	nestedRefusals lastTime     // of nested calls that no target has run
 	refusalLog     logLimiter
 	idempotent     atomic.Int64 // idempotent requests running on the target
-	retries        atomic.Int64 // of these, retries whose calls are not charged yet
+	retries        atomic.Int64 // of these, retries
+	uncharged      atomic.Int64 // of these, retries whose calls were not spent by their entry
 	callRates      *crbudget.CallRates
 	callers        *crcaller.Tracker
 
@@ -418,12 +419,13 @@
 	x.opts.OnTargetChange()
 }
 
-// RecordNestedFailure records that a nested call of the target has failed, or was refused
-// before a target has run it. Failures of requests that were running at that time do not
+// RecordNestedFailure records that a nested call of the target to a service has failed, or was
+// refused before a target has run it. Failures of requests that were running at that time do not
 // count against the target.
-func (x *Exit) RecordNestedFailure(refused bool) {
+func (x *Exit) RecordNestedFailure(s crid.Service, refused bool) {
 	now := x.opts.Clock()
 	x.nestedFailures.record(now)
+	x.callRates.RecordFailure(now, s)
 	if refused {
 		x.nestedRefusals.record(now)
 	}
@@ -438,20 +440,16 @@
 	return x.callers.CallPriority(route, own)
 }
 
-// CallsPerRun returns the nested calls of one idempotent request on the target, and false
-// if they are not known yet.
-func (x *Exit) CallsPerRun() ([]crbudget.Call, bool) { return x.callRates.Calls() }
-
-// RetryRatio returns the share of retries whose calls are not charged yet among the
-// idempotent requests running on the target, which estimates the share among the target's
-// nested calls. Requests of class once are left out: if they make no calls, counting them
-// would make the share too low.
-func (x *Exit) RetryRatio() float64 {
-	idempotent := x.idempotent.Load()
+// RetryShares returns the share of retries among the idempotent requests running on the target,
+// and of those whose calls were not spent by their entry. They estimate the shares among the
+// target's nested calls. Requests of class once are left out: if they make no calls, counting them
+// would make the shares too low.
+func (x *Exit) RetryShares() (all, uncharged float64) {
+	idempotent := float64(x.idempotent.Load())
 	if idempotent <= 0 {
-		return 0
+		return 0, 0
 	}
-	return min(float64(x.retries.Load())/float64(idempotent), 1)
+	return min(float64(x.retries.Load())/idempotent, 1), min(float64(x.uncharged.Load())/idempotent, 1)
 }
 
 // countIdempotent counts a running idempotent request until the returned function is
@@ -461,14 +459,20 @@
 		return func() {}
 	}
 	x.callRates.RecordRun()
-	x.idempotent.Add(1)
-	if !o.Retry {
-		return func() { x.idempotent.Add(-1) }
+	counters := []*atomic.Int64{&x.idempotent}
+	if o.Retry {
+		counters = append(counters, &x.retries)
+	}
+	if o.Retry && !o.CallsSpent {
+		counters = append(counters, &x.uncharged)
+	}
+	for _, n := range counters {
+		n.Add(1)
 	}
-	x.retries.Add(1)
 	return func() {
-		x.idempotent.Add(-1)
-		x.retries.Add(-1)
+		for _, n := range counters {
+			n.Add(-1)
+		}
 	}
 }
 
--- a/io/cregress/nested_test.go
+++ b/io/cregress/nested_test.go
@@ -26,7 +26,7 @@
 			var x *Exit
 			x = newTestExit(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 				if tc.failed {
-					x.RecordNestedFailure(tc.refused)
+					x.RecordNestedFailure("desk", tc.refused)
 				}
 				w.Header().Set("Response-Seal", "s")
 				w.WriteHeader(tc.status)
--- a/io/cregress/run.go
+++ b/io/cregress/run.go
@@ -10,6 +10,7 @@
 
 	"camphorroad/core/crid"
 	"camphorroad/core/crjudge"
+	"camphorroad/core/crpolicy"
 	"camphorroad/core/crregistry"
 	"camphorroad/io/crdialect"
 	"camphorroad/io/crlink"
@@ -34,6 +35,9 @@
 func (r *run) do(ctx context.Context) croffer.Result {
 	r.started = r.exit.opts.Clock()
 	result := r.send(ctx)
+	if r.reservation.offer.Class == crpolicy.ClassRepeat {
+		result.Calls = r.exit.callRates.Report(r.started)
+	}
 	r.log(result)
 	return result
 }
--- a/io/cringress/cringress.go
+++ b/io/cringress/cringress.go
@@ -81,6 +81,7 @@
 	Peers    *croffer.Client
 	Balancer *crplace.Balancer
 	Budget   *crbudget.Budget
+	Calls    *crbudget.CallCosts
 	Pool     RetryPool
 	Attempts *crattempt.Tracker
 	Quota    Quota
@@ -186,22 +187,30 @@
 	if resp, ok := q.takeToken(); !ok {
 		return resp
 	}
-	q.opts.Budget.RecordRequest(q.started, q.service)
-	if q.isNested() {
-		q.opts.Budget.Charge(q.started, q.service, q.opts.Local.RetryRatio())
-		q.opts.Local.RecordCall(q.service)
-		q.priority = q.opts.Local.CallPriority(q.route.Name, q.priority)
-	}
+	q.recordRequest()
 	ctx, cancel := context.WithTimeout(q.http.Context(), q.deadline.Sub(q.opts.Clock()))
 	defer cancel()
 	defer context.AfterFunc(q.abortCtx, cancel)()
 	resp := q.dispatch(ctx)
 	if q.isNested() && resp.status >= http.StatusInternalServerError {
-		q.opts.Local.RecordNestedFailure(resp.status == http.StatusServiceUnavailable)
+		q.opts.Local.RecordNestedFailure(q.service, resp.status == http.StatusServiceUnavailable)
 	}
 	return resp
 }
 
+// recordRequest counts the request for the retry budget, and sets the priority of a nested call.
+func (q *request) recordRequest() {
+	if !q.isNested() {
+		q.opts.Budget.RecordRequest(q.started, q.service)
+		return
+	}
+	repeated, uncharged := q.opts.Local.RetryShares()
+	q.opts.Budget.RecordCall(q.started, q.service, repeated)
+	q.opts.Budget.Charge(q.started, q.service, uncharged)
+	q.opts.Local.RecordCall(q.service)
+	q.priority = q.opts.Local.CallPriority(q.route.Name, q.priority)
+}
+
 // identify finds the route, the account and the service.
 func (q *request) identify() (response, bool) {
 	info, err := q.opts.Dialect.ParseRequest(q.http.Header)
--- a/io/cringress/dispatch.go
+++ b/io/cringress/dispatch.go
@@ -42,9 +42,12 @@
 // dispatch offers a request to targets until one has responded, no further target may be
 // tried, or the deadline has passed.
 func (q *request) dispatch(ctx context.Context) response {
-	d := &dispatch{request: q, response: refusal(http.StatusServiceUnavailable, "no target takes it", minRetryAfter)}
+	d := &dispatch{
+		request: q, response: refusal(http.StatusServiceUnavailable, "no target takes it", minRetryAfter),
+		payment: crbudget.NewPayment(q.opts.Budget),
+	}
 	if d.mayRunAgain() {
-		d.learnCalls()
+		d.estimateCalls(nil)
 	}
 	for d.offers-d.busy < maxOffers && d.unresponsive < maxUnresponsive && ctx.Err() == nil {
 		if !d.tryNext(ctx) {
@@ -63,16 +66,14 @@
 	busy         int              // exits that refused it because no slot was free
 	lastReported bool             // the last exit refused it and reported the target's load
 	unresponsive int              // exits that did not reply to an offer
-	calls        []crbudget.Retry // calls that the run of a retry makes again
-	callsKnown   bool
-	refusals     map[string]int // counts of the reasons why targets did not run it
-	sent         int            // number of targets that it was sent to
+	calls        []crbudget.Retry // calls that the run of a retry makes
+	refusals     map[string]int   // counts of the reasons why targets did not run it
+	sent         int              // number of targets that it was sent to
 	mayHaveRun   bool
-	retrying     bool             // the next send is a retry
-	pooled       bool             // a retry was taken from the pool and not used yet
-	spent        []crbudget.Retry // taken from this daemon's part of the budget for the current send
-	retryAfter   time.Duration    // smallest Retry-After of an exit
-	response     response         // response so far
+	retrying     bool              // the next send is a retry
+	payment      *crbudget.Payment // for the next send, if it is a retry
+	retryAfter   time.Duration     // smallest Retry-After of an exit
+	response     response          // response so far
 }
 
 // finalResponse is the response when no further target is tried.
@@ -103,16 +104,17 @@
 	if !ok {
 		return false
 	}
-	if d.retrying && !d.takeRetry(ctx, now) {
+	if d.retrying && !d.payRetry(ctx, now) {
 		d.opts.Meter.ObserveRetryDenied()
 		spent, allowed := d.opts.Budget.Balance(now, d.service, d.view.FleetSize())
 		d.response.budget = fmt.Sprintf("%.1f of %.1f", spent, allowed)
 		return false
 	}
 	if d.retrying {
-		d.opts.Meter.ObserveRetry(d.pooled)
+		d.opts.Meter.ObserveRetry(d.payment.UsesPool())
 		d.opts.Log.Event(crlog.RequestRetried, crlog.Fields{
 			"request": d.info.ID, "service": string(d.service), "target": string(choice.Target), "choice": choice.Reason(), "after": d.response.reason,
+			"paid": d.payment.String(),
 		})
 	}
 	d.offers++
@@ -122,38 +124,19 @@
 		d.opts.Balancer.End(choice.Target)
 	}
 	if !ok {
-		if d.retrying {
-			d.opts.Budget.Refund(now, d.spent...)
-			d.spent = nil
-		}
+		d.payment.Cancel(now)
 		return true
 	}
-	d.pooled, d.spent = false, nil
+	d.payment.Finish()
 	return d.handleResult(ctx, choice, result)
 }
 
-// takeRetry takes a retry from this daemon's part of the budget, or from the pool. The calls
-// that its run makes are always taken from this daemon's part.
-func (d *dispatch) takeRetry(ctx context.Context, now crid.Instant) bool {
-	if !d.pooled {
-		if retries := d.retries(); d.opts.Budget.Spend(now, retries...) {
-			d.spent = retries
-			return true
-		}
-	}
-	if !d.opts.Budget.Spend(now, d.calls...) {
-		return false
-	}
-	d.spent = d.calls
-	d.pooled = d.pooled || d.opts.Pool.Take(ctx, d.service)
-	if !d.pooled {
-		d.opts.Budget.Refund(now, d.calls...)
-		d.spent = nil
-	}
-	return d.pooled
+// payRetry pays for a retry and the calls that its run makes.
+func (d *dispatch) payRetry(ctx context.Context, now crid.Instant) bool {
+	return d.payment.Pay(now, d.retries(), func(s crid.Service) bool { return d.opts.Pool.Take(ctx, s) })
 }
 
-// retries returns a retry of the request with the calls that its run makes again.
+// retries returns a retry of the request with the calls that its run makes.
 func (d *dispatch) retries() []crbudget.Retry {
 	return append([]crbudget.Retry{d.retry(d.service, retryCost)}, d.calls...)
 }
@@ -163,15 +146,11 @@
 	return crbudget.Retry{Service: s, Priority: d.priority, FleetSize: d.view.FleetSize(), Cost: cost}
 }
 
-// learnCalls learns which calls the run of a retry makes again. They are known if the request
-// is one for the service of this daemon's own target.
-func (d *dispatch) learnCalls() {
-	if d.service != d.opts.Service {
-		return
-	}
-	calls, known := d.opts.Local.CallsPerRun()
-	d.callsKnown = known
-	for _, c := range calls {
+// estimateCalls estimates which calls the run of a retry makes, given the services of which a
+// call has failed in the run before it.
+func (d *dispatch) estimateCalls(failed []crid.Service) {
+	d.calls = nil
+	for _, c := range d.opts.Calls.Estimate(d.service, failed) {
 		d.calls = append(d.calls, d.retry(c.Service, c.PerRun))
 	}
 }
@@ -188,7 +167,7 @@
 	now := d.opts.Clock()
 	o := croffer.Offer{
 		ID: d.info.ID, From: d.opts.Self, Target: c.Target, Service: d.service, Class: d.route.Class, Priority: d.priority,
-		TimeLeft: d.deadline.Sub(now), ObjectiveLeft: d.route.Objective - now.Sub(d.started), LastResort: c.LastResort, Retry: d.retrying && !d.callsKnown,
+		TimeLeft: d.deadline.Sub(now), ObjectiveLeft: d.route.Objective - now.Sub(d.started), LastResort: c.LastResort, Retry: d.retrying, CallsSpent: len(d.calls) > 0,
 		RouteObjective: d.route.Objective, Nested: d.isNested(), FreeSlot: c.FreeSlotOnly(), Limit: c.Limit,
 	}
 	if couldRetry {
@@ -314,6 +293,10 @@
 	}
 	d.sent++
 	d.retrying = true
+	if d.mayRunAgain() {
+		d.opts.Calls.Record(d.service, r.Calls)
+		d.estimateCalls(r.Calls.Failed)
+	}
 	more := d.sent < d.route.MaxTargets
 	switch r.Outcome {
 	case croffer.Rejected:
--- a/io/crlog/catalogue_mesh.go
+++ b/io/crlog/catalogue_mesh.go
@@ -150,7 +150,8 @@
 		{CallerDisconnected, LevelInfo, "caller disconnected", "the connection of the caller closed before the response was written", none, none},
 		{
 			RequestRetried, LevelInfo, "request retried",
-			"an idempotent request failed at a target", "it is sent to another target", none,
+			"an idempotent request failed at a target",
+			"it is sent to another target; the field `paid` lists what the retry and its calls cost, by service, and what of it came from the pool", none,
 		},
 		{
 			RequestServed, LevelInfo, "request served",
--- a/io/crmesh/crmesh.go
+++ b/io/crmesh/crmesh.go
@@ -142,7 +142,7 @@
 	s := opts.Settings
 	return cringress.New(cringress.Options{
 		Self: crid.Daemon(s.Address), Domain: s.Domain, Regions: s.Regions, Service: s.Service, Dialect: opts.Dialect, Clock: crclock.Now,
-		Local: x, Peers: peers, Balancer: balancer, Budget: budget, Pool: pool, Attempts: crattempt.NewTracker(), Quota: q, Meter: m, Log: l,
+		Local: x, Peers: peers, Balancer: balancer, Budget: budget, Calls: crbudget.NewCallCosts(), Pool: pool, Attempts: crattempt.NewTracker(), Quota: q, Meter: m, Log: l,
 	})
 }
 
--- a/io/croffer/client.go
+++ b/io/croffer/client.go
@@ -89,13 +89,13 @@
 	}
 	uri := PathOffer + o.query()
 	var reply Reply
-	err = exchange(ctx, conn, uri, body, &reply)
+	_, err = exchange(ctx, conn, uri, body, &reply)
 	if err != nil && conn.Reused() && ctx.Err() == nil {
 		// The peer may have closed the idle connection, for example at a restart.
 		if conn, err = pool.Dial(ctx); err != nil {
 			return Reply{}, nil, err
 		}
-		err = exchange(ctx, conn, uri, body, &reply)
+		_, err = exchange(ctx, conn, uri, body, &reply)
 	}
 	if err != nil {
 		return Reply{}, nil, err
@@ -115,13 +115,15 @@
 		return Result{Outcome: NotSent, Reason: "the request cannot be encoded"}
 	}
 	var result Result
-	if err := exchange(ctx, rv.conn, PathRun+strconv.FormatUint(rv.ticket, 10), body, &result); err != nil {
+	header, err := exchange(ctx, rv.conn, PathRun+strconv.FormatUint(rv.ticket, 10), body, &result)
+	if err != nil {
 		if ctx.Err() != nil {
 			return Result{Outcome: TimedOut, Reason: "no answer of the exit in time"}
 		}
 		return Result{Outcome: Unknown, Reason: "the exit broke off: " + err.Error()}
 	}
 	rv.pool.Put(rv.conn)
+	result.Calls = decodeCalls(header.Get(headerCalls))
 	return result
 }
 
@@ -151,25 +153,26 @@
 	if err != nil {
 		return err
 	}
-	if err := exchange(ctx, conn, path, body, into); err != nil {
+	if _, err := exchange(ctx, conn, path, body, into); err != nil {
 		return err
 	}
 	c.pool(d).Put(conn)
 	return nil
 }
 
-func exchange(ctx context.Context, conn *crlink.Conn, path string, body []byte, into any) error {
+// exchange sends a message, decodes the answer and returns its headers.
+func exchange(ctx context.Context, conn *crlink.Conn, path string, body []byte, into any) (http.Header, error) {
 	resp, err := conn.Exchange(ctx, crlink.Request{Method: http.MethodPost, URI: path, Host: "peer", Body: body}, nil)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	if resp.Status != http.StatusOK {
 		conn.Close()
-		return fmt.Errorf("the peer answered %d", resp.Status)
+		return nil, fmt.Errorf("the peer answered %d", resp.Status)
 	}
 	if err := cbor.Unmarshal(resp.Body, into); err != nil {
 		conn.Close()
-		return fmt.Errorf("decode the peer's answer: %w", err)
+		return nil, fmt.Errorf("decode the peer's answer: %w", err)
 	}
-	return nil
+	return resp.Header, nil
 }
--- a/io/croffer/croffer.go
+++ b/io/croffer/croffer.go
@@ -21,6 +21,7 @@
 	"strings"
 	"time"
 
+	"camphorroad/core/crbudget"
 	"camphorroad/core/crgate"
 	"camphorroad/core/crid"
 	"camphorroad/core/crpace"
@@ -40,7 +41,7 @@
 	TimeLeft       time.Duration // until the caller gets an answer in any case
 	ObjectiveLeft  time.Duration // until the latency objective is missed; zero or less: it is missed
 	LastResort     bool          // no better target is available
-	Retry          bool          // the request was sent to another target before, and the calls of its run are not charged yet
+	Retry          bool          // the request was sent to another target before
 	RouteObjective time.Duration // latency objective of the route
 	Nested         bool          // the caller is a target of the fleet, and one of its requests waits for this one
 
@@ -53,6 +54,9 @@
 	// Limit is the limit that the target named in its latest response to this entry, in
 	// requests a second; zero: none. It is sent like FreeSlot.
 	Limit float64 `cbor:"-"`
+	// CallsSpent reports that the entry has spent the calls that the run of a retry makes. It is
+	// sent like FreeSlot.
+	CallsSpent bool `cbor:"-"`
 }
 
 // query returns the fields that are sent in the URI.
@@ -67,6 +71,9 @@
 	if o.Limit > 0 {
 		q += "&" + queryLimit + strconv.FormatFloat(o.Limit, 'g', -1, 64)
 	}
+	if o.CallsSpent && o.Retry {
+		q += "&" + queryCallsSpent
+	}
 	if q == "?" {
 		return ""
 	}
@@ -79,6 +86,9 @@
 		if field == queryFreeSlot {
 			o.FreeSlot = true
 		}
+		if field == queryCallsSpent {
+			o.CallsSpent = true
+		}
 		if value, ok := strings.CutPrefix(field, queryAttempt); ok {
 			if ms, err := strconv.ParseUint(value, 10, 32); err == nil {
 				o.Attempt = time.Duration(ms) * time.Millisecond
@@ -162,6 +172,10 @@
 	Header     map[string][]string
 	Body       []byte
 	LoadReport crplace.LoadReport
+
+	// Calls are the calls of idempotent runs on the target. They are sent in a header, so that
+	// daemons of a version without them accept the result.
+	Calls crbudget.CallReport `cbor:"-"`
 }
 
 // NotRun reports whether the request certainly did not run and never will.
--- a/io/croffer/server.go
+++ b/io/croffer/server.go
@@ -24,8 +24,13 @@
 	queryFreeSlot = "slot=free" // see Offer.FreeSlot
 	queryAttempt  = "attempt="  // in milliseconds; see Offer.Attempt
 	queryLimit    = "limit="    // in requests a second; see Offer.Limit
+
+	queryCallsSpent = "calls=spent" // see Offer.CallsSpent
 )
 
+// headerCalls is the header of a result with the encoded Result.Calls.
+const headerCalls = "Calls"
+
 // maxBodyBytes bounds the body of a peer's request, which may contain a caller's
 // request with its body.
 const maxBodyBytes = 64 << 20
@@ -58,7 +63,11 @@
 			exit.Release(ticket)
 			return
 		}
-		writeResponse(w, exit.Run(r.Context(), ticket, req))
+		result := exit.Run(r.Context(), ticket, req)
+		if calls := encodeCalls(result.Calls); calls != "" {
+			w.Header().Set(headerCalls, calls)
+		}
+		writeResponse(w, result)
 	})
 	mux.HandleFunc("POST "+PathCopy, func(w http.ResponseWriter, r *http.Request) {
 		var have cbor.RawMessage
