core/crcrash: A request that ends the processes of its targets is sent to no further one

Cause: sends were bounded by the targets of one attempt, whatever became of them; the next attempt of the caller began afresh, and no daemon told another. An exit did not tell an end of its target from a broken connection. Change: the exit probes the target after a request broke off, reports ends with the result and in heartbeats, by the request's content; entries refuse the request with 503 after three ends, for a minute. Answers clear it, ends under a blocked request do not count against those beside it. Event 636, blocked in the state, a metric.

--- a/core/crmesh/crmesh.go
+++ b/core/crmesh/crmesh.go
@@ -258,10 +258,13 @@
 	p.lastReceived, p.heartbeat = ev.Now, ev.Heartbeat
 	p.reach, p.requestsUnanswered = reach{}, false
 	s.trackNewer(ev.Now, p)
-	effects := make([]crevent.Effect, 0, 3)
+	effects := make([]crevent.Effect, 0, 4)
 	if ev.Heartbeat.Target != "" {
 		effects = append(effects, UpdateTarget{Target: ev.Heartbeat.Target, Report: ev.Heartbeat.LoadReport()})
 	}
+	if len(ev.Heartbeat.Crashes) > 0 {
+		effects = append(effects, RecordCrashes{From: ev.From, Reports: ev.Heartbeat.Crashes})
+	}
 	s.viewOutdated = s.viewOutdated || changed
 	if newlyUnavailable {
 		effects = append(effects, s.renewWatches(ev.Now, false)...)
--- a/core/crmesh/event.go
+++ b/core/crmesh/event.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"camphorroad/core/crcrash"
 	"camphorroad/core/crevacuation"
 	"camphorroad/core/crid"
 	"camphorroad/core/crplace"
@@ -36,6 +37,9 @@
 	// Unheard reports that the sender has received no heartbeat from the receiver for a while.
 	// It is sent beside the other fields, too.
 	Unheard bool `cbor:"-"`
+	// Crashes are the requests under which the process of the sender's target has ended lately.
+	// They are sent beside the other fields, too.
+	Crashes []crcrash.Report `cbor:"-"`
 }
 
 // LoadReport returns the state of the target in the heartbeat.
@@ -153,6 +157,11 @@
 		Target crid.Target
 		Report crplace.LoadReport `cbor:"Told" json:"Told"`
 	}
+	// RecordCrashes passes on the requests under which a peer's target has ended.
+	RecordCrashes struct {
+		From    crid.Daemon
+		Reports []crcrash.Report
+	}
 	// Pull fetches plan and records from a peer.
 	Pull struct{ From crid.Daemon }
 	// RenewWatches replaces the watches on the store, which may no longer deliver changes.
@@ -170,6 +179,9 @@
 // EffectName implements crevent.Effect.
 func (UpdateTarget) EffectName() string { return "tell" }
 
+// EffectName implements crevent.Effect.
+func (RecordCrashes) EffectName() string { return "crash" }
+
 // EffectName implements crevent.Effect.
 func (Pull) EffectName() string { return "pull" }
 
--- a/io/crbeat/crbeat.go
+++ b/io/crbeat/crbeat.go
@@ -23,6 +23,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"camphorroad/core/crbudget"
+	"camphorroad/core/crcrash"
 	"camphorroad/core/crid"
 	"camphorroad/core/crmesh"
 	"camphorroad/core/crquota"
@@ -53,10 +54,12 @@
 	Request   *tokenRequest     `cbor:"2,keyasint,omitempty"`
 	Response  *tokenResponse    `cbor:"3,keyasint,omitempty"`
 	Retry     *retryRequest     `cbor:"4,keyasint,omitempty"`
-	// EvacuationRevision, SilentMembers and Unheard are those of the heartbeat.
+	// EvacuationRevision, SilentMembers, Unheard and Crashes are those of the heartbeat.
 	EvacuationRevision crid.Revision `cbor:"5,keyasint,omitempty"`
 	SilentMembers      int           `cbor:"6,keyasint,omitempty"`
 	Unheard            bool          `cbor:"7,keyasint,omitempty"`
+
+	Crashes []crcrash.Report `cbor:"8,keyasint,omitempty"`
 }
 
 type tokenRequest struct {
@@ -147,6 +150,7 @@
 	case m.Heartbeat != nil:
 		hb := *m.Heartbeat
 		hb.EvacuationRevision, hb.SilentMembers, hb.Unheard = m.EvacuationRevision, max(m.SilentMembers, 0), m.Unheard
+		hb.Crashes = m.Crashes
 		c.opts.OnHeartbeat(crid.Daemon(from.Addr().Unmap().String()), hb)
 	case m.Request != nil:
 		c.handleRequest(ctx, from, *m.Request)
@@ -168,7 +172,7 @@
 // SendHeartbeat sends a heartbeat to peers.
 func (c *Channel) SendHeartbeat(to []crid.Daemon, hb crmesh.Heartbeat) {
 	data, err := cbor.Marshal(message{
-		Heartbeat: &hb, EvacuationRevision: hb.EvacuationRevision, SilentMembers: hb.SilentMembers, Unheard: hb.Unheard,
+		Heartbeat: &hb, EvacuationRevision: hb.EvacuationRevision, SilentMembers: hb.SilentMembers, Unheard: hb.Unheard, Crashes: hb.Crashes,
 	})
 	if err != nil {
 		return
--- a/io/cregress/cregress.go
+++ b/io/cregress/cregress.go
@@ -16,7 +16,6 @@
 
 import (
 	"context"
-	"net/http"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -24,6 +23,7 @@
 
 	"camphorroad/core/crbudget"
 	"camphorroad/core/crcaller"
+	"camphorroad/core/crcrash"
 	"camphorroad/core/crgate"
 	"camphorroad/core/crid"
 	"camphorroad/core/crjudge"
@@ -57,11 +57,13 @@
 
 // Options are the settings of an exit.
 type Options struct {
+	Self           crid.Daemon
 	Service        crid.Service
 	Address        string // of the target
 	Dialect        crdialect.Dialect
 	Clock          func() crid.Instant
 	Log            *crlog.Logger
+	Crashes        *crcrash.Tracker
 	OnTargetChange func()                 // called when the target's state has changed
 	OnOffer        func(from crid.Daemon) // called for each offer
 }
@@ -92,6 +94,7 @@
 	estimator    *crjudge.Estimator
 	unhealthy    bool // the target's state, as last reported to peers
 	lastTrial    crid.Instant
+	lastEnd      processEnd
 	lastTicket   uint64
 	reservations map[uint64]*reservation
 }
@@ -486,20 +489,3 @@
 	last := t.at.Load()
 	return last != 0 && crid.Instant(last) >= at
 }
-
-var hopByHopHeaders = []string{
-	"Connection", "Keep-Alive", "Proxy-Connection", "Expect", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length",
-}
-
-// StripHopByHop removes the headers that apply to a single connection, and
-// Content-Length, which is set again when the message is sent.
-func StripHopByHop(h http.Header) {
-	for _, list := range h.Values("Connection") {
-		for _, name := range crlink.SplitList(list) {
-			h.Del(name)
-		}
-	}
-	for _, name := range hopByHopHeaders {
-		h.Del(name)
-	}
-}
--- a/io/cregress/evacuation_test.go
+++ b/io/cregress/evacuation_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/onsi/gomega"
 
+	"camphorroad/core/crcrash"
 	"camphorroad/core/crid"
 	"camphorroad/core/crpolicy"
 	"camphorroad/core/crregistry"
@@ -28,7 +29,7 @@
 	t.Cleanup(server.Close)
 	x := New(Options{
 		Service: "s1", Address: strings.TrimPrefix(server.URL, "http://"), Dialect: platform.Dialect{}, Clock: crclock.Now,
-		Log: crlog.New(io.Discard, "info", "test"), OnTargetChange: func() {}, OnOffer: func(crid.Daemon) {},
+		Log: crlog.New(io.Discard, "info", "test"), Crashes: crcrash.NewTracker(), OnTargetChange: func() {}, OnOffer: func(crid.Daemon) {},
 	})
 	t.Cleanup(x.pool.Close)
 	x.SetTarget(&crregistry.Record{Target: "t1", Service: "s1", Slots: 1})
--- a/io/cregress/run.go
+++ b/io/cregress/run.go
@@ -133,6 +133,7 @@
 	default:
 		x.gate.ContactLost(now)
 		x.observe(now, crjudge.Failure, r.reservation.offer.ID)
+		result.EndedMillis = r.recordEnd(ctx)
 	}
 	result.LoadReport = x.LoadReport()
 	return result
@@ -169,6 +170,7 @@
 		return croffer.Result{Outcome: croffer.Unknown, Reason: "the answer is not the target's own", LoadReport: x.LoadReport()}
 	}
 	r.observeResponse(now, took, resp.Status)
+	x.opts.Crashes.RecordAnswer(now, contentKey(r.request))
 	StripHopByHop(resp.Header)
 	result := croffer.Result{Outcome: croffer.Answered, Status: resp.Status, Header: resp.Header, Body: resp.Body, LoadReport: x.LoadReport()}
 	if !success && x.nestedRefusals.since(r.started) {
--- a/io/cregress/stop_test.go
+++ b/io/cregress/stop_test.go
@@ -8,6 +8,7 @@
 	"github.com/onsi/gomega"
 
 	"camphorroad/core/crgate"
+	"camphorroad/core/crcrash"
 	"camphorroad/core/crid"
 	"camphorroad/core/crpolicy"
 	"camphorroad/core/crregistry"
@@ -22,7 +23,7 @@
 	now := crid.Instant(time.Hour)
 	x := New(Options{
 		Service: "s1", Clock: func() crid.Instant { return now }, OnTargetChange: func() {}, OnOffer: func(crid.Daemon) {},
-		Log: crlog.New(io.Discard, "info", "test"),
+		Log: crlog.New(io.Discard, "info", "test"), Crashes: crcrash.NewTracker(),
 	})
 	x.SetTarget(&crregistry.Record{Target: "t1", Service: "s1", Slots: 2})
 	offer := croffer.Offer{
--- a/io/cringress/cringress.go
+++ b/io/cringress/cringress.go
@@ -23,6 +23,7 @@
 
 	"camphorroad/core/crattempt"
 	"camphorroad/core/crbudget"
+	"camphorroad/core/crcrash"
 	"camphorroad/core/crid"
 	"camphorroad/core/crmesh"
 	"camphorroad/core/crplace"
@@ -67,6 +68,8 @@
 	ObserveRetry(pooled bool)
 	// ObserveRetryDenied counts a request that is not sent again for want of a retry.
 	ObserveRetryDenied()
+	// ObserveBlocked counts a request that is refused because targets have ended under it.
+	ObserveBlocked()
 }
 
 // Options configure an Entry.
@@ -82,6 +85,7 @@
 	Balancer *crplace.Balancer
 	Budget   *crbudget.Budget
 	Calls    *crbudget.CallCosts
+	Crashes  *crcrash.Tracker
 	Pool     RetryPool
 	Attempts *crattempt.Tracker
 	Quota    Quota
@@ -172,6 +176,7 @@
 	priority       int                    // 0 is the most urgent
 	allowed        func(crid.Domain) bool // domains in which it may be processed; nil: all
 	body           []byte
+	content        crcrash.Key  // identifies repetitions of the request
 	callerDeadline crid.Instant // when the caller stops waiting
 	deadline       crid.Instant // when the caller gets a response at the latest
 }
@@ -184,6 +189,9 @@
 	if resp, ok := q.readBody(); !ok {
 		return resp
 	}
+	if resp, ok := q.checkBlocked(); !ok {
+		return resp
+	}
 	if resp, ok := q.takeToken(); !ok {
 		return resp
 	}
@@ -271,6 +279,20 @@
 	return response{}, true
 }
 
+// checkBlocked refuses a request under which the processes of targets have ended.
+func (q *request) checkBlocked() (response, bool) {
+	c := crcrash.Content{Method: q.http.Method, Host: q.http.Host, URI: q.uri(), Body: q.body}
+	if q.account != nil {
+		c.Account = q.account.Name
+	}
+	q.content = crcrash.KeyOf(c)
+	if wait, blocked := q.opts.Crashes.Blocked(q.started, q.content); blocked {
+		q.opts.Meter.ObserveBlocked()
+		return refusal(http.StatusServiceUnavailable, "targets have ended while they ran this request", wait), false
+	}
+	return response{}, true
+}
+
 func (q *request) takeToken() (response, bool) {
 	if q.account == nil || q.account.Rate <= 0 {
 		return response{}, true
--- a/io/cringress/dispatch.go
+++ b/io/cringress/dispatch.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"camphorroad/core/crbudget"
+	"camphorroad/core/crcrash"
 	"camphorroad/core/crid"
 	"camphorroad/core/crjudge"
 	"camphorroad/core/crplace"
@@ -96,6 +97,9 @@
 	if d.deadline.Sub(now) < minAttemptTime {
 		return false
 	}
+	if _, blocked := d.opts.Crashes.Blocked(now, d.content); blocked {
+		return false
+	}
 	couldRetry := d.couldRetry(now)
 	choice, ok := d.opts.Balancer.Choose(now, d.view.Targets[d.service], crplace.Request{
 		Class: d.route.Class, Domain: d.opts.Domain, Tried: d.tried, Rand: rand.Float64,
@@ -271,11 +275,11 @@
 
 // uri is the path and query exactly as the caller sent them. Encoding the parsed URL
 // again would change unusual but valid escapes.
-func (d *dispatch) uri() string {
-	if strings.HasPrefix(d.http.RequestURI, "/") {
-		return d.http.RequestURI
+func (q *request) uri() string {
+	if strings.HasPrefix(q.http.RequestURI, "/") {
+		return q.http.RequestURI
 	}
-	return d.http.URL.RequestURI()
+	return q.http.URL.RequestURI()
 }
 
 // handleResult handles the result of a request that an exit has accepted. It reports
@@ -303,6 +307,7 @@
 		return more
 	case croffer.Answered:
 		d.mayHaveRun = true
+		d.opts.Crashes.RecordAnswer(d.opts.Clock(), d.content)
 		d.recordAnnouncements(c, r)
 		d.response = response{status: r.Status, header: http.Header(r.Header), body: r.Body}
 		d.response.choice, d.response.loadReport = c, r.LoadReport
@@ -314,6 +319,9 @@
 	default:
 		d.mayHaveRun = true
 		d.response = refusal(http.StatusBadGateway, r.Reason, 0)
+		if r.EndedMillis != 0 {
+			d.opts.Crashes.RecordEnd(d.opts.Clock(), d.content, crcrash.End{Daemon: c.Daemon, AtMillis: r.EndedMillis})
+		}
 	}
 	d.response.choice, d.response.loadReport = c, r.LoadReport
 	return more && d.mayRunAgain() && ctx.Err() == nil
--- a/io/crlog/catalogue_mesh.go
+++ b/io/crlog/catalogue_mesh.go
@@ -31,6 +31,7 @@
 	WarmupChecked       = 633
 	TargetLimitChanged  = 634
 	TargetLeaving       = 635
+	TargetEnded         = 636
 	RequestFailed       = 640
 	CallerDisconnected  = 641
 	RequestRetried      = 642
@@ -142,6 +143,11 @@
 			"the target said in a response that it is going to stop",
 			"it gets no more requests; those that waited for it are sent to other targets", none,
 		},
+		{
+			TargetEnded, LevelWarn, "target ended during a request",
+			"the connection of a running request broke off, and the target refuses connections; `ends` counts the processes that have ended under requests with the same `content`",
+			"after three ends, requests with this content are refused with 503 for a minute", "if `ends` grows, look at what this request does to the target",
+		},
 		{
 			RequestFailed, LevelInfo, "request not served",
 			"a request was refused or failed, or its caller disconnected",
--- a/io/crmesh/crmesh.go
+++ b/io/crmesh/crmesh.go
@@ -28,6 +28,7 @@
 
 	"camphorroad/core/crattempt"
 	"camphorroad/core/crbudget"
+	"camphorroad/core/crcrash"
 	"camphorroad/core/crid"
 	"camphorroad/core/crmesh"
 	"camphorroad/core/crplace"
@@ -79,7 +80,7 @@
 	app := fx.New(
 		fx.Supply(opts),
 		fx.Provide(
-			crlog.NewQueue, newLogger, newBalancer, newExit, newPeerClient, newBudget, newLoop, newOwnerLimiter, newPoolOwner, newRetryPool, newFeed, newFollower, newChannel, newQuota, newEntry,
+			crlog.NewQueue, newLogger, newBalancer, newExit, newPeerClient, newBudget, newLoop, newOwnerLimiter, newPoolOwner, newRetryPool, newFeed, newFollower, newChannel, crcrash.NewTracker, newQuota, newEntry,
 			newDaemon, newMeters, metrics.NewRegistry,
 		),
 		fx.Populate(&d),
@@ -97,9 +98,9 @@
 
 func newBalancer() *crplace.Balancer { return crplace.NewBalancer() }
 
-func newExit(opts Options, l *crlog.Logger, loop *loop) *cregress.Exit {
+func newExit(opts Options, l *crlog.Logger, loop *loop, crashes *crcrash.Tracker) *cregress.Exit {
 	x := cregress.New(cregress.Options{
-		Service: opts.Settings.Service, Address: opts.Settings.Target, Dialect: opts.Dialect, Clock: crclock.Now,
+		Self: crid.Daemon(opts.Settings.Address), Crashes: crashes, Service: opts.Settings.Service, Address: opts.Settings.Target, Dialect: opts.Dialect, Clock: crclock.Now,
 		Log: l, OnTargetChange: func() { loop.emit(crmesh.TargetChanged{Now: crclock.Now()}) },
 		OnOffer: func(from crid.Daemon) { loop.emit(crmesh.OfferReceived{Now: crclock.Now(), From: from}) },
 	})
@@ -138,11 +139,12 @@
 
 func newEntry(
 	opts Options, x *cregress.Exit, peers *croffer.Client, balancer *crplace.Balancer, budget *crbudget.Budget, pool *retryPool, q *quota, m *meters, l *crlog.Logger,
+	crashes *crcrash.Tracker,
 ) *cringress.Entry {
 	s := opts.Settings
 	return cringress.New(cringress.Options{
 		Self: crid.Daemon(s.Address), Domain: s.Domain, Regions: s.Regions, Service: s.Service, Dialect: opts.Dialect, Clock: crclock.Now,
-		Local: x, Peers: peers, Balancer: balancer, Budget: budget, Calls: crbudget.NewCallCosts(), Pool: pool, Attempts: crattempt.NewTracker(), Quota: q, Meter: m, Log: l,
+		Local: x, Peers: peers, Balancer: balancer, Budget: budget, Calls: crbudget.NewCallCosts(), Crashes: crashes, Pool: pool, Attempts: crattempt.NewTracker(), Quota: q, Meter: m, Log: l,
 	})
 }
 
--- a/io/crmesh/daemon.go
+++ b/io/crmesh/daemon.go
@@ -16,6 +16,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"camphorroad/core/crbudget"
+	"camphorroad/core/crcrash"
 	"camphorroad/core/crevent"
 	"camphorroad/core/crid"
 	"camphorroad/core/crmesh"
@@ -65,17 +66,18 @@
 	feed        *crfeed.Feed
 	follower    *crwatch.Follower
 	channel     *crbeat.Channel
+	crashes     *crcrash.Tracker
 	metrics     metrics.Registry
 	incarnation uint64
 }
 
 func newDaemon(
 	opts Options, l *crlog.Logger, q *crlog.Queue, lp *loop, balancer *crplace.Balancer, x *cregress.Exit, e *cringress.Entry,
-	peers *croffer.Client, feed *crfeed.Feed, f *crwatch.Follower, ch *crbeat.Channel, m metrics.Registry,
+	peers *croffer.Client, feed *crfeed.Feed, f *crwatch.Follower, ch *crbeat.Channel, crashes *crcrash.Tracker, m metrics.Registry,
 ) *daemon {
 	return &daemon{
 		opts: opts, log: l, queue: q, loop: lp, balancer: balancer, exit: x, entry: e, peers: peers, feed: feed, follower: f, channel: ch,
-		metrics: m, incarnation: uint64(time.Now().UnixNano()),
+		crashes: crashes, metrics: m, incarnation: uint64(time.Now().UnixNano()),
 	}
 }
 
@@ -297,6 +299,9 @@
 	// targets have said in responses that this daemon passed on.
 	Announced cregress.Announced                   `json:"announced"`
 	Told      map[crid.Target]crplace.Announcement `json:"told"`
+	// Blocked is the number of requests that are not sent to targets because processes have
+	// ended under them.
+	Blocked int `json:"blocked"`
 }
 
 // evacuatedDomain is an evacuated domain on the state page.
@@ -314,7 +319,7 @@
 	out := dump{
 		Daemons: v.Live, Silent: slices.Sorted(maps.Keys(v.Unresponsive)), Targets: v.Targets, Own: d.exit.LoadReport(), Open: d.entry.InFlight(),
 		ColdMillis: d.exit.ColdFor().Milliseconds(), Retries: d.entry.RetryUsage(),
-		Announced: d.exit.Announced(), Told: d.balancer.Announced(),
+		Announced: d.exit.Announced(), Told: d.balancer.Announced(), Blocked: d.crashes.BlockedCount(crclock.Now()),
 	}
 	for _, e := range v.Evacuations {
 		out.Evacuated = append(out.Evacuated, evacuatedDomain{Domain: e.Domain, Revision: e.Revision, Seconds: crclock.Now().Sub(e.Since).Seconds()})
--- a/io/crmesh/loop.go
+++ b/io/crmesh/loop.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"camphorroad/core/crcrash"
 	"camphorroad/core/crevacuation"
 	"camphorroad/core/crevent"
 	"camphorroad/core/crid"
@@ -107,6 +108,11 @@
 			d.channel.SendHeartbeat(eff.To, d.heartbeat(eff))
 		case crmesh.UpdateTarget:
 			d.balancer.Report(eff.Target, eff.Report)
+		case crmesh.RecordCrashes:
+			now := crclock.Now()
+			for _, r := range eff.Reports {
+				d.crashes.RecordReport(now, r.Key, crcrash.End{Daemon: eff.From, AtMillis: r.AtMillis})
+			}
 		case crmesh.Pull:
 			go d.pull(ctx, eff.From)
 		case crmesh.RenewWatches:
@@ -140,6 +146,7 @@
 		EvacuationRevision: eff.EvacuationRevision,
 		SilentMembers:      eff.SilentMembers,
 		Unheard:            eff.Unheard,
+		Crashes:            d.crashes.Reports(crclock.Now(), crid.Daemon(d.opts.Settings.Address)),
 	}
 }
 
--- a/io/crmesh/meters.go
+++ b/io/crmesh/meters.go
@@ -27,12 +27,14 @@
 	retries  metrics.Counter
 	pooled   metrics.Counter // retries that were taken from the pool
 	denied   metrics.Counter // requests that were not sent again for want of a retry
+	blocked  metrics.Counter // requests refused because targets have ended under them
 }
 
 func newMeters(r metrics.Registry) *meters {
 	m := &meters{
 		registry: r, latency: make(map[crpolicy.Class]metrics.Histogram), retries: metrics.NewRegisteredCounter("repeats.total", r),
 		pooled: metrics.NewRegisteredCounter("repeats.pooled.total", r), denied: metrics.NewRegisteredCounter("repeats.denied.total", r),
+		blocked: metrics.NewRegisteredCounter("requests.blocked.total", r),
 	}
 	for _, class := range []crpolicy.Class{crpolicy.ClassOnce, crpolicy.ClassRepeat} {
 		sample := metrics.NewExpDecaySample(sampleSize, sampleAlpha)
@@ -66,6 +68,9 @@
 // ObserveRetryDenied implements cringress.Meter.
 func (m *meters) ObserveRetryDenied() { m.denied.Inc(1) }
 
+// ObserveBlocked implements cringress.Meter.
+func (m *meters) ObserveBlocked() { m.blocked.Inc(1) }
+
 // registerGauges registers the metrics that are read when the metrics page is
 // requested.
 func (d *daemon) registerGauges() {
--- a/io/croffer/client.go
+++ b/io/croffer/client.go
@@ -124,6 +124,9 @@
 	}
 	rv.pool.Put(rv.conn)
 	result.Calls = decodeCalls(header.Get(headerCalls))
+	if ended, err := strconv.ParseInt(header.Get(headerEnded), 10, 64); err == nil {
+		result.EndedMillis = ended
+	}
 	return result
 }
 
--- a/io/croffer/croffer.go
+++ b/io/croffer/croffer.go
@@ -176,6 +176,9 @@
 	// Calls are the calls of idempotent runs on the target. They are sent in a header, so that
 	// daemons of a version without them accept the result.
 	Calls crbudget.CallReport `cbor:"-"`
+	// EndedMillis is the Unix time in milliseconds at which the process of the target ended while
+	// it ran the request; zero: it is not known to have ended. It is sent like Calls.
+	EndedMillis int64 `cbor:"-"`
 }
 
 // NotRun reports whether the request certainly did not run and never will.
--- a/io/croffer/server.go
+++ b/io/croffer/server.go
@@ -28,8 +28,11 @@
 	queryCallsSpent = "calls=spent" // see Offer.CallsSpent
 )
 
-// headerCalls is the header of a result with the encoded Result.Calls.
-const headerCalls = "Calls"
+// Headers of a result.
+const (
+	headerCalls = "Calls" // see Result.Calls
+	headerEnded = "Ended" // see Result.EndedMillis
+)
 
 // maxBodyBytes bounds the body of a peer's request, which may contain a caller's
 // request with its body.
@@ -67,6 +70,9 @@
 		if calls := encodeCalls(result.Calls); calls != "" {
 			w.Header().Set(headerCalls, calls)
 		}
+		if result.EndedMillis != 0 {
+			w.Header().Set(headerEnded, strconv.FormatInt(result.EndedMillis, 10))
+		}
 		writeResponse(w, result)
 	})
 	mux.HandleFunc("POST "+PathCopy, func(w http.ResponseWriter, r *http.Request) {
--- a/lab/crtarget/crtarget.go
+++ b/lab/crtarget/crtarget.go
@@ -66,7 +66,7 @@
 	fatalURI  string  // see SetFatal
 	downTime  time.Duration
 	ends      int
-	leaving   bool    // see SetLeaving
+	leaving   bool // see SetLeaving
 	runs      []Run
 	cancelled int // requests whose connection closed before they finished
 	running   int
