io/crserver: A stopping daemon does not close a connection whose request it has begun to handle

Cause: http.Server finds a connection idle and closes it in two steps, when keep-alive is disabled and when it shuts down; a request read between them runs, and its response is lost. Change: connections of the daemon's servers ignore a close while a request is handled; net/http closes them after the response, as keep-alive is disabled by then.

--- a/io/cregress/stop_test.go
+++ b/io/cregress/stop_test.go
@@ -7,8 +7,8 @@
 
 	"github.com/onsi/gomega"
 
-	"camphorroad/core/crgate"
 	"camphorroad/core/crcrash"
+	"camphorroad/core/crgate"
 	"camphorroad/core/crid"
 	"camphorroad/core/crpolicy"
 	"camphorroad/core/crregistry"
--- a/io/crmesh/daemon.go
+++ b/io/crmesh/daemon.go
@@ -29,6 +29,7 @@
 	"camphorroad/io/cringress"
 	"camphorroad/io/crlog"
 	"camphorroad/io/croffer"
+	"camphorroad/io/crserver"
 	"camphorroad/io/crwatch"
 )
 
@@ -46,12 +47,6 @@
 	finalAnswerMargin = 80 * time.Millisecond
 	// drainPollInterval is the time between checks for requests in progress.
 	drainPollInterval = 20 * time.Millisecond
-	// headerTimeout bounds the time in which a peer or caller sends the head of a
-	// request.
-	headerTimeout = 10 * time.Second
-	// idleTimeout is how long an unused connection of a caller is kept; callers close
-	// theirs sooner.
-	idleTimeout = 2 * time.Minute
 )
 
 type daemon struct {
@@ -123,8 +118,8 @@
 func (d *daemon) listen(ctx context.Context) (servers, error) {
 	s := d.opts.Settings
 	var out servers
-	out.caller = newServer(d.entry)
-	out.peer = newServer(croffer.Handler(d.exit, crclock.Now, croffer.StoreHandlers{
+	out.caller = crserver.New(d.entry)
+	out.peer = crserver.New(croffer.Handler(d.exit, crclock.Now, croffer.StoreHandlers{
 		Copy: d.updateFor,
 		Feed: func(ctx context.Context, q croffer.FeedQuery) croffer.FeedPage {
 			return d.feed.Serve(ctx, d.follower, q)
@@ -137,7 +132,7 @@
 		admin = append(admin, s.Listen.Control)
 	}
 	for _, address := range admin {
-		server := newServer(pages)
+		server := crserver.New(pages)
 		out.admin = append(out.admin, server)
 		addresses[address] = server
 	}
@@ -147,7 +142,7 @@
 			return servers{}, fmt.Errorf("listen at %s: %w", address, err)
 		}
 		server := addresses[address]
-		go func() { _ = server.Serve(l) }() // returns on shutdown
+		go func() { _ = server.Serve(crserver.Guard(l)) }() // returns on shutdown
 	}
 	return out, nil
 }
@@ -171,10 +166,6 @@
 	return net.JoinHostPort(s.Address, strconv.Itoa(s.Listen.Ports[0]+1))
 }
 
-func newServer(h http.Handler) *http.Server {
-	return &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
-}
-
 // ready returns the reason why callers should not send requests, or nil.
 func (d *daemon) ready() error {
 	v := d.loop.view.Load()
