core/crcrash: Ends that lie long apart do not block a request

Cause: found on reading the diff: a request with two ends was remembered with them until the memory was full, so that a third one hours later blocked it. Result: TestEndsAreForgotten fails before and passes.

--- a/core/crcrash/crcrash.go
+++ b/core/crcrash/crcrash.go
@@ -125,7 +125,7 @@
 		return
 	}
 	s := t.suspects[k]
-	if s == nil {
+	if s == nil || now.Sub(s.lastEnd) > retention {
 		t.makeRoom(now)
 		s = &suspect{ends: make(map[End]crid.Instant)}
 		t.suspects[k] = s
--- a/core/crcrash/crcrash_test.go
+++ b/core/crcrash/crcrash_test.go
@@ -78,6 +78,18 @@
 	g.Expect(blocked).To(gomega.BeFalse(), "an answer clears the ends before it")
 }
 
+// Guards against a request that is blocked for ends which lie hours apart.
+func TestEndsAreForgotten(t *testing.T) {
+	g := gomega.NewWithT(t)
+	tr := crcrash.NewTracker()
+	for n := range int64(2 * crcrash.MaxEnds) {
+		now := start.Add(time.Duration(n) * 11 * time.Minute)
+		tr.RecordEnd(now, key("/x"), end("d", n))
+		_, blocked := tr.Blocked(now, key("/x"))
+		g.Expect(blocked).To(gomega.BeFalse())
+	}
+}
+
 // Guards against requests of many callers that are blocked because several targets ended for another reason.
 func TestReportsDoNotBlockARequestThatIsAnswered(t *testing.T) {
 	g := gomega.NewWithT(t)
