--- a/core/crbudget/pool.go
+++ b/core/crbudget/pool.go
@@ -17,9 +17,6 @@
 	// poolStartShare is the fraction of its limit that a new owner uses in the first window: the
 	// former owner may have granted as much as the limit.
 	poolStartShare = 0.5
-	// ownerSettleTime is how long a new owner grants nothing. While a fleet starts, each daemon knows
-	// other owners, and each may be one for a moment.
-	ownerSettleTime = 2 * time.Second
 )
 
 // Split divides a limit into the one of the daemons' own parts and the one of the pool.
@@ -43,7 +40,6 @@
 type poolWindow struct {
 	window
 	usedAt   crid.Instant
-	openFrom crid.Instant // until then another daemon may be the owner
 	fullFrom crid.Instant // until then the grants of a former owner count
 }
 
@@ -63,9 +59,6 @@
 	limit := poolSafetyFactor * p.params.Slack * o.Fraction
 	w := p.window(now, s, o.Since)
 	iv := w.at(now, p.params.Window)
-	if now < w.openFrom {
-		return false
-	}
 	if now < w.fullFrom {
 		limit *= poolStartShare
 	}
@@ -81,7 +74,7 @@
 func (p *Pool) window(now crid.Instant, s crid.Service, ownerSince crid.Instant) *poolWindow {
 	w := p.windows[s]
 	if w == nil || now.Sub(w.usedAt) > p.params.Window {
-		w = &poolWindow{openFrom: ownerSince.Add(ownerSettleTime), fullFrom: ownerSince.Add(p.params.Window)}
+		w = &poolWindow{fullFrom: ownerSince.Add(p.params.Window)}
 		p.windows[s] = w
 	}
 	w.usedAt = max(w.usedAt, now)
