io/crmesh: Failing test of ends that answers of other targets clear

Six daemons, four targets that end at a request and two that do not. Beside two that answer 500 at once 7 processes end in 24 attempts of one caller, beside two that do so to 0.4 of their requests 5; 3 are allowed. Targets that answer in full, hang, reset, refuse or send no seal: 3 at most.

--- a/io/crmesh/crash_test.go
+++ b/io/crmesh/crash_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/onsi/gomega"
+
+	"camphorroad/lab/crtarget"
 )
 
 const fatalPath = "/look/fatal"
@@ -58,3 +60,31 @@
 	g.Expect(resp.header.Get("Retry-After")).NotTo(gomega.BeEmpty())
 	g.Expect(f.ends()).To(gomega.BeNumerically("<=", maxEnds))
 }
+
+// Guards against ends that are forgotten since other targets answer the request, with an error or in full.
+func TestAnswersOfOtherTargetsDoNotClearEnds(t *testing.T) {
+	const maxEnds = 3
+	for name, b := range map[string]crtarget.Behaviour{
+		"errors":             {Error: 1},
+		"some errors":        {Error: 0.4},
+		"responses":          {},
+		"hangs":              {Hang: 1},
+		"resets":             {Reset: 1},
+		"refusals":           {Shed: 1},
+		"unsealed responses": {Unsealed: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			f := newCrashingFleet(t, 6)
+			for _, m := range f.machines[:2] {
+				m.target.SetFatal("", 0)
+				m.target.SetBehaviour(b)
+			}
+			for range 24 {
+				f.machines[0].call(http.MethodGet, fatalPath, "k1")
+				time.Sleep(20 * time.Millisecond)
+			}
+			g.Expect(f.ends()).To(gomega.BeNumerically("<=", maxEnds))
+		})
+	}
+}
