crlog: Events of ends that an entry records and forgets (637, 638)

No event told what an entry knew when it sent a request on under which targets had ended. 637 gives the count of the entry after each end, 638 an answer by which it forgets them.

--- a/core/crcrash/crcrash.go
+++ b/core/crcrash/crcrash.go
@@ -94,12 +94,17 @@
 	return &Tracker{suspects: make(map[Key]*suspect), answers: answers{at: make(map[Key]crid.Instant)}}
 }
 
-// RecordAnswer records that a target has answered a request, and so has survived it.
-func (t *Tracker) RecordAnswer(now crid.Instant, k Key) {
+// RecordAnswer records that a target has answered a request, and so has survived it. It returns the
+// number of ends that no longer count against the request.
+func (t *Tracker) RecordAnswer(now crid.Instant, k Key) (forgotten int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.answers.record(now, k)
+	if s := t.suspects[k]; s != nil {
+		forgotten = len(s.ends)
+	}
 	delete(t.suspects, k)
+	return forgotten
 }
 
 // RecordReport records an end that the daemon beside the target has seen. It does not count if a
--- a/io/cringress/dispatch.go
+++ b/io/cringress/dispatch.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -350,7 +351,7 @@
 		return more
 	case croffer.Answered:
 		d.mayHaveRun = true
-		d.opts.Crashes.RecordAnswer(d.opts.Clock(), d.content)
+		d.recordSurvival(c)
 		d.recordAnnouncements(c, r)
 		d.response = response{status: r.Status, header: http.Header(r.Header), body: r.Body}
 		d.response.choice, d.response.loadReport = c, r.LoadReport
@@ -364,13 +365,30 @@
 		d.mayHaveRun = true
 		d.response = refusal(http.StatusBadGateway, r.Reason, 0)
 		if r.EndedMillis != 0 {
-			d.opts.Crashes.RecordEnd(d.opts.Clock(), d.content, crcrash.End{Daemon: c.Daemon, AtMillis: r.EndedMillis})
+			d.recordEnd(c, crcrash.End{Daemon: c.Daemon, AtMillis: r.EndedMillis})
 		}
 	}
 	d.response.choice, d.response.loadReport = c, r.LoadReport
 	return more && d.mayRunAgain() && ctx.Err() == nil
 }
 
+// recordEnd records that the process of a target has ended while it ran the request.
+func (d *dispatch) recordEnd(c crplace.Choice, e crcrash.End) {
+	d.opts.Crashes.RecordEnd(d.opts.Clock(), d.content, e)
+	d.opts.Log.Event(crlog.EndRecorded, crlog.Fields{
+		"request": d.info.ID, "content": d.content.String(), "target": string(c.Target), "ends": strconv.Itoa(d.opts.Crashes.Ends(d.content)),
+	})
+}
+
+// recordSurvival records that a target has answered the request.
+func (d *dispatch) recordSurvival(c crplace.Choice) {
+	if ends := d.opts.Crashes.RecordAnswer(d.opts.Clock(), d.content); ends > 0 {
+		d.opts.Log.Event(crlog.EndsForgotten, crlog.Fields{
+			"request": d.info.ID, "content": d.content.String(), "target": string(c.Target), "ends": strconv.Itoa(ends),
+		})
+	}
+}
+
 // recordSize records the bytes of the bodies of a successful response and its request. An error
 // response has a small body whatever the route.
 func (d *dispatch) recordSize(r croffer.Result) {
--- a/io/crlog/catalogue_mesh.go
+++ b/io/crlog/catalogue_mesh.go
@@ -33,6 +33,8 @@
 	TargetLimitChanged  = 634
 	TargetLeaving       = 635
 	TargetEnded         = 636
+	EndRecorded         = 637
+	EndsForgotten       = 638
 	RequestFailed       = 640
 	CallerDisconnected  = 641
 	RequestRetried      = 642
@@ -153,6 +155,16 @@
 			"the connection of a running request broke off, and the target refuses connections; `ends` counts the processes that have ended under requests with the same `content`",
 			"after three ends, requests with this content are refused with 503 for a minute", "if `ends` grows, look at what this request does to the target",
 		},
+		{
+			EndRecorded, LevelWarn, "end of a target recorded",
+			"a request that this daemon had sent ended the process of its target; `ends` counts those that this daemon knows of under requests with the same `content`",
+			"after three ends, requests with this content are refused with 503 for a minute", "if `ends` is lower than in the 636 of other daemons, this one has not heard of their ends, or has forgotten them (638)",
+		},
+		{
+			EndsForgotten, LevelInfo, "ends of targets forgotten",
+			"a target has answered a request under which others had ended",
+			"the `ends` in the event no longer count against requests with this `content`", none,
+		},
 		{
 			RequestFailed, LevelInfo, "request not served",
 			"a request was refused or failed, or its caller disconnected",
