core/crmesh: Tell all peers of an end of the target, however large the fleet is

Callers' requests that end targets were sent on by daemons that had not heard of the ends. In a fleet of more than 40 peers an urgent heartbeat goes to the own domain and to daemons that sent an offer within ten seconds. All others learn with their next regular heartbeat: each 10 s at 101 machines, 35 s at 353; at 1,000 machines 825 of 999 peers hear nothing within the 50 s for which ends are reported.

Now all, at any size.

Change: an end causes two heartbeats to all peers, the first at once, the second, for one that is lost, after the interval between heartbeats to one peer (0.4 s at 101). At most as many as a daemon of a large fleet sends anyway, 250 a second, however often its target ends.

TestEndOfATargetIsToldToAllPeers fails without it at 101 machines; TestHeartbeatsAfterEndsAreBounded holds the cost.

--- a/core/crmesh/crmesh.go
+++ b/core/crmesh/crmesh.go
@@ -68,8 +68,12 @@
 	// own domain and to interested peers. Target states change 20 times a second in a
 	// fleet of 300.
 	maxUrgentToAll = 40
+	// endRepeats is the number of heartbeats to all peers after the target's process has ended
+	// under requests. A request that ends processes is repeated through daemons that may not
+	// have made an offer here. The second one replaces a lost first.
+	endRepeats = 2
 	// minIntervalPerPeer, multiplied by the number of peers, is the minimum time between
-	// heartbeats to one peer. So a daemon of a large fleet sends no more than 250 a second.
+	// heartbeats to one peer, and between those to all after an end. So a daemon of a large fleet sends no more than 250 a second.
 	minIntervalPerPeer = 4 * time.Millisecond
 	// startupTime is how long records that appear may belong to daemons that started
 	// together with this one.
@@ -119,6 +123,8 @@
 	lastRenewal      crid.Instant
 	lastUrgent       crid.Instant
 	urgentPending    bool
+	lastEndHeartbeat crid.Instant
+	endHeartbeats    int // to all peers, still to be sent after an end of the target
 	stopping         bool
 }
 
@@ -179,6 +185,9 @@
 		return s.handleUnanswered(ev)
 	case TargetChanged:
 		s.urgentPending = true
+		if ev.Ended {
+			s.endHeartbeats = endRepeats
+		}
 		return s.dueHeartbeats(ev.Now)
 	case crevent.Tick:
 		return s.tick(ev.Now)
--- a/core/crmesh/event.go
+++ b/core/crmesh/event.go
@@ -104,7 +104,10 @@
 	}
 	// TargetChanged reports that the state of this daemon's target has changed. It causes
 	// urgent heartbeats.
-	TargetChanged struct{ Now crid.Instant }
+	TargetChanged struct {
+		Now   crid.Instant
+		Ended bool // its process has ended under requests that the heartbeats name
+	}
 )
 
 // At implements crevent.Event.
--- a/core/crmesh/peer.go
+++ b/core/crmesh/peer.go
@@ -259,9 +259,13 @@
 	if urgent {
 		s.urgentPending, s.lastUrgent = false, now
 	}
+	ended := s.endHeartbeats > 0 && (s.lastEndHeartbeat == 0 || now.Sub(s.lastEndHeartbeat) >= s.minInterval())
+	if ended {
+		s.endHeartbeats, s.lastEndHeartbeat = s.endHeartbeats-1, now
+	}
 	var due []*peer
 	for _, p := range s.sortedPeers() {
-		send := urgent && (len(s.peers) <= maxUrgentToAll || s.interested(now, p))
+		send := ended || urgent && (len(s.peers) <= maxUrgentToAll || s.interested(now, p))
 		if send || p.lastSent == 0 || now.Sub(p.lastSent) >= s.interval(now, p) {
 			due = append(due, p)
 		}
--- a/core/crmesh/size_test.go
+++ b/core/crmesh/size_test.go
@@ -141,3 +141,38 @@
 	}
 	g.Expect(v.Size).To(gomega.Equal(15), "those that sent no heartbeats any more are gone")
 }
+
+// Guards against daemons of a large fleet that do not know of a request which ends targets.
+func TestEndOfATargetIsToldToAllPeers(t *testing.T) {
+	for _, n := range []int{22, 101, 353, 1000} {
+		g := gomega.NewWithT(t)
+		s, peers := largeState(n)
+		for at := time.Second; at < 20*time.Second; at += 100 * time.Millisecond {
+			s.Step(crevent.Tick{Now: start.Add(at)})
+		}
+		now := start.Add(20 * time.Second)
+		told := heartbeats(s.Step(crmesh.TargetChanged{Now: now, Ended: true}))
+		g.Expect(told).To(gomega.ConsistOf(peers), "at once")
+		told = nil
+		for at := time.Duration(0); at < 5*time.Second; at += 100 * time.Millisecond {
+			told = append(told, heartbeats(s.Step(crevent.Tick{Now: now.Add(at)}))...)
+		}
+		for _, d := range peers {
+			g.Expect(told).To(gomega.ContainElement(d), "again, as a heartbeat may be lost")
+		}
+	}
+}
+
+// Guards against a target that ends again and again, and uses up the processor time of its daemon with heartbeats.
+func TestHeartbeatsAfterEndsAreBounded(t *testing.T) {
+	const seconds = 40
+	sent := func(ended bool) (n int) {
+		s, _ := largeState(1000)
+		for at := time.Second; at < (1+seconds)*time.Second; at += 100 * time.Millisecond {
+			n += len(heartbeats(s.Step(crmesh.TargetChanged{Now: start.Add(at), Ended: ended})))
+		}
+		return n
+	}
+	extra := sent(true) - sent(false)
+	gomega.NewWithT(t).Expect(extra).To(gomega.BeNumerically("<=", seconds*250+1000), "what a daemon of a large fleet sends anyway")
+}
--- a/io/cregress/cregress.go
+++ b/io/cregress/cregress.go
@@ -65,6 +65,7 @@
 	Log            *crlog.Logger
 	Crashes        *crcrash.Tracker
 	OnTargetChange func()                 // called when the target's state has changed
+	OnTargetEnd    func()                 // called when its process has ended under a request
 	OnOffer        func(from crid.Daemon) // called for each offer
 }
 
--- a/io/cregress/end.go
+++ b/io/cregress/end.go
@@ -46,10 +46,10 @@
 		"request": r.request.ID, "content": key.String(), "target": string(r.target.Target), "ends": strconv.Itoa(x.opts.Crashes.Ends(key)),
 		"survived": strconv.FormatBool(survived),
 	})
-	x.opts.OnTargetChange()
 	if survived {
 		return 0
 	}
+	x.opts.OnTargetEnd()
 	return end.AtMillis
 }
 
--- a/io/cregress/end_test.go
+++ b/io/cregress/end_test.go
@@ -27,7 +27,7 @@
 	t.Cleanup(target.Close)
 	x := New(Options{
 		Self: "10.0.0.1", Service: "s1", Address: target.Address(), Dialect: platform.Dialect{}, Clock: crclock.Now,
-		Log: crlog.New(io.Discard, "info", "test"), Crashes: crcrash.NewTracker(), OnTargetChange: func() {}, OnOffer: func(crid.Daemon) {},
+		Log: crlog.New(io.Discard, "info", "test"), Crashes: crcrash.NewTracker(), OnTargetChange: func() {}, OnTargetEnd: func() {}, OnOffer: func(crid.Daemon) {},
 	})
 	t.Cleanup(x.pool.Close)
 	x.SetTarget(&crregistry.Record{Target: "t1", Service: "s1", Slots: 1})
--- a/io/cregress/evacuation_test.go
+++ b/io/cregress/evacuation_test.go
@@ -29,7 +29,7 @@
 	t.Cleanup(server.Close)
 	x := New(Options{
 		Service: "s1", Address: strings.TrimPrefix(server.URL, "http://"), Dialect: platform.Dialect{}, Clock: crclock.Now,
-		Log: crlog.New(io.Discard, "info", "test"), Crashes: crcrash.NewTracker(), OnTargetChange: func() {}, OnOffer: func(crid.Daemon) {},
+		Log: crlog.New(io.Discard, "info", "test"), Crashes: crcrash.NewTracker(), OnTargetChange: func() {}, OnTargetEnd: func() {}, OnOffer: func(crid.Daemon) {},
 	})
 	t.Cleanup(x.pool.Close)
 	x.SetTarget(&crregistry.Record{Target: "t1", Service: "s1", Slots: 1})
--- a/io/cregress/stop_test.go
+++ b/io/cregress/stop_test.go
@@ -22,7 +22,7 @@
 	g := gomega.NewWithT(t)
 	now := crid.Instant(time.Hour)
 	x := New(Options{
-		Service: "s1", Clock: func() crid.Instant { return now }, OnTargetChange: func() {}, OnOffer: func(crid.Daemon) {},
+		Service: "s1", Clock: func() crid.Instant { return now }, OnTargetChange: func() {}, OnTargetEnd: func() {}, OnOffer: func(crid.Daemon) {},
 		Log: crlog.New(io.Discard, "info", "test"), Crashes: crcrash.NewTracker(),
 	})
 	x.SetTarget(&crregistry.Record{Target: "t1", Service: "s1", Slots: 2})
--- a/io/crmesh/crmesh.go
+++ b/io/crmesh/crmesh.go
@@ -103,7 +103,8 @@
 	x := cregress.New(cregress.Options{
 		Self: crid.Daemon(opts.Settings.Address), Crashes: crashes, Service: opts.Settings.Service, Address: opts.Settings.Target, Dialect: opts.Dialect, Clock: crclock.Now,
 		Log: l, OnTargetChange: func() { loop.emit(crmesh.TargetChanged{Now: crclock.Now()}) },
-		OnOffer: func(from crid.Daemon) { loop.emit(crmesh.OfferReceived{Now: crclock.Now(), From: from}) },
+		OnTargetEnd: func() { loop.emit(crmesh.TargetChanged{Now: crclock.Now(), Ended: true}) },
+		OnOffer:     func(from crid.Daemon) { loop.emit(crmesh.OfferReceived{Now: crclock.Now(), From: from}) },
 	})
 	return x
 }
