io/cregress: Do not run a waiting request under which three processes have ended

A request that waited for a slot while the third process ended under it was sent to the target, and ended a fourth: only entries asked the tracker.

Change: the daemon beside the target asks before it sends, unless the target's process has answered the same request before. The entry then refuses the caller at once with 503, which is true, and tries no other target.

TestWaitingRequestThatEndsTargetsIsNotSent fails without it (the request is answered by the target in place of 'not sent'). What is running on several targets at once when the third ends is not prevented.

--- a/io/cregress/cregress.go
+++ b/io/cregress/cregress.go
@@ -404,6 +404,10 @@
 		x.gate.Cancel(x.opts.Clock(), rv.ticket)
 		return x.notSent(reasonLeaving, 0)
 	}
+	if wait, blocked := x.blocks(r); blocked {
+		x.gate.Cancel(x.opts.Clock(), rv.ticket)
+		return x.notSent(croffer.ReasonEndsTargets, wait)
+	}
 	run := &run{exit: x, reservation: rv, request: r, target: *target}
 	return run.do(ctx)
 }
--- a/io/cregress/end.go
+++ b/io/cregress/end.go
@@ -78,6 +78,14 @@
 	return true
 }
 
+// blocks reports whether a request must not run, and for how long. Its entry may not have heard yet of
+// all ends under it. One that the target's process has answered before does not end it.
+func (x *Exit) blocks(r croffer.Request) (wait time.Duration, blocked bool) {
+	key := contentKey(r)
+	wait, blocked = x.opts.Crashes.Blocked(x.opts.Clock(), key)
+	return wait, blocked && !x.answers.Survives(key)
+}
+
 // contentKey returns the key by which repetitions of a request are recognized.
 func contentKey(r croffer.Request) crcrash.Key {
 	return crcrash.KeyOf(crcrash.Content{Account: r.Account, Method: r.Method, Host: r.Host, URI: r.URI, Body: r.Body})
--- a/io/cregress/end_test.go
+++ b/io/cregress/end_test.go
@@ -75,3 +75,52 @@
 	g.Expect(r.Outcome).To(gomega.Equal(croffer.Unknown))
 	g.Expect(r.EndedMillis).To(gomega.BeZero())
 }
+
+// Guards against a request that waits for a slot and runs although three processes have ended under it meanwhile.
+func TestWaitingRequestThatEndsTargetsIsNotSent(t *testing.T) {
+	g := gomega.NewWithT(t)
+	x, target := newFakeTargetExit(t)
+	target.SetBehaviour(crtarget.Behaviour{ServiceTime: 200 * time.Millisecond})
+	running, queued := x.testOffer(), x.testOffer()
+	other := testRequest
+	other.URI = "/other"
+	done := make(chan croffer.Result, 1)
+	go func() { done <- x.Run(t.Context(), running.Ticket, other) }()
+	g.Eventually(target.Runs).Should(gomega.HaveLen(1))
+	for n := range int64(crcrash.MaxEnds) {
+		x.opts.Crashes.RecordEnd(crclock.Now(), contentKey(testRequest), crcrash.End{Daemon: "10.0.0.2", AtMillis: n})
+	}
+	r := x.Run(t.Context(), queued.Ticket, testRequest)
+	g.Expect(r.Outcome).To(gomega.Equal(croffer.NotSent))
+	g.Expect(r.Reason).To(gomega.Equal(croffer.ReasonEndsTargets))
+	g.Expect(r.RetryAfter).To(gomega.BeNumerically("~", time.Minute, time.Second))
+	g.Expect((<-done).Outcome).To(gomega.Equal(croffer.Answered))
+	g.Expect(target.Runs()).To(gomega.HaveLen(1))
+}
+
+// Guards against a target that refuses requests of many callers which it answers, since others end beside them.
+func TestRequestThatTheTargetAnswersIsNotRefused(t *testing.T) {
+	g := gomega.NewWithT(t)
+	x, _ := newFakeTargetExit(t)
+	g.Expect(x.runTest(t).Outcome).To(gomega.Equal(croffer.Answered))
+	for n := range int64(crcrash.MaxEnds) {
+		x.opts.Crashes.RecordEnd(crclock.Now(), contentKey(testRequest), crcrash.End{Daemon: "10.0.0.2", AtMillis: n})
+	}
+	g.Expect(x.runTest(t).Outcome).To(gomega.Equal(croffer.Answered))
+}
+
+// Guards against ends of a popular request's targets, and against answers with an error, which do not show that it ran.
+func TestEndCountsUnlessTheProcessHasAnsweredTheRequest(t *testing.T) {
+	for errorShare, counts := range map[float64]bool{0: false, 1: true} {
+		g := gomega.NewWithT(t)
+		x, target := newFakeTargetExit(t)
+		target.SetBehaviour(crtarget.Behaviour{Error: errorShare})
+		g.Expect(x.runTest(t).Outcome).To(gomega.Equal(croffer.Answered))
+		target.SetFatal(testRequest.URI, time.Hour)
+		offer := testOffer(false)
+		offer.LastResort = true // the target counts as unhealthy after an error
+		r := x.Run(t.Context(), x.Offer(crclock.Now(), offer).Ticket, testRequest)
+		g.Expect(r.EndedMillis != 0).To(gomega.Equal(counts))
+		g.Expect(x.opts.Crashes.Ends(contentKey(testRequest)) != 0).To(gomega.Equal(counts))
+	}
+}
--- a/io/cringress/cringress.go
+++ b/io/cringress/cringress.go
@@ -344,7 +344,7 @@
 	q.content = crcrash.KeyOf(c)
 	if wait, blocked := q.opts.Crashes.Blocked(q.started, q.content); blocked {
 		q.opts.Meter.ObserveBlocked()
-		return refusal(http.StatusServiceUnavailable, "targets have ended while they ran this request", wait), false
+		return refusal(http.StatusServiceUnavailable, croffer.ReasonEndsTargets, wait), false
 	}
 	return response{}, true
 }
--- a/io/cringress/dispatch.go
+++ b/io/cringress/dispatch.go
@@ -108,7 +108,8 @@
 	if d.deadline.Sub(now) < minAttemptTime {
 		return false
 	}
-	if _, blocked := d.opts.Crashes.Blocked(now, d.content); blocked {
+	if wait, blocked := d.opts.Crashes.Blocked(now, d.content); blocked {
+		d.refuseBlocked(wait)
 		return false
 	}
 	couldRetry := d.couldRetry(now)
@@ -336,6 +337,10 @@
 		d.countRefusal(r.Reason)
 	}
 	if r.Outcome == croffer.NotSent {
+		if r.Reason == croffer.ReasonEndsTargets {
+			d.refuseBlocked(r.RetryAfter)
+			return false
+		}
 		d.recordRetryAfter(r.RetryAfter)
 		return true
 	}
@@ -372,6 +377,16 @@
 	return more && d.mayRunAgain() && ctx.Err() == nil
 }
 
+// refuseBlocked sets the response to a request under which the processes of targets have ended. If it
+// has been sent to a target, the response of that attempt stays.
+func (d *dispatch) refuseBlocked(wait time.Duration) {
+	if d.sent > 0 {
+		return
+	}
+	d.opts.Meter.ObserveBlocked()
+	d.response, d.retryAfter = refusal(http.StatusServiceUnavailable, croffer.ReasonEndsTargets, wait), 0
+}
+
 // recordEnd records that the process of a target has ended while it ran the request.
 func (d *dispatch) recordEnd(c crplace.Choice, e crcrash.End) {
 	d.opts.Crashes.RecordEnd(d.opts.Clock(), d.content, e)
--- a/io/croffer/croffer.go
+++ b/io/croffer/croffer.go
@@ -174,6 +174,10 @@
 // refused while it worked on the request.
 const ReasonCallRefused = "a nested call was refused"
 
+// ReasonEndsTargets is the reason of refusals of a request under which processes of targets have
+// ended; see crcrash.
+const ReasonEndsTargets = "targets have ended while they ran this request"
+
 // Kind returns the kind of the request, by which its duration is estimated.
 func (o Offer) Kind() crpace.Kind { return crpace.Kind{Class: o.Class, Objective: o.RouteObjective} }
 
