io/crlink: Bound the bytes of a response in each of its parts

Cause: http.ReadResponse on a bare connection has no bound for a head; bodies stopped at 16 MiB each, whatever their framing and their number.

Change: 32 KiB for a head with the interim responses before it; 2 MiB for the framing of a body; 32 MiB for the bodies that a pool reads at once; a declared length above 16 MiB is given up at once; the buffer of a body does not grow past its limit. The request fails like one whose connection breaks off, so that the target counts as failing.

--- a/io/crlink/crlink.go
+++ b/io/crlink/crlink.go
@@ -1,6 +1,6 @@
 // Package crlink is an HTTP/1.1 client with a connection pool. It never retries a
 // request, it checks that a response belongs to its request, and it does not reuse a
-// connection with unread data.
+// connection with unread data. The bytes of a response are bounded in each of its parts.
 //
 // net/http retries requests by itself, so a request that may run only once could run
 // twice. It also takes the next bytes on a connection for the response to the last
@@ -24,11 +24,11 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -43,19 +43,12 @@
 	keepAliveCount    = 2
 	// ackTimeout is how long sent bytes may stay unacknowledged.
 	ackTimeout = 2500 * time.Millisecond
-	// maxResponseBytes bounds a response body, which is held in memory.
-	maxResponseBytes = 16 << 20
 	// maxResponses bounds the responses read in an exchange, including the skipped ones.
 	maxResponses = 4
 )
 
-// Errors of an exchange.
-var (
-	// ErrResponseTooLarge means that a response body exceeds maxResponseBytes.
-	ErrResponseTooLarge = errors.New("the answer is too large")
-	// ErrUnexpectedResponse means that all responses belong to other requests.
-	ErrUnexpectedResponse = errors.New("the answers belong to other requests")
-)
+// ErrUnexpectedResponse means that all responses belong to other requests.
+var ErrUnexpectedResponse = errors.New("the answers belong to other requests")
 
 // Dialer returns a dialer whose connections detect an unresponsive peer.
 func Dialer(connectTimeout time.Duration) *net.Dialer {
@@ -86,6 +79,7 @@
 	address string
 	opts    Options
 	dialer  *net.Dialer
+	reading atomic.Int64 // bytes of the bodies that are being read
 	mu      sync.Mutex
 	idle    []*Conn // the most recently used one is last
 	closed  bool
@@ -98,7 +92,8 @@
 
 // Conn is a connection. It serves one exchange at a time.
 type Conn struct {
-	conn            net.Conn
+	conn            *boundedConn
+	reading         *atomic.Int64 // of its pool
 	br              *bufio.Reader
 	connectedAt     time.Time
 	lastUsed        time.Time
@@ -155,7 +150,8 @@
 	if err != nil {
 		return nil, fmt.Errorf("connect: %w", err)
 	}
-	return &Conn{conn: conn, br: bufio.NewReaderSize(conn, 4<<10), connectedAt: time.Now()}, nil
+	bounded := &boundedConn{Conn: conn}
+	return &Conn{conn: bounded, reading: &p.reading, br: bufio.NewReaderSize(bounded, 4<<10), connectedAt: time.Now()}, nil
 }
 
 // Put returns a connection to the pool.
@@ -207,7 +203,7 @@
 }
 
 // reusable reports whether an idle connection is still open and has no unread data.
-func (c *Conn) reusable() bool { return c.br.Buffered() == 0 && Reusable(c.conn) }
+func (c *Conn) reusable() bool { return c.br.Buffered() == 0 && Reusable(c.conn.Conn) }
 
 // Reusable reports whether an idle connection is still open and has no unread data. It
 // does not wait for a goroutine that reads from the connection.
@@ -268,6 +264,7 @@
 	if _, err := c.conn.Write(r.encode()); err != nil {
 		return nil, fmt.Errorf("send: %w", err)
 	}
+	c.conn.allow(maxHeadBytes, ErrHeadTooLarge)
 	for range maxResponses {
 		//nolint:bodyclose // readBody closes it; an informational response has none.
 		resp, err := http.ReadResponse(c.br, &http.Request{Method: r.Method})
@@ -277,10 +274,12 @@
 		if resp.StatusCode < http.StatusOK {
 			continue
 		}
-		body, err := readBody(resp)
+		c.conn.allow(maxWireBytes, ErrResponseTooLarge)
+		body, err := c.readBody(resp)
 		if err != nil {
 			return nil, err
 		}
+		c.conn.allow(maxHeadBytes, ErrHeadTooLarge)
 		if matches != nil && !matches(resp.Header) {
 			if resp.Close {
 				return nil, ErrUnexpectedResponse
@@ -294,18 +293,6 @@
 	return nil, ErrUnexpectedResponse
 }
 
-func readBody(resp *http.Response) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
-	err = errors.Join(err, resp.Body.Close())
-	if err != nil {
-		return nil, fmt.Errorf("read the answer's body: %w", err)
-	}
-	if len(body) > maxResponseBytes {
-		return nil, ErrResponseTooLarge
-	}
-	return body, nil
-}
-
 // encode returns the whole request in one buffer. Sent with a single write, it is sent
 // completely or not at all, as far as this side can tell.
 func (r Request) encode() []byte {
--- a/lab/crtarget/crtarget.go
+++ b/lab/crtarget/crtarget.go
@@ -42,6 +42,9 @@
 	Unsealed       float64 // responds without the seal header
 	CloseDelimited float64 // responds without Content-Length and closes the connection
 	ResponseBytes  int     // bytes added to each response; the parameter bytes of a request replaces it
+
+	Endless Endless       // part of each response that does not end; empty: none
+	Pace    time.Duration // pause between short writes of that part; zero: as fast as the caller reads
 }
 
 // maxResponseBytes bounds the parameter bytes of a request.
@@ -301,6 +304,9 @@
 		timeout = int(time.Minute / time.Millisecond)
 	}
 	switch {
+	case b.Endless != "":
+		b.Endless.send(conn, id, b.Pace)
+		return false
 	case chance(b.Reset):
 		if tcp, ok := conn.(*net.TCPConn); ok {
 			_ = tcp.SetLinger(0) // makes serve's Close send a reset
