--- a/io/cringress/cringress.go
+++ b/io/cringress/cringress.go
@@ -17,6 +17,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -50,6 +51,9 @@
 	// maxBodyBytes bounds the body of a request, which is held in memory, whatever the
 	// operator allows: a daemon has a few hundred megabytes of memory.
 	maxBodyBytes = 16 << 20
+	// refusedBodyTime bounds the time for which net/http reads the body of a request that is
+	// refused by its head, before it sends the response.
+	refusedBodyTime = 500 * time.Millisecond
 )
 
 // Quota limits the rates of accounts across the fleet.
@@ -185,10 +189,11 @@
 	defer e.inFlight.Add(-1)
 	started := e.opts.Clock()
 	crlink.CloseAfterChunkedBody(w, r)
-	q := &request{Entry: e, started: started, http: r, view: e.view.Load()}
+	q := &request{Entry: e, started: started, http: r, view: e.view.Load(), conn: http.NewResponseController(w)}
+	q.limitBody(refusedBodyTime)
 	resp := q.handle()
 	e.opts.Meter.ObserveResponse(q.class(), resp.status, resp.local, e.opts.Clock().Sub(started))
-	if r.Context().Err() != nil {
+	if r.Context().Err() != nil && !q.incomplete {
 		q.log(resp, "caller left")
 		return
 	}
@@ -201,6 +206,7 @@
 	*Entry
 	started        crid.Instant
 	http           *http.Request
+	conn           *http.ResponseController
 	info           crdialect.RequestInfo
 	view           *crmesh.View
 	route          *crplan.Route
@@ -209,6 +215,7 @@
 	priority       int                    // 0 is the most urgent
 	allowed        func(crid.Domain) bool // domains in which it may be processed; nil: all
 	body           []byte
+	incomplete     bool         // the body did not arrive, which ends the context of the request
 	content        crcrash.Key  // identifies repetitions of the request
 	callerDeadline crid.Instant // when the caller stops waiting
 	deadline       crid.Instant // when the caller gets a response at the latest
@@ -324,17 +331,36 @@
 	if q.http.ContentLength > limit {
 		return refusal(http.StatusRequestEntityTooLarge, "the body is too large", 0), false
 	}
+	q.limitBody(max(q.deadline.Sub(q.opts.Clock()), time.Millisecond))
 	body, err := io.ReadAll(io.LimitReader(q.http.Body, limit+1))
+	q.incomplete = err != nil
+	// net/http replaces the error that it meets in a trailer.
+	if errors.Is(err, os.ErrDeadlineExceeded) || err != nil && q.deadline.Sub(q.opts.Clock()) <= 0 {
+		return refusal(http.StatusRequestTimeout, "the body did not arrive in time", 0), false
+	}
 	if err != nil {
 		return refusal(http.StatusBadRequest, "the body broke off", 0), false
 	}
 	if int64(len(body)) > limit {
 		return refusal(http.StatusRequestEntityTooLarge, "the body is too large", 0), false
 	}
+	q.limitBody(0)
 	q.body = body
 	return response{}, true
 }
 
+// limitBody bounds the time in which the rest of the body may arrive; zero: it is complete.
+func (q *request) limitBody(d time.Duration) {
+	if q.http.ContentLength == 0 {
+		return
+	}
+	var until time.Time
+	if d > 0 {
+		until = time.Now().Add(d)
+	}
+	_ = q.conn.SetReadDeadline(until) // fails only on a closed connection, or one without deadlines
+}
+
 // checkBlocked refuses a request under which the processes of targets have ended.
 func (q *request) checkBlocked() (response, bool) {
 	c := crcrash.Content{Method: q.http.Method, Host: q.http.Host, URI: q.uri(), Body: q.body}
--- a/io/croffer/server.go
+++ b/io/croffer/server.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 
@@ -37,9 +38,13 @@
 	headerEnded = "Ended" // see Result.EndedMillis
 )
 
-// maxBodyBytes bounds the body of a peer's request, which may contain a caller's
-// request with its body.
-const maxBodyBytes = 64 << 20
+const (
+	// maxBodyBytes bounds the body of a peer's request, which may contain a caller's
+	// request with its body.
+	maxBodyBytes = 18 << 20
+	// bodyTimeout bounds the time in which it arrives, also over a slow link.
+	bodyTimeout = 30 * time.Second
+)
 
 // StoreHandlers serve the store reads of peers.
 type StoreHandlers struct {
@@ -49,10 +54,14 @@
 
 // Handler serves the requests of other daemons.
 func Handler(exit Exit, clock func() crid.Instant, store StoreHandlers) http.Handler {
+	return newHandler(exit, clock, store, bodyReader{timeout: bodyTimeout})
+}
+
+func newHandler(exit Exit, clock func() crid.Instant, store StoreHandlers, body bodyReader) http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+PathOffer, func(w http.ResponseWriter, r *http.Request) {
 		var o Offer
-		if readRequest(w, r, &o) {
+		if body.decode(w, r, &o) {
 			o.parseQuery(r.URL.RawQuery)
 			writeResponse(w, exit.Offer(clock(), o))
 		}
@@ -64,7 +73,7 @@
 			return
 		}
 		var req Request
-		if !readRequest(w, r, &req) {
+		if !body.decode(w, r, &req) {
 			// The request is incomplete and will not run.
 			exit.Release(ticket)
 			return
@@ -80,7 +89,7 @@
 	})
 	mux.HandleFunc("POST "+PathCopy, func(w http.ResponseWriter, r *http.Request) {
 		var have cbor.RawMessage
-		if !readRequest(w, r, &have) {
+		if !body.decode(w, r, &have) {
 			return
 		}
 		c, err := store.Copy(have)
@@ -92,17 +101,23 @@
 	})
 	mux.HandleFunc("POST "+PathFeed, func(w http.ResponseWriter, r *http.Request) {
 		var q FeedQuery
-		if readRequest(w, r, &q) {
+		if body.decode(w, r, &q) {
 			writeResponse(w, store.Feed(r.Context(), q))
 		}
 	})
 	return mux
 }
 
-// readRequest decodes the body of a request. If it cannot, it answers with status 400 and
+// bodyReader reads the bodies of requests.
+type bodyReader struct{ timeout time.Duration }
+
+// decode decodes the body of a request. If it cannot, it answers with status 400 and
 // returns false.
-func readRequest(w http.ResponseWriter, r *http.Request, into any) bool {
-	body, err := io.ReadAll(io.LimitReader(r.Body, maxBodyBytes))
+func (b bodyReader) decode(w http.ResponseWriter, r *http.Request, into any) bool {
+	// A connection without deadlines, in tests, returns an error.
+	conn := http.NewResponseController(w)
+	_ = conn.SetReadDeadline(time.Now().Add(b.timeout))
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
 	if err == nil {
 		err = cbor.Unmarshal(body, into)
 	}
@@ -110,6 +125,7 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return false
 	}
+	_ = conn.SetReadDeadline(time.Time{})
 	return true
 }
 
