--- a/io/crmesh/crash_test.go
+++ b/io/crmesh/crash_test.go
@@ -1,7 +1,9 @@
 package crmesh_test
 
 import (
+	"context"
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 
@@ -88,3 +90,33 @@
 		})
 	}
 }
+
+// Guards against a request of many callers that is blocked because it runs beside one that ends targets.
+func TestPopularRequestIsServedBesideOneThatEndsTargets(t *testing.T) {
+	const popularPath = "/look/popular"
+	g := gomega.NewWithT(t)
+	f := newCrashingFleet(t, 6)
+	for _, m := range f.machines {
+		m.target.SetBehaviour(crtarget.Behaviour{ServiceTime: 30 * time.Millisecond})
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	var callers sync.WaitGroup
+	for i := range 2 * len(f.machines) {
+		callers.Go(func() {
+			for ctx.Err() == nil {
+				f.machines[i%len(f.machines)].call(http.MethodGet, popularPath, "k1")
+			}
+		})
+	}
+	time.Sleep(time.Second)
+	for range 12 {
+		f.machines[0].call(http.MethodGet, fatalPath, "k1")
+		time.Sleep(100 * time.Millisecond)
+	}
+	cancel()
+	callers.Wait()
+	g.Expect(f.ends()).To(gomega.BeNumerically("<=", 3))
+	for _, m := range f.machines {
+		g.Expect(m.call(http.MethodGet, popularPath, "k1").status).To(gomega.Equal(http.StatusOK), m.id)
+	}
+}
