--- a/io/crmesh/crash_test.go
+++ b/io/crmesh/crash_test.go
@@ -14,10 +14,10 @@
 
 const fatalPath = "/look/fatal"
 
-// newCrashingFleet starts a fleet whose targets end when they get fatalPath.
-func newCrashingFleet(t *testing.T, n int) *fleet {
+// newCrashingFleet starts six daemons whose targets end when they get fatalPath.
+func newCrashingFleet(t *testing.T) *fleet {
 	t.Helper()
-	f := newFleet(t, n)
+	f := newFleet(t, 6)
 	for _, m := range f.machines {
 		m.target.SetFatal(fatalPath, 400*time.Millisecond)
 	}
@@ -36,7 +36,7 @@
 func TestRequestThatEndsItsTargetsIsNotSentOn(t *testing.T) {
 	const maxEnds = 3
 	g := gomega.NewWithT(t)
-	f := newCrashingFleet(t, 6)
+	f := newCrashingFleet(t)
 	for range 8 {
 		resp := f.machines[0].call(http.MethodGet, fatalPath, "k1")
 		g.Expect(resp.status).NotTo(gomega.Equal(http.StatusOK))
@@ -50,7 +50,7 @@
 func TestRequestThatEndsItsTargetsIsKnownAtOtherEntries(t *testing.T) {
 	const maxEnds = 3
 	g := gomega.NewWithT(t)
-	f := newCrashingFleet(t, 6)
+	f := newCrashingFleet(t)
 	for i := range 3 {
 		f.machines[i].call(http.MethodGet, fatalPath, "k1")
 		time.Sleep(300 * time.Millisecond)
@@ -77,7 +77,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			g := gomega.NewWithT(t)
-			f := newCrashingFleet(t, 6)
+			f := newCrashingFleet(t)
 			for _, m := range f.machines[:2] {
 				m.target.SetFatal("", 0)
 				m.target.SetBehaviour(b)
@@ -95,7 +95,7 @@
 func TestPopularRequestIsServedBesideOneThatEndsTargets(t *testing.T) {
 	const popularPath = "/look/popular"
 	g := gomega.NewWithT(t)
-	f := newCrashingFleet(t, 6)
+	f := newCrashingFleet(t)
 	for _, m := range f.machines {
 		m.target.SetBehaviour(crtarget.Behaviour{ServiceTime: 30 * time.Millisecond})
 	}
