io/crlink: The test of a declared length does not wait for the fake's answer

Traced: the fake target made 40 MiB of answer before it sent the head, which takes longer than the two seconds of the exchange with the race detector on a busy machine; the client had read nothing.

--- a/io/crlink/endless_test.go
+++ b/io/crlink/endless_test.go
@@ -90,7 +90,9 @@
 // Guards against a body that is read although its declared length is too large.
 func TestResponseOfTooLargeDeclaredLengthIsGivenUpAtOnce(t *testing.T) {
 	g := gomega.NewWithT(t)
-	_, pool := startTarget(t, crtarget.Behaviour{ResponseBytes: 40 << 20})
+	_, pool := startTarget(t, crtarget.Behaviour{Endless: crtarget.EndlessDeclared, Pace: 20 * time.Millisecond})
+	began := time.Now()
 	_, err := exchange(t, pool, "a")
 	g.Expect(err).To(gomega.MatchError(crlink.ErrResponseTooLarge))
+	g.Expect(time.Since(began)).To(gomega.BeNumerically("<", 2*time.Second), "before its deadline")
 }
--- a/lab/crtarget/endless.go
+++ b/lab/crtarget/endless.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net"
+	"strconv"
 	"strings"
 	"time"
 )
@@ -18,6 +19,7 @@
 	EndlessFields     Endless = "fields"
 	EndlessInterim    Endless = "interim responses"
 	EndlessBody       Endless = "body until the connection closes"
+	EndlessDeclared   Endless = "body of a declared length"
 	EndlessChunks     Endless = "chunks"
 	EndlessChunkSize  Endless = "size of a chunk"
 	EndlessTrailer    Endless = "trailer field"
@@ -29,8 +31,8 @@
 // AllEndless returns all parts.
 func AllEndless() []Endless {
 	return []Endless{
-		EndlessStatusLine, EndlessField, EndlessFields, EndlessInterim, EndlessBody, EndlessChunks, EndlessChunkSize, EndlessTrailer,
-		EndlessTrailers, EndlessNothing, EndlessExtra,
+		EndlessStatusLine, EndlessField, EndlessFields, EndlessInterim, EndlessBody, EndlessDeclared, EndlessChunks, EndlessChunkSize,
+		EndlessTrailer, EndlessTrailers, EndlessNothing, EndlessExtra,
 	}
 }
 
@@ -50,6 +52,8 @@
 		return "", "HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n"
 	case EndlessBody:
 		return head + "\r\n", "x"
+	case EndlessDeclared:
+		return head + "Content-Length: " + strconv.Itoa(maxEndlessBytes) + "\r\n\r\n", "x"
 	case EndlessChunks:
 		return head + chunked, "1\r\nx\r\n"
 	case EndlessChunkSize:
