--- a/core/crcrash/crcrash_test.go
+++ b/core/crcrash/crcrash_test.go
@@ -95,8 +95,7 @@
 	}
 }
 
-// Guards against a request that is blocked for the end of a process which it did not cause, and against
-// answers of one process that count for the next one.
+// Guards against answers of one process that count for the next one, and ends that count against an answered request.
 func TestAnswersCountForTheirProcessOnly(t *testing.T) {
 	g := gomega.NewWithT(t)
 	a := crcrash.NewAnswers()
@@ -247,8 +246,7 @@
 // innocent returns one of 100 requests that many callers send.
 func (s *service) innocent() crcrash.Key { return key("/" + strconv.Itoa(s.rng.IntN(100))) }
 
-// Guards against a fatal request that ends many targets through many entries, also beside targets that answer it, and
-// against others that are blocked with it.
+// Guards against a fatal request that ends many targets, also beside some that answer it, and blocks other requests.
 func TestFatalRequestEndsFewTargetsAndOthersAreServed(t *testing.T) {
 	for seed := range uint64(200) {
 		for _, immune := range []int{0, 10, 20} {
