io/cringress: Bound the sum of the bodies of callers

Change: the entry counts the bytes of bodies that it holds until their requests end. Beyond 64 MiB a request gets 503 with Retry-After, and has not run; bodies above 64 KiB may use three quarters, so that large ones do not keep out small ones. A declared body for which there is no room is refused by its head, others while they are read. A declared size takes no room, or eight callers who send nothing would take all. The code that reads bodies is in a file of its own.

Result: TestBodiesOfManyCallersAreBounded (24 callers send 8 MiB each, with a declared length and in a chunk) failed before, none refused; it passes: 16 or more are refused, a small request is served meanwhile, and a large one afterwards. io/cringress and the tests of slow bodies pass with the race detector.

--- a/io/cringress/cringress.go
+++ b/io/cringress/cringress.go
@@ -14,10 +14,8 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"math/rand/v2"
 	"net/http"
-	"os"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -48,12 +46,6 @@
 	// a request waits for the first configuration of its daemon.
 	maxStartWait   = 2 * time.Second
 	startWaitShare = 0.1
-	// maxBodyBytes bounds the body of a request, which is held in memory, whatever the
-	// operator allows: a daemon has a few hundred megabytes of memory.
-	maxBodyBytes = 16 << 20
-	// refusedBodyTime bounds the time for which net/http reads the body of a request that is
-	// refused by its head, before it sends the response.
-	refusedBodyTime = 500 * time.Millisecond
 )
 
 // Quota limits the rates of accounts across the fleet.
@@ -114,6 +106,7 @@
 	ready    chan struct{} // closed once the view has a configuration and targets
 	setReady sync.Once
 	inFlight atomic.Int64
+	held     atomic.Int64    // bytes of the bodies of requests in flight
 	abortCtx context.Context //nolint:containedctx // cancelled by Abort
 	abort    context.CancelFunc
 }
@@ -191,6 +184,7 @@
 	crlink.CloseAfterChunkedBody(w, r)
 	q := &request{Entry: e, started: started, http: r, view: e.view.Load(), conn: http.NewResponseController(w)}
 	q.limitBody(refusedBodyTime)
+	defer q.heldBody.release()
 	resp := q.handle()
 	e.opts.Meter.ObserveResponse(q.class(), resp.status, resp.local, e.opts.Clock().Sub(started))
 	if r.Context().Err() != nil && !q.incomplete {
@@ -215,6 +209,7 @@
 	priority       int                    // 0 is the most urgent
 	allowed        func(crid.Domain) bool // domains in which it may be processed; nil: all
 	body           []byte
+	heldBody       heldReader   // the body as it was read
 	incomplete     bool         // the body did not arrive, which ends the context of the request
 	content        crcrash.Key  // identifies repetitions of the request
 	callerDeadline crid.Instant // when the caller stops waiting
@@ -323,44 +318,6 @@
 	}
 }
 
-func (q *request) readBody() (response, bool) {
-	limit := int64(maxBodyBytes)
-	if allowed := q.view.Plan.Limits().BodyBytes; allowed > 0 {
-		limit = min(limit, allowed)
-	}
-	if q.http.ContentLength > limit {
-		return refusal(http.StatusRequestEntityTooLarge, "the body is too large", 0), false
-	}
-	q.limitBody(max(q.deadline.Sub(q.opts.Clock()), time.Millisecond))
-	body, err := io.ReadAll(io.LimitReader(q.http.Body, limit+1))
-	q.incomplete = err != nil
-	// net/http replaces the error that it meets in a trailer.
-	if errors.Is(err, os.ErrDeadlineExceeded) || err != nil && q.deadline.Sub(q.opts.Clock()) <= 0 {
-		return refusal(http.StatusRequestTimeout, "the body did not arrive in time", 0), false
-	}
-	if err != nil {
-		return refusal(http.StatusBadRequest, "the body broke off", 0), false
-	}
-	if int64(len(body)) > limit {
-		return refusal(http.StatusRequestEntityTooLarge, "the body is too large", 0), false
-	}
-	q.limitBody(0)
-	q.body = body
-	return response{}, true
-}
-
-// limitBody bounds the time in which the rest of the body may arrive; zero: it is complete.
-func (q *request) limitBody(d time.Duration) {
-	if q.http.ContentLength == 0 {
-		return
-	}
-	var until time.Time
-	if d > 0 {
-		until = time.Now().Add(d)
-	}
-	_ = q.conn.SetReadDeadline(until) // fails only on a closed connection, or one without deadlines
-}
-
 // checkBlocked refuses a request under which the processes of targets have ended.
 func (q *request) checkBlocked() (response, bool) {
 	c := crcrash.Content{Method: q.http.Method, Host: q.http.Host, URI: q.uri(), Body: q.body}
--- a/io/crmesh/fleet_test.go
+++ b/io/crmesh/fleet_test.go
@@ -232,11 +232,17 @@
 
 // call sends a request to the machine's caller port.
 func (m *machine) call(method, path, key string) response {
+	m.t.Helper()
+	return m.send(method, path, key, "the body")
+}
+
+// send does the same with a body.
+func (m *machine) send(method, path, key, content string) response {
 	m.t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), 4*time.Second)
 	defer cancel()
 	id := "q" + strconv.FormatInt(nextRequest.Add(1), 10)
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+m.cfg.Listen.Caller+path, strings.NewReader("the body"))
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+m.cfg.Listen.Caller+path, strings.NewReader(content))
 	if err != nil {
 		m.t.Fatal(err)
 	}
