io/crwatch: Watches continue from a revision that a later watch has confirmed

Cause: the store withholds changes from watches for a second, and then drops its history. A watch that starts in that second ends without the change and with the revision after it, and the next one continued from there. If this happens to the watches of all daemons, only the first reader's list finds the change, after ten seconds.

Change: a watch starts from an earlier revision until one that was sent two seconds after an answer without changes has found nothing either. It gets the change, or ErrCompacted, and lists. It goes back ten seconds at most; the store keeps twenty.

Ruled out: a list by more readers or at shorter intervals, which is billed always; this costs no call without a compaction.

--- a/io/crwatch/scope.go
+++ b/io/crwatch/scope.go
@@ -18,8 +18,9 @@
 	*Follower
 	scope            Scope
 	listed           bool
-	listedAt         int // Follower.compactions when the scope was listed
-	after            crid.Revision
+	listedAt         int          // Follower.compactions when the scope was listed
+	progress         progress     // of the watches since the last list or change
+	sentAt           crid.Instant // when the last watch was sent
 	verifiedAt       crid.Instant // when the scope was last listed
 	aligned          bool         // the last watch ended together with those of the other daemons
 	restarted        bool         // the last watch was canceled to be sent again
@@ -51,11 +52,12 @@
 	if revision == 0 {
 		return nil
 	}
-	s.after = max(revision, s.after)
 	if len(items) == 0 {
+		s.progress.reach(s.opts.Clock(), revision, s.sentAt)
 		s.advance(revision)
 	} else {
 		s.aligned = true
+		s.progress.reset(s.opts.Clock(), revision)
 		s.apply(items, revision, false)
 	}
 	s.setUnavailable(s.scope, false)
@@ -83,7 +85,8 @@
 		s.cancels[s.scope] = cancel
 		s.mu.Unlock()
 	}
-	items, revision, err := s.opts.Store.Watch(ctx, s.scope, s.after, wait)
+	s.sentAt = s.opts.Clock()
+	items, revision, err := s.opts.Store.Watch(ctx, s.scope, s.progress.after(s.sentAt), wait)
 	cause := context.Cause(ctx)
 	if err != nil && (errors.Is(cause, ErrCompacted) || errors.Is(cause, errRestarted)) {
 		s.restarted = errors.Is(cause, errRestarted)
@@ -146,7 +149,8 @@
 	}
 	s.recordSuccess()
 	s.recordVerified()
-	s.listed, s.after, s.listedAt, s.aligned = true, revision, compactions, true
+	s.listed, s.listedAt, s.aligned = true, compactions, true
+	s.progress.reset(s.opts.Clock(), revision)
 	s.apply(items, revision, true)
 	s.setUnavailable(s.scope, false)
 	if revision == 0 {
@@ -180,7 +184,7 @@
 		return nil
 	}
 	s.opts.Log.Event(crlog.WatchMissedChange, crlog.Fields{"scope": s.scope.String(), "rev": formatRevision(revision)})
-	s.after = max(revision, s.after)
+	s.progress.reset(s.opts.Clock(), revision)
 	s.apply(items, revision, true)
 	return nil
 }
@@ -193,13 +197,13 @@
 }
 
 // matches reports whether the copy has all items of a list up to the revision that the
-// watches have reached. They still deliver later ones.
+// next watch continues from. The watches still deliver later ones.
 func (s *scopeFollower) matches(items []Item) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	held := s.values[s.scope]
+	held, after := s.values[s.scope], s.progress.after(s.opts.Clock())
 	return !slices.ContainsFunc(items, func(i Item) bool {
-		return i.Revision <= s.after && held[i.Key].Revision < i.Revision
+		return i.Revision <= after && held[i.Key].Revision < i.Revision
 	})
 }
 
