io/cringress: Shorter selectors, as the linter asks

Cause: golangci-lint reports QF1008 for two selectors of body.go. Change: they leave out the embedded field. Result: the linter reports nothing; go test ./io/cringress passes.

--- a/io/cringress/body.go
+++ b/io/cringress/body.go
@@ -73,11 +73,11 @@
 	if declared > limit {
 		return refusal(http.StatusRequestEntityTooLarge, "the body is too large", 0), false
 	}
-	if q.Entry.held.Load()+max(declared, 0) > heldLimit(declared) {
+	if q.held.Load()+max(declared, 0) > heldLimit(declared) {
 		return noRoom(), false
 	}
 	q.limitBody(max(q.deadline.Sub(q.opts.Clock()), time.Millisecond))
-	q.heldBody = heldReader{src: q.http.Body, held: &q.Entry.held}
+	q.heldBody = heldReader{src: q.http.Body, held: &q.held}
 	body, err := io.ReadAll(io.LimitReader(&q.heldBody, limit+1))
 	if errors.Is(err, errNoRoom) {
 		q.limitBody(refusedBodyTime)
