io/crwatch: The first reader's list is compared with the revision that watches have reached

TestFirstReaderListsAgainWhenAPeerHasAChangeItLacks failed once in two runs of the package: found after 19 s in place of 8.

--- a/io/crwatch/progress.go
+++ b/io/crwatch/progress.go
@@ -44,6 +44,14 @@
 	}
 }
 
+// last returns the latest revision that a watch has reached.
+func (p *progress) last() crid.Revision {
+	if len(p.reached) == 0 {
+		return 0
+	}
+	return p.reached[len(p.reached)-1].revision
+}
+
 // after returns the revision that the next watch starts from.
 func (p *progress) after(now crid.Instant) crid.Revision {
 	for len(p.reached) > 1 && now.Sub(p.reached[0].at) > maxRepeatedTime {
--- a/io/crwatch/scope.go
+++ b/io/crwatch/scope.go
@@ -197,13 +197,13 @@
 }
 
 // matches reports whether the copy has all items of a list up to the revision that the
-// next watch continues from. The watches still deliver later ones.
+// watches have reached. They still deliver later ones.
 func (s *scopeFollower) matches(items []Item) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	held, after := s.values[s.scope], s.progress.after(s.opts.Clock())
+	held, reached := s.values[s.scope], s.progress.last()
 	return !slices.ContainsFunc(items, func(i Item) bool {
-		return i.Revision <= after && held[i.Key].Revision < i.Revision
+		return i.Revision <= reached && held[i.Key].Revision < i.Revision
 	})
 }
 
