io/crwatch: A change of a key outside the scope ends the repetition of watches

Cause: a change of a key of the operator that daemons do not use ends a watch, and its client leaves it out. The next watch started from before it, and got the same answer at once: 510 calls in 20 s, each of them billed.

Change: an answer without changes that came before the wait was over counts like a change.

--- a/io/crwatch/progress.go
+++ b/io/crwatch/progress.go
@@ -13,6 +13,9 @@
 	// maxRepeatedTime bounds how far a watch goes back. The users' store keeps 20 seconds of
 	// history, and a watch from before its history causes a list.
 	maxRepeatedTime = 10 * time.Second
+	// earlyMargin is how much before the end of its wait a watch is answered early. The store
+	// waits for whole milliseconds.
+	earlyMargin = 10 * time.Millisecond
 )
 
 // progress is how far the watches of a scope have come. An answer without changes may have
--- a/io/crwatch/scope.go
+++ b/io/crwatch/scope.go
@@ -18,15 +18,16 @@
 	*Follower
 	scope            Scope
 	listed           bool
-	listedAt         int          // Follower.compactions when the scope was listed
-	progress         progress     // of the watches since the last list or change
-	sentAt           crid.Instant // when the last watch was sent
-	verifiedAt       crid.Instant // when the scope was last listed
-	aligned          bool         // the last watch ended together with those of the other daemons
-	restarted        bool         // the last watch was canceled to be sent again
-	failingSince     crid.Instant // zero: calls do not fail
-	outageReported   bool         // the store was reported as unavailable
-	detectedDirectly bool         // the reason was a failed call of this daemon itself, not a report of a reader
+	listedAt         int           // Follower.compactions when the scope was listed
+	progress         progress      // of the watches since the last list or change
+	sentAt           crid.Instant  // when the last watch was sent
+	wait             time.Duration // of the last watch
+	verifiedAt       crid.Instant  // when the scope was last listed
+	aligned          bool          // the last watch ended together with those of the other daemons
+	restarted        bool          // the last watch was canceled to be sent again
+	failingSince     crid.Instant  // zero: calls do not fail
+	outageReported   bool          // the store was reported as unavailable
+	detectedDirectly bool          // the reason was a failed call of this daemon itself, not a report of a reader
 	backoff          time.Duration
 }
 
@@ -53,7 +54,7 @@
 		return nil
 	}
 	if len(items) == 0 {
-		s.progress.reach(s.opts.Clock(), revision, s.sentAt)
+		s.recordProgress(revision)
 		s.advance(revision)
 	} else {
 		s.aligned = true
@@ -72,6 +73,17 @@
 	s.storeItems(s.scope, nil, revision, false)
 }
 
+// recordProgress records an answer without changes. One that came before the wait was over
+// was ended by changes of keys outside the scope, so that none were withheld.
+func (s *scopeFollower) recordProgress(revision crid.Revision) {
+	now := s.opts.Clock()
+	if now.Sub(s.sentAt) < s.wait-earlyMargin {
+		s.progress.reset(now, revision)
+		return
+	}
+	s.progress.reach(now, revision, s.sentAt)
+}
+
 // errInterrupted means that a watch was canceled before its answer, and is not a failure.
 var errInterrupted = errors.New("the watch was interrupted")
 
@@ -79,14 +91,14 @@
 func (s *scopeFollower) watch(ctx context.Context) ([]Item, crid.Revision, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	wait := s.nextWait()
-	if wait > minWait {
+	s.wait = s.nextWait()
+	if s.wait > minWait {
 		s.mu.Lock()
 		s.cancels[s.scope] = cancel
 		s.mu.Unlock()
 	}
 	s.sentAt = s.opts.Clock()
-	items, revision, err := s.opts.Store.Watch(ctx, s.scope, s.progress.after(s.sentAt), wait)
+	items, revision, err := s.opts.Store.Watch(ctx, s.scope, s.progress.after(s.sentAt), s.wait)
 	cause := context.Cause(ctx)
 	if err != nil && (errors.Is(cause, ErrCompacted) || errors.Is(cause, errRestarted)) {
 		s.restarted = errors.Is(cause, errRestarted)
--- a/io/crwatch/withheld_test.go
+++ b/io/crwatch/withheld_test.go
@@ -79,3 +79,45 @@
 		})
 	}
 }
+
+// otherKeysStore answers watches at once with a change of a key outside the scope, which its client leaves out.
+type otherKeysStore struct {
+	start   time.Time
+	watches int
+}
+
+func (*otherKeysStore) List(context.Context, crwatch.Scope) ([]crwatch.Item, crid.Revision, error) {
+	return []crwatch.Item{{Key: "a", Revision: 4}}, 5, nil
+}
+
+func (s *otherKeysStore) Watch(ctx context.Context, _ crwatch.Scope, after crid.Revision, wait time.Duration) ([]crwatch.Item, crid.Revision, error) {
+	s.watches++
+	reached := crid.Revision(5)
+	if time.Since(s.start) >= 5*time.Second {
+		reached = 6
+	}
+	if after < reached {
+		wait = 4 * time.Millisecond
+	}
+	select {
+	case <-ctx.Done():
+		return nil, 0, ctx.Err()
+	case <-time.After(wait):
+	}
+	return nil, reached, nil
+}
+
+// Guards against a store that is called hundreds of times a second after a change of a key outside the scope.
+func TestChangeOutsideTheScopeIsReadOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &otherKeysStore{start: time.Now()}
+		f := crwatch.New(crwatch.Options{
+			Store: s, Decoder: fakeDecoder{}, Clock: func() crid.Instant { return crid.Instant(time.Hour + time.Since(s.start)) },
+			Emit: func(crevent.Event) {}, ReaderCount: func() int { return 6 }, ReadsFirst: func() bool { return false }, Log: crlog.New(io.Discard, "info", "test"),
+		})
+		ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+		defer cancel()
+		gomega.NewWithT(t).Expect(f.Run(ctx, crwatch.Records)).To(gomega.Succeed())
+		gomega.NewWithT(t).Expect(s.watches).To(gomega.BeNumerically("<=", 15), "one watch each 1.5 s at most, and a few")
+	})
+}
