--- a/review/stand/main_test.go
+++ b/review/stand/main_test.go
@@ -21,7 +21,7 @@
 
 func TestMain(_ *testing.M) {
 	cases := map[string]func(root string, trouble bool) (*fleet, outcome, error){
-		"health": runHealth, "restart": runRestart,
+		"health": runHealth, "restart": runRestart, "memory": runMemory,
 	}
 	run, ok := cases[os.Getenv("CASE")]
 	if !ok {
