io/cregress: Runs and health checks are logged with their connection and response ID

Events 631 and 633 now carry the local address of the connection to the target and the request ID that the response bears.

--- a/io/cregress/check.go
+++ b/io/cregress/check.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
 	"time"
 
 	"camphorroad/core/crid"
@@ -41,5 +42,7 @@
 		return // the target did not run the check
 	}
 	x.gate.RecordCheck(sentAt, x.opts.Clock(), info.Warmup)
-	x.opts.Log.Event(crlog.WarmupChecked, crlog.Fields{"target": string(x.Target()), "cold": info.Warmup.String()})
+	x.opts.Log.Event(crlog.WarmupChecked, crlog.Fields{
+		"target": string(x.Target()), "cold": info.Warmup.String(), "status": strconv.Itoa(resp.Status), "connection": conn.LocalAddr(), "response": info.ID,
+	})
 }
--- a/io/cregress/run.go
+++ b/io/cregress/run.go
@@ -29,6 +29,8 @@
 	target      crregistry.Record
 	started     crid.Instant
 	slow        slowTimer
+	connection  string // local address of the connection to the target; empty: none
+	responseID  string // request ID that the response bears; empty: none
 }
 
 // do runs the request and logs its result.
@@ -54,6 +56,7 @@
 		"waited": r.started.Sub(r.reservation.acceptedAt).Round(time.Millisecond).String(),
 		"took":   r.exit.opts.Clock().Sub(r.started).Round(time.Millisecond).String(),
 		"sick":   crlog.Percent(result.LoadReport.UnhealthyProb), "load": strconv.Itoa(result.LoadReport.Load), "slots": strconv.Itoa(result.LoadReport.Slots),
+		"connection": r.connection, "response": r.responseID,
 	})
 }
 
@@ -72,6 +75,7 @@
 	if err != nil {
 		return r.connectFailed(err)
 	}
+	r.connection = conn.LocalAddr()
 	sentAt := x.opts.Clock()
 	if !x.gate.Send(sentAt, r.reservation.ticket) {
 		x.pool.Put(conn)
@@ -162,6 +166,7 @@
 	now := x.opts.Clock()
 	took := now.Sub(r.started)
 	info := x.opts.Dialect.ParseResponse(resp.Status, resp.Header)
+	r.responseID = info.ID
 	x.handleAnnouncements(now, r.target, info)
 	if info.NotRun {
 		x.gate.Release(now, r.reservation.ticket, 0)
--- a/io/crlink/crlink.go
+++ b/io/crlink/crlink.go
@@ -105,6 +105,9 @@
 // Reused reports whether the connection has served an exchange before.
 func (c *Conn) Reused() bool { return c.reused }
 
+// LocalAddr returns the local address of the connection, by which logs tell connections apart.
+func (c *Conn) LocalAddr() string { return c.conn.LocalAddr().String() }
+
 // Age returns the time since the connection was established.
 func (c *Conn) Age() time.Duration { return time.Since(c.connectedAt) }
 
--- a/io/crlog/catalogue_mesh.go
+++ b/io/crlog/catalogue_mesh.go
@@ -128,7 +128,8 @@
 		},
 		{
 			RunEnded, LevelInfo, "run ended",
-			"a request on a target ended without success, or is part of the log sample", "see the event of the entry daemon (640, 643)", none,
+			"a request on a target ended without success, or is part of the log sample; `connection` is the local address of its connection to the target, and `response` the request ID in the response",
+			"see the event of the entry daemon (640, 643)", "if `response` differs from `request`, the target's responses are mixed up: look at the target",
 		},
 		{
 			OfferRefused, LevelInfo, "offer refused",
@@ -138,7 +139,7 @@
 		{
 			WarmupChecked, LevelInfo, "slow start checked",
 			"contact with the target was lost, so that it may have restarted, and requests would have been limited",
-			"while the target is cold, for the time in the field `cold`, the requests that it gets in a second are limited", none,
+			"while the target is cold, for the time in the field `cold`, the requests that it gets in a second are limited", "if `response` is not empty, the response belongs to a request: look at the target",
 		},
 		{
 			TargetLimitChanged, LevelInfo, "target limit changed",
