io/crlink: A response without ID is not taken for that of any exchange

Cause: an answer was taken for an exchange that it does not belong to. A health check accepted whatever arrived first on a connection that requests had used, and requests accepted each response without a request ID. A second copy that arrives late therefore shifts all responses behind it by one exchange.

A repeated response to a request and a target that rejects and runs, the other two hypotheses, would have shown an ID or the outcome rejected.

Change: Pool.Get names the ID of the exchange, and Exchange accepts a response only if it bears exactly this ID. Where there is none, on health checks and requests without ID, the connection is a new one, so that no earlier response can arrive there. One rule in crlink holds for all users of a pool with IDs.

Why it works: a connection has one exchange at a time, so a foreign response is one of an earlier exchange on it. If the exchange has an ID, the earlier ones have others or none; if it has none, there is no earlier one.

The tests of crlink name the ID in Get in place of a function; their checks are as before.

--- a/io/crdialect/crdialect.go
+++ b/io/crdialect/crdialect.go
@@ -61,6 +61,9 @@
 	// PrepareForward writes the headers for the target, and removes headers that a
 	// caller must not send to it, including the client key.
 	PrepareForward(h http.Header, f ForwardInfo)
+	// RequestID returns the ID that a request bears, or that a response bears of its request;
+	// empty: none.
+	RequestID(h http.Header) string
 	// ParseResponse reads the headers of a target's response.
 	ParseResponse(status int, h http.Header) ResponseInfo
 }
--- a/io/cregress/check.go
+++ b/io/cregress/check.go
@@ -23,12 +23,12 @@
 	if path == nil || *path == "" {
 		return
 	}
-	conn, err := x.pool.Get(ctx)
+	conn, err := x.pool.Get(ctx, "")
 	if err != nil {
 		x.gate.ContactLost(x.opts.Clock())
 		return
 	}
-	resp, err := conn.Exchange(ctx, crlink.Request{Method: http.MethodGet, URI: *path, Host: x.opts.Address, Header: http.Header{}}, nil)
+	resp, err := conn.Exchange(ctx, crlink.Request{Method: http.MethodGet, URI: *path, Host: x.opts.Address, Header: http.Header{}})
 	if err != nil {
 		x.gate.ContactLost(x.opts.Clock())
 		return
--- a/io/cregress/cregress.go
+++ b/io/cregress/cregress.go
@@ -16,6 +16,7 @@
 
 import (
 	"context"
+	"net/http"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -118,6 +119,7 @@
 		gate: crgate.New(1),
 		pool: crlink.NewPool(opts.Address, crlink.Options{
 			ConnectTimeout: connectTimeout, IdleTimeout: connIdleTimeout, MaxIdle: 64,
+			ID: func(h http.Header) string { return opts.Dialect.RequestID(h) },
 		}),
 		estimator:    crjudge.New(opts.Clock()),
 		callRates:    crbudget.NewCallRates(),
--- a/io/cregress/run.go
+++ b/io/cregress/run.go
@@ -71,7 +71,9 @@
 	}
 	ctx, cancel := context.WithTimeoutCause(ctx, min(attempt+responseGrace, left), errTimeout)
 	defer cancel()
-	conn, err := x.pool.Get(ctx)
+	wait := min(r.request.Wait-waited, attempt)
+	request := r.encode(wait)
+	conn, err := x.pool.Get(ctx, x.opts.Dialect.RequestID(request.Header))
 	if err != nil {
 		return r.connectFailed(err)
 	}
@@ -82,12 +84,11 @@
 		x.gate.Cancel(sentAt, r.reservation.ticket)
 		return x.notSent("the target is cold", x.gate.ColdFor(sentAt))
 	}
-	wait := min(r.request.Wait-waited, attempt)
 	defer x.countIdempotent(r.reservation.offer)()
 	x.callers.Started(r.reservation.offer.Priority)
 	defer x.callers.Ended(r.reservation.offer.Priority)
 	r.slow.start(x, r.reservation.offer)
-	resp, err := conn.Exchange(ctx, r.encode(wait), r.matchesID)
+	resp, err := conn.Exchange(ctx, request)
 	r.slow.stop()
 	if err != nil {
 		return r.exchangeFailed(ctx, err)
@@ -208,13 +209,6 @@
 	}
 }
 
-// matchesID reports whether a response belongs to the request. A target may first send
-// a duplicate response to an earlier request.
-func (r *run) matchesID(h http.Header) bool {
-	id := r.exit.opts.Dialect.ParseResponse(0, h).ID
-	return id == "" || r.request.ID == "" || id == r.request.ID
-}
-
 func (r *run) encode(wait time.Duration) crlink.Request {
 	h := http.Header(r.request.Header).Clone()
 	StripHopByHop(h)
--- a/io/crlink/crlink.go
+++ b/io/crlink/crlink.go
@@ -7,14 +7,21 @@
 // request: after a duplicate response of a target, one caller would get the response
 // of another.
 //
+// With [Options].ID, the ID of a response tells which exchange on its connection it
+// belongs to, if it arrives late or twice: an exchange accepts only a response that bears
+// its ID. A response without an ID could belong to any exchange, so an exchange without an
+// ID gets a connection that has not been used.
+//
 // io/cregress uses the client for its target and io/croffer for the other daemons.
 // io/crexit, io/crentry, io/cringress and the store client use only its helpers.
 //
 // # Usage
 //
-//	pool := crlink.NewPool("10.0.0.1:7660", crlink.Options{ConnectTimeout: 150 * time.Millisecond, IdleTimeout: 20 * time.Second, MaxIdle: 8})
-//	conn, err := pool.Get(ctx)
-//	resp, err := conn.Exchange(ctx, request, matches)
+//	pool := crlink.NewPool("10.0.0.1:7660", crlink.Options{
+//		ConnectTimeout: 150 * time.Millisecond, IdleTimeout: 20 * time.Second, MaxIdle: 8, ID: dialect.RequestID,
+//	})
+//	conn, err := pool.Get(ctx, id)
+//	resp, err := conn.Exchange(ctx, request)
 //	pool.Put(conn)
 package crlink
 
@@ -26,6 +33,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -47,7 +55,7 @@
 	maxResponses = 4
 )
 
-// ErrUnexpectedResponse means that all responses belong to other requests.
+// ErrUnexpectedResponse means that the responses belong to other exchanges.
 var ErrUnexpectedResponse = errors.New("the answers belong to other requests")
 
 // Dialer returns a dialer whose connections detect an unresponsive peer.
@@ -72,6 +80,9 @@
 	ConnectTimeout time.Duration // for the TCP handshake
 	IdleTimeout    time.Duration // how long an idle connection is kept
 	MaxIdle        int           // maximum number of idle connections
+	// ID returns the ID that a response bears; empty: none. Without ID, each response
+	// belongs to the exchange during which it arrives.
+	ID func(http.Header) string
 }
 
 // Pool keeps connections to one address. It is safe for concurrent use.
@@ -93,7 +104,9 @@
 // Conn is a connection. It serves one exchange at a time.
 type Conn struct {
 	conn            *boundedConn
-	reading         *atomic.Int64 // of its pool
+	reading         *atomic.Int64            // of its pool
+	responseID      func(http.Header) string // of its pool; nil: responses bear no IDs
+	id              string                   // ID of the next exchange; empty: none
 	br              *bufio.Reader
 	connectedAt     time.Time
 	lastUsed        time.Time
@@ -111,15 +124,23 @@
 // Age returns the time since the connection was established.
 func (c *Conn) Age() time.Duration { return time.Since(c.connectedAt) }
 
-// Get returns the most recently used idle connection that is still reusable, or a new
-// one.
-func (p *Pool) Get(ctx context.Context) (*Conn, error) {
+// Get returns a connection for one exchange with an ID; an empty ID is none. It is the most
+// recently used idle connection that is still reusable and that can tell the response of
+// this exchange from those of earlier ones, or a new one. Without Options.ID, the ID has no
+// effect.
+func (p *Pool) Get(ctx context.Context, id string) (*Conn, error) {
 	for {
-		c := p.pop()
+		c := p.pop(id)
 		if c == nil {
-			return p.Dial(ctx)
+			var err error
+			if c, err = p.Dial(ctx); err != nil {
+				return nil, err
+			}
+			c.id = id
+			return c, nil
 		}
 		if time.Since(c.lastUsed) < p.idleTimeout(c) && c.reusable() {
+			c.id = id
 			return c, nil
 		}
 		c.Close()
@@ -136,25 +157,34 @@
 	return p.opts.IdleTimeout
 }
 
-func (p *Pool) pop() *Conn {
+// pop removes and returns the most recently used idle connection that can be used with an ID,
+// or nil.
+func (p *Pool) pop(id string) *Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if len(p.idle) == 0 {
-		return nil
+	for i, c := range slices.Backward(p.idle) {
+		if c.identifies(id) {
+			p.idle = slices.Delete(p.idle, i, i+1)
+			return c
+		}
 	}
-	c := p.idle[len(p.idle)-1]
-	p.idle = p.idle[:len(p.idle)-1]
-	return c
+	return nil
+}
+
+// identifies reports whether a response to an exchange with an ID can be told from late and
+// repeated responses to the earlier exchanges on the connection.
+func (c *Conn) identifies(id string) bool {
+	return c.responseID == nil || id != "" || !c.reused
 }
 
-// Dial returns a new connection.
+// Dial returns a new connection, for an exchange without an ID.
 func (p *Pool) Dial(ctx context.Context) (*Conn, error) {
 	conn, err := p.dialer.DialContext(ctx, "tcp", p.address)
 	if err != nil {
 		return nil, fmt.Errorf("connect: %w", err)
 	}
 	bounded := &boundedConn{Conn: conn}
-	return &Conn{conn: bounded, reading: &p.reading, br: bufio.NewReaderSize(bounded, 4<<10), connectedAt: time.Now()}, nil
+	return &Conn{conn: bounded, reading: &p.reading, responseID: p.opts.ID, br: bufio.NewReaderSize(bounded, 4<<10), connectedAt: time.Now()}, nil
 }
 
 // Put returns a connection to the pool.
@@ -244,15 +274,15 @@
 	Body   []byte
 }
 
-// Exchange sends a request and reads its response. It skips responses for whose
-// headers matches returns false; a nil matches accepts the first response. When ctx
-// ends, the connection is closed, so that the peer stops processing the request.
+// Exchange sends a request and reads its response. It skips responses that do not bear the
+// ID for which Get returned the connection. When ctx ends, the connection is closed, so that
+// the peer stops processing the request.
 //
 // After any error the peer may have received the request.
-func (c *Conn) Exchange(ctx context.Context, r Request, matches func(http.Header) bool) (*Response, error) {
+func (c *Conn) Exchange(ctx context.Context, r Request) (*Response, error) {
 	stop := context.AfterFunc(ctx, func() { _ = c.conn.Close() })
 	defer stop()
-	resp, err := c.exchange(r, matches)
+	resp, err := c.exchange(r)
 	if err != nil {
 		c.Close()
 		if ctx.Err() != nil {
@@ -263,7 +293,7 @@
 	return resp, nil
 }
 
-func (c *Conn) exchange(r Request, matches func(http.Header) bool) (*Response, error) {
+func (c *Conn) exchange(r Request) (*Response, error) {
 	if _, err := c.conn.Write(r.encode()); err != nil {
 		return nil, fmt.Errorf("send: %w", err)
 	}
@@ -283,7 +313,7 @@
 			return nil, err
 		}
 		c.conn.allow(maxHeadBytes, ErrHeadTooLarge)
-		if matches != nil && !matches(resp.Header) {
+		if c.responseID != nil && c.responseID(resp.Header) != c.id {
 			if resp.Close {
 				return nil, ErrUnexpectedResponse
 			}
--- a/io/crlink/crlink_test.go
+++ b/io/crlink/crlink_test.go
@@ -20,18 +20,24 @@
 	gomega.NewWithT(t).Expect(err).NotTo(gomega.HaveOccurred())
 	t.Cleanup(srv.Close)
 	srv.SetBehaviour(b)
-	return srv, crlink.NewPool(srv.Address(), crlink.Options{ConnectTimeout: time.Second, IdleTimeout: time.Second, MaxIdle: 4})
+	return srv, newPool(srv.Address())
+}
+
+func newPool(address string) *crlink.Pool {
+	return crlink.NewPool(address, crlink.Options{
+		ConnectTimeout: time.Second, IdleTimeout: time.Second, MaxIdle: 4, ID: func(h http.Header) string { return h.Get("Request-Id") },
+	})
 }
 
 func exchange(t *testing.T, p *crlink.Pool, id string) (*crlink.Response, error) {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
 	defer cancel()
-	c, err := p.Get(ctx)
+	c, err := p.Get(ctx, id)
 	gomega.NewWithT(t).Expect(err).NotTo(gomega.HaveOccurred())
 	resp, err := c.Exchange(ctx, crlink.Request{
 		Method: http.MethodPost, URI: "/x?y=1", Host: "h", Header: http.Header{"Request-Id": {id}, "Deadline-Milliseconds": {"500"}}, Body: []byte("body"),
-	}, func(h http.Header) bool { return h.Get("Request-Id") == id })
+	})
 	if err == nil {
 		p.Put(c)
 	}
@@ -76,7 +82,7 @@
 			}
 		}
 	}()
-	pool := crlink.NewPool(l.Addr().String(), crlink.Options{ConnectTimeout: time.Second, IdleTimeout: time.Second, MaxIdle: 1})
+	pool := newPool(l.Addr().String())
 	for id, want := range map[string]string{"a": "A"} {
 		resp, err := exchange(t, pool, id)
 		g.Expect(err).NotTo(gomega.HaveOccurred())
@@ -152,9 +158,9 @@
 	srv, pool := startTarget(t, crtarget.Behaviour{ServiceTime: 5 * time.Second})
 	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
 	defer cancel()
-	c, err := pool.Get(ctx)
+	c, err := pool.Get(ctx, "")
 	g.Expect(err).NotTo(gomega.HaveOccurred())
-	_, err = c.Exchange(ctx, crlink.Request{Method: http.MethodGet, URI: "/", Host: "h"}, nil)
+	_, err = c.Exchange(ctx, crlink.Request{Method: http.MethodGet, URI: "/", Host: "h"})
 	g.Expect(errors.Is(err, context.DeadlineExceeded)).To(gomega.BeTrue())
 	g.Eventually(srv.Cancelled).Should(gomega.Equal(1))
 }
--- a/io/croffer/client.go
+++ b/io/croffer/client.go
@@ -83,7 +83,7 @@
 		return Reply{}, nil, fmt.Errorf("encode the offer: %w", err)
 	}
 	pool := c.pool(d)
-	conn, err := pool.Get(ctx)
+	conn, err := pool.Get(ctx, "")
 	if err != nil {
 		return Reply{}, nil, err
 	}
@@ -152,7 +152,7 @@
 }
 
 func (c *Client) post(ctx context.Context, d crid.Daemon, path string, body []byte, into any) error {
-	conn, err := c.pool(d).Get(ctx)
+	conn, err := c.pool(d).Get(ctx, "")
 	if err != nil {
 		return err
 	}
@@ -165,7 +165,7 @@
 
 // exchange sends a message, decodes the answer and returns its headers.
 func exchange(ctx context.Context, conn *crlink.Conn, path string, body []byte, into any) (http.Header, error) {
-	resp, err := conn.Exchange(ctx, crlink.Request{Method: http.MethodPost, URI: path, Host: "peer", Body: body}, nil)
+	resp, err := conn.Exchange(ctx, crlink.Request{Method: http.MethodPost, URI: path, Host: "peer", Body: body})
 	if err != nil {
 		return nil, err
 	}
