io/crlink: A connection is used at most once with an ID

What callers may see: a request that may run once runs twice. No run outside the tests has shown it: it needs a request ID that comes twice, from a caller that repeats it or for a second attempt at the same target.

If a target rejects the first request with an ID and its rejection arrives a second time, late, that copy bears the ID of the second request on the connection.

Evidence: TestRejectionOfAnAttemptIsNotThatOfTheNext fails before with 'it has run, and its outcome is rejected: the target answered 503', and the orders of up to three exchanges with repeated IDs fail with 'its caller got 200 "body of exchange 0"'.

Change: a connection keeps hashes of the IDs of its exchanges and is not chosen for one of them again. It is closed after 256 exchanges, which bounds them to 2 KiB.

Why it works: all exchanges of a connection have different IDs, so an ID names one of them. Two IDs with equal hashes cost a connection and nothing else.

--- a/io/cregress/exchange_test.go
+++ b/io/cregress/exchange_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -31,12 +32,11 @@
 
 const (
 	kindRequest   exchangeKind = "request"
-	kindAnonymous exchangeKind = "anonymous" // a request without an ID
+	kindSameID    exchangeKind = "request with the ID of the last" // request
+	kindAnonymous exchangeKind = "anonymous"                       // a request without an ID
 	kindCheck     exchangeKind = "check"
 )
 
-func allKinds() []exchangeKind { return []exchangeKind{kindRequest, kindAnonymous, kindCheck} }
-
 // responseKind is how the scripted target responds in an exchange.
 type responseKind string
 
@@ -71,12 +71,14 @@
 	case stayQuiet, cutShort:
 		return false
 	case respondNoID:
-		return s.kind != kindRequest
+		return !s.hasID()
 	default:
 		return true
 	}
 }
 
+func (s exchangeStep) hasID() bool { return s.kind == kindRequest || s.kind == kindSameID }
+
 func (s exchangeStep) isRejected() bool { return s.response == reject || s.response == rejectLate }
 
 // scriptedTarget responds to exchange i as step i says. The announcements in its response contain i.
@@ -218,6 +220,7 @@
 	exit   *Exit
 	now    atomic.Int64
 	plays  int
+	lastID string        // of a request of this play
 	path   string        // of the requests of this play
 	warmup time.Duration // the last that a check has learned
 	limit  float64       // the last that a response has named
@@ -235,7 +238,7 @@
 	e.plays++
 	e.path = "/" + strconv.Itoa(e.plays)
 	e.target.reset(e.path, steps)
-	e.warmup, e.limit = 0, 0
+	e.lastID, e.warmup, e.limit = "", 0, 0
 	e.now.Store(int64(time.Hour))
 	e.exit = New(Options{
 		Service: "s1", Address: e.target.listener.Addr().String(), Dialect: platform.Dialect{}, Clock: e.clock,
@@ -277,8 +280,11 @@
 		return fmt.Errorf("refused: %s", reply.Reason)
 	}
 	request := croffer.Request{Method: http.MethodPost, URI: e.path, Host: "h", Header: map[string][]string{}, Wait: 2 * time.Second}
-	if step.kind == kindRequest {
-		request.ID = "q" + strconv.Itoa(i)
+	if step.kind == kindRequest || (step.kind == kindSameID && e.lastID == "") {
+		e.lastID = "q" + strconv.Itoa(i)
+	}
+	if step.hasID() {
+		request.ID = e.lastID
 		request.Header["Request-Id"] = []string{request.ID}
 	}
 	result := e.exit.Run(ctx, reply.Ticket, request)
@@ -339,28 +345,41 @@
 	playSteps(t, exchangeStep{kindCheck, respondLate}, exchangeStep{kindCheck, respond})
 }
 
-const maxOrder = 4
+// Guards against a request that runs twice after the second copy of the rejection of its first attempt.
+func TestRejectionOfAnAttemptIsNotThatOfTheNext(t *testing.T) {
+	playSteps(t, exchangeStep{kindRequest, rejectLate}, exchangeStep{kindSameID, respond})
+}
 
 // Guards against a response that is taken for that of another exchange, in all orders of up to four
 // exchanges. One after which the connection is closed is played last only, as none can follow it there.
 func TestEachResponseBelongsToItsExchange(t *testing.T) {
+	playOrders(t, allOrders(4, kindRequest, kindAnonymous, kindCheck))
+}
+
+// Guards against the same where a connection gets an ID again, in all orders of up to three exchanges.
+func TestEachResponseBelongsToItsExchangeWhenIDsRepeat(t *testing.T) {
+	playOrders(t, allOrders(3, kindRequest, kindSameID, kindAnonymous, kindCheck))
+}
+
+// allOrders returns all orders of up to n exchanges of the given kinds.
+func allOrders(n int, kinds ...exchangeKind) [][]exchangeStep {
 	var orders [][]exchangeStep
 	prefixes := [][]exchangeStep{nil}
-	for range maxOrder {
+	for range n {
 		var longer [][]exchangeStep
 		for _, prefix := range prefixes {
-			for _, kind := range allKinds() {
+			for _, kind := range kinds {
 				for _, r := range allResponses() {
-					orders = append(orders, append(prefix[:len(prefix):len(prefix)], exchangeStep{kind, r}))
+					orders = append(orders, append(slices.Clone(prefix), exchangeStep{kind, r}))
 				}
 				for _, r := range keepOpen() {
-					longer = append(longer, append(prefix[:len(prefix):len(prefix)], exchangeStep{kind, r}))
+					longer = append(longer, append(slices.Clone(prefix), exchangeStep{kind, r}))
 				}
 			}
 		}
 		prefixes = longer
 	}
-	playOrders(t, orders)
+	return orders
 }
 
 // playOrders plays all orders, several at a time, and reports the first that fails of each worker.
--- a/io/crlink/crlink.go
+++ b/io/crlink/crlink.go
@@ -9,8 +9,9 @@
 //
 // With [Options].ID, the ID of a response tells which exchange on its connection it
 // belongs to, if it arrives late or twice: an exchange accepts only a response that bears
-// its ID. A response without an ID could belong to any exchange, so an exchange without an
-// ID gets a connection that has not been used.
+// its ID, and a connection is used at most once with an ID. A response without an ID could
+// belong to any exchange, so an exchange without an ID gets a connection that has not been
+// used.
 //
 // io/cregress uses the client for its target and io/croffer for the other daemons.
 // io/crexit, io/crentry, io/cringress and the store client use only its helpers.
@@ -40,6 +41,7 @@
 	"syscall"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"golang.org/x/sys/unix"
 )
 
@@ -53,6 +55,8 @@
 	ackTimeout = 2500 * time.Millisecond
 	// maxResponses bounds the responses read in an exchange, including the skipped ones.
 	maxResponses = 4
+	// maxExchanges bounds the exchanges on a connection, whose IDs it keeps.
+	maxExchanges = 256
 )
 
 // ErrUnexpectedResponse means that the responses belong to other exchanges.
@@ -107,6 +111,7 @@
 	reading         *atomic.Int64            // of its pool
 	responseID      func(http.Header) string // of its pool; nil: responses bear no IDs
 	id              string                   // ID of the next exchange; empty: none
+	used            []uint64                 // hashes of the IDs of its exchanges
 	br              *bufio.Reader
 	connectedAt     time.Time
 	lastUsed        time.Time
@@ -174,7 +179,13 @@
 // identifies reports whether a response to an exchange with an ID can be told from late and
 // repeated responses to the earlier exchanges on the connection.
 func (c *Conn) identifies(id string) bool {
-	return c.responseID == nil || id != "" || !c.reused
+	if c.responseID == nil {
+		return true
+	}
+	if id == "" {
+		return len(c.used) == 0
+	}
+	return !slices.Contains(c.used, xxhash.Sum64String(id))
 }
 
 // Dial returns a new connection, for an exchange without an ID.
@@ -189,7 +200,7 @@
 
 // Put returns a connection to the pool.
 func (p *Pool) Put(c *Conn) {
-	if c.broken || c.br.Buffered() > 0 {
+	if c.broken || c.br.Buffered() > 0 || len(c.used) >= maxExchanges {
 		c.Close()
 		return
 	}
@@ -294,6 +305,9 @@
 }
 
 func (c *Conn) exchange(r Request) (*Response, error) {
+	if c.responseID != nil {
+		c.used = append(c.used, xxhash.Sum64String(c.id))
+	}
 	if _, err := c.conn.Write(r.encode()); err != nil {
 		return nil, fmt.Errorf("send: %w", err)
 	}
