io/crlink: A body is not taken for a response around HEAD requests

What callers may see: the response of another exchange, made up from the body of a foreign one. No run outside the tests has shown it; it needs a target that repeats a response late and a body that contains a response with the right ID.

Cause: an exchange skips a foreign response before its own, and reads it by the method of its own request. Whether a body follows the head depends on the method of the foreign one: before the response to a HEAD request, the body of the foreign response was left on the connection and read as the next response; after the repeated response to a HEAD request, the own response was read as its body.

Evidence: TestBodyOfForeignResponseIsNotAResponse fails before with status 200 from the body of another response, TestResponseIsNotTheBodyOfAHeadResponse with 'forged'.

Change: the connection of a HEAD request is not used again, and its exchange ends with an error at a foreign response.

Why it works: on a connection, all foreign responses to skip and the requests that skip them now have other methods, with which the head alone tells the length of the body.

Measured: both pass with the other tests of crlink.

--- a/io/crlink/crlink.go
+++ b/io/crlink/crlink.go
@@ -308,6 +308,11 @@
 	if c.responseID != nil {
 		c.used = append(c.used, xxhash.Sum64String(c.id))
 	}
+	if r.Method == http.MethodHead {
+		// Only the method of its own request tells that no body follows the head of a response. That
+		// of a foreign response is not known, and bytes of a body could be taken for a response.
+		c.broken = true
+	}
 	if _, err := c.conn.Write(r.encode()); err != nil {
 		return nil, fmt.Errorf("send: %w", err)
 	}
@@ -328,7 +333,7 @@
 		}
 		c.conn.allow(maxHeadBytes, ErrHeadTooLarge)
 		if c.responseID != nil && c.responseID(resp.Header) != c.id {
-			if resp.Close {
+			if resp.Close || r.Method == http.MethodHead {
 				return nil, ErrUnexpectedResponse
 			}
 			continue
--- a/io/crlink/crlink_test.go
+++ b/io/crlink/crlink_test.go
@@ -1,10 +1,15 @@
 package crlink_test
 
 import (
+	"bufio"
 	"context"
 	"errors"
+	"fmt"
+	"io"
 	"net"
 	"net/http"
+	"strconv"
+	"sync"
 	"testing"
 	"time"
 
@@ -30,13 +35,23 @@
 }
 
 func exchange(t *testing.T, p *crlink.Pool, id string) (*crlink.Response, error) {
+	t.Helper()
+	return exchangeMethod(t, p, http.MethodPost, id, []byte("body"))
+}
+
+func head(t *testing.T, p *crlink.Pool, id string) (*crlink.Response, error) {
+	t.Helper()
+	return exchangeMethod(t, p, http.MethodHead, id, nil)
+}
+
+func exchangeMethod(t *testing.T, p *crlink.Pool, method, id string, body []byte) (*crlink.Response, error) {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
 	defer cancel()
 	c, err := p.Get(ctx, id)
 	gomega.NewWithT(t).Expect(err).NotTo(gomega.HaveOccurred())
 	resp, err := c.Exchange(ctx, crlink.Request{
-		Method: http.MethodPost, URI: "/x?y=1", Host: "h", Header: http.Header{"Request-Id": {id}, "Deadline-Milliseconds": {"500"}}, Body: []byte("body"),
+		Method: method, URI: "/x?y=1", Host: "h", Header: http.Header{"Request-Id": {id}, "Deadline-Milliseconds": {"500"}}, Body: body,
 	})
 	if err == nil {
 		p.Put(c)
@@ -93,6 +108,79 @@
 	g.Expect(string(resp.Body)).To(gomega.Equal("B"))
 }
 
+// startScript starts a target that answers the exchanges on its first connection with the given bytes, and
+// those on later connections with a response to the ID of the request.
+func startScript(t *testing.T, answers ...string) *crlink.Pool {
+	t.Helper()
+	l, err := new(net.ListenConfig).Listen(t.Context(), "tcp4", "127.0.0.1:0")
+	gomega.NewWithT(t).Expect(err).NotTo(gomega.HaveOccurred())
+	var wg sync.WaitGroup
+	t.Cleanup(func() {
+		_ = l.Close()
+		wg.Wait()
+	})
+	wg.Go(func() {
+		for script := answers; ; script = nil {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			wg.Go(func() { answerScript(conn, script) })
+		}
+	})
+	pool := newPool(l.Addr().String())
+	t.Cleanup(pool.Close)
+	return pool
+}
+
+func answerScript(conn net.Conn, script []string) {
+	defer func() { _ = conn.Close() }()
+	br := bufio.NewReader(conn)
+	for i := 0; ; i++ {
+		r, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+		answer := response(r.Header.Get("Request-Id"), "own")
+		if i < len(script) {
+			answer = script[i]
+		}
+		if _, err := io.WriteString(conn, answer); err != nil {
+			return
+		}
+	}
+}
+
+func response(id, body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+}
+
+// Guards against a response that is taken from the body of a foreign one, before the response to a HEAD request.
+func TestBodyOfForeignResponseIsNotAResponse(t *testing.T) {
+	g := gomega.NewWithT(t)
+	first := response("a", response("b", ""))
+	pool := startScript(t, first, first+"HTTP/1.1 404 Not Found\r\nRequest-Id: b\r\nContent-Length: 9\r\n\r\n")
+	_, err := exchange(t, pool, "a")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	resp, err := head(t, pool, "b")
+	g.Expect(err).To(gomega.MatchError(crlink.ErrUnexpectedResponse), "%+v", resp)
+}
+
+// Guards against a response that is read as the body of a repeated response to a HEAD request.
+func TestResponseIsNotTheBodyOfAHeadResponse(t *testing.T) {
+	g := gomega.NewWithT(t)
+	forged := response("b", "forged")
+	begin := "HTTP/1.1 200 OK\r\nRequest-Id: b\r\nContent-Length: " + strconv.Itoa(len(forged)) + "\r\n\r\n"
+	toHead := "HTTP/1.1 200 OK\r\nRequest-Id: a\r\nContent-Length: " + strconv.Itoa(len(begin)) + "\r\n\r\n"
+	pool := startScript(t, toHead, toHead+begin+forged)
+	_, err := head(t, pool, "a")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	resp, err := exchange(t, pool, "b")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(string(resp.Body)).To(gomega.Equal("own"))
+}
+
 // A target closes the connection in the middle of its response. The part received must
 // not be returned as a complete response.
 func TestTruncatedResponseIsAnError(t *testing.T) {
