io/crlink: A connection with a foreign response is not used again

What callers may see: after a target has sent a response too many, a request that waits behind a further one, or fails with it.

Cause: an exchange that skipped a foreign response returned its connection to the pool. Such a target has shown that its responses and requests on this connection are out of step.

Evidence: TestConnectionWithForeignResponseIsNotUsedAgain fails before with 'same connection'.

Change: the connection is closed once its exchange has ended.

Measured: the test passes.

--- a/io/crlink/crlink.go
+++ b/io/crlink/crlink.go
@@ -11,7 +11,7 @@
 // belongs to, if it arrives late or twice: an exchange accepts only a response that bears
 // its ID, and a connection is used at most once with an ID. A response without an ID could
 // belong to any exchange, so an exchange without an ID gets a connection that has not been
-// used.
+// used. A connection on which a response of another exchange has arrived is not used again.
 //
 // io/cregress uses the client for its target and io/croffer for the other daemons.
 // io/crexit, io/crentry, io/cringress and the store client use only its helpers.
@@ -333,6 +333,7 @@
 		}
 		c.conn.allow(maxHeadBytes, ErrHeadTooLarge)
 		if c.responseID != nil && c.responseID(resp.Header) != c.id {
+			c.broken = true
 			if resp.Close || r.Method == http.MethodHead {
 				return nil, ErrUnexpectedResponse
 			}
--- a/io/crlink/crlink_test.go
+++ b/io/crlink/crlink_test.go
@@ -156,6 +156,17 @@
 	return fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
 }
 
+// Guards against requests on a connection whose target has sent a response too many.
+func TestConnectionWithForeignResponseIsNotUsedAgain(t *testing.T) {
+	g := gomega.NewWithT(t)
+	pool := startScript(t, response("a", "A"), response("a", "A")+response("b", "B"), response("c", "same connection"))
+	for _, want := range []struct{ id, body string }{{"a", "A"}, {"b", "B"}, {"c", "own"}} {
+		resp, err := exchange(t, pool, want.id)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(string(resp.Body)).To(gomega.Equal(want.body))
+	}
+}
+
 // Guards against a response that is taken from the body of a foreign one, before the response to a HEAD request.
 func TestBodyOfForeignResponseIsNotAResponse(t *testing.T) {
 	g := gomega.NewWithT(t)
