io/cregress: Announcements of an ended process do not count for the next

What callers may see: refusals, or requests that wait, because the exit holds a new process of its target to the limit of the one before, or takes it for leaving. No run outside the tests has shown it.

Cause: an answer was taken for one that it does not belong to, in time: the limit in a late response was recorded whatever process the target had by then, and a health check attributed its response to the process that was current when the response arrived.

Evidence: TestLimitEndsWithTheProcess fails before with a limit of 2 in place of 0, and TestCheckOfAnEndedProcessDoesNotCloseTheNext with a process that counts as leaving.

Change: announcements count only if the target's process is still that of the time of the request, checked under the lock under which the target is replaced.

Measured: both tests and the other tests of announcements pass.

--- a/io/cregress/announce.go
+++ b/io/cregress/announce.go
@@ -24,8 +24,14 @@
 }
 
 // handleAnnouncements acts on what a response says of the target itself: the limit that it
-// names, and whether it leaves.
+// names, and whether it leaves. r is the target's record at the time of the request. A late
+// response of a process that is gone has no effect.
 func (x *Exit) handleAnnouncements(now crid.Instant, r crregistry.Record, info crdialect.ResponseInfo) {
+	x.lifecycle.Lock()
+	defer x.lifecycle.Unlock()
+	if current := x.target.Load(); current == nil || processOf(current) != processOf(&r) {
+		return
+	}
 	if !info.Limit.Unknown {
 		before := x.gate.Limit()
 		if x.gate.AnnounceLimit(now, info.Limit.Rate) {
@@ -51,17 +57,13 @@
 
 func formatRate(rate float64) string { return strconv.FormatFloat(rate, 'f', 2, 64) }
 
-// markLeaving refuses all requests until there is another process of the target.
+// markLeaving refuses all requests until there is another process of the target. The caller holds
+// x.lifecycle.
 func (x *Exit) markLeaving(r crregistry.Record) {
-	x.lifecycle.Lock()
-	defer x.lifecycle.Unlock()
 	p := processOf(&r)
 	if old := x.leaving.Load(); old != nil && *old == p {
 		return
 	}
-	if current := x.target.Load(); current == nil || processOf(current) != p {
-		return // a late response of a process that is gone
-	}
 	x.leaving.Store(&p)
 	x.gate.Close()
 	x.opts.Log.Event(crlog.TargetLeaving, crlog.Fields{"target": string(r.Target)})
--- a/io/cregress/check.go
+++ b/io/cregress/check.go
@@ -19,8 +19,8 @@
 func (x *Exit) checkWarmup(ctx context.Context, sentAt crid.Instant) {
 	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
 	defer cancel()
-	path := x.healthPath.Load()
-	if path == nil || *path == "" {
+	path, target := x.healthPath.Load(), x.target.Load()
+	if path == nil || *path == "" || target == nil {
 		return
 	}
 	conn, err := x.pool.Get(ctx, "")
@@ -35,9 +35,7 @@
 	}
 	x.pool.Put(conn)
 	info := x.opts.Dialect.ParseResponse(resp.Status, resp.Header)
-	if r := x.target.Load(); r != nil {
-		x.handleAnnouncements(x.opts.Clock(), *r, info)
-	}
+	x.handleAnnouncements(x.opts.Clock(), *target, info)
 	if !info.HasWarmup && resp.Status != http.StatusOK {
 		return // the target did not run the check
 	}
