lab/crtarget: The endless part of a response is sent with what is before it

The fake sent the complete response and the first bytes behind it in two writes. On a busy machine the second write came after the next request was sent on the connection, which then fails with 'the head of the answer is too large': at the time of the choice nothing had shown that the target garbles, so that no client could have taken another connection.

Change: one write holds the complete response and the first bytes behind it. The check and its bounds stay; the case that it names, bytes behind a response, comes about each time.

--- a/lab/crtarget/endless.go
+++ b/lab/crtarget/endless.go
@@ -1,7 +1,6 @@
 package crtarget
 
 import (
-	"io"
 	"net"
 	"strconv"
 	"strings"
@@ -88,7 +87,8 @@
 		size = pacedWrite
 	}
 	block := []byte(strings.Repeat(repeated, size/len(repeated)+1))
-	if _, err := io.WriteString(conn, begin); err != nil {
+	// A single write, so that the peer reads the endless part together with what is before it.
+	if _, err := conn.Write(append([]byte(begin), block...)); err != nil {
 		return
 	}
 	for sent := 0; sent < maxEndlessBytes; sent += len(block) {
