io/cregress: A target's 503 does not promise that the request did not run

What callers may see: 503, 429 or 408 for a request that may run once and that the target has run (rule REFUSED).

Cause: the exit passed on each complete response of a target. PROTOCOL.md: 'Status codes 429 and 503 are a promise, and so are 408 and 421', and of targets: 'A response that has Not-Executed states that the target did not run the request. No other response states this.' A status alone is therefore the target's word, and would become ours.

Evidence: TestStatusOfTargetIsNoPromiseThatRequestDidNotRun fails before for 429, 503 and 408, which its caller got as the answer.

Change: without the target's statement, such a status becomes the outcome unknown for requests that may run once: 502 without seal, which promises nothing. Weighed against 'The target's status, body and Response-Seal are returned unchanged': a failure with the seal and another status breaks MIXED, one without it does not. Requests that may run again keep the target's status, since REFUSED does not bind them.

--- a/io/cregress/run.go
+++ b/io/cregress/run.go
@@ -183,6 +183,10 @@
 	if resp.Status < http.StatusInternalServerError {
 		x.answers.Record(contentKey(r.request))
 	}
+	if info.Refusal && r.reservation.offer.Class != crpolicy.ClassRepeat {
+		// Its caller would send the request again.
+		return croffer.Result{Outcome: croffer.Unknown, Reason: "the target answered " + strconv.Itoa(resp.Status) + " and may have run it", LoadReport: x.LoadReport()}
+	}
 	StripHopByHop(resp.Header)
 	result := croffer.Result{Outcome: croffer.Answered, Status: resp.Status, Header: resp.Header, Body: resp.Body, LoadReport: x.LoadReport()}
 	if !success && x.nestedRefusals.since(r.started) {
