io/crmesh: An owner without a plan does not grant requests

Cause: a daemon sends heartbeats before it has a plan, so its peers choose it as the owner of accounts whose limits it does not know, and it granted each of their requests. With the store down it gets a plan from a peer 0.8 s after its start.

Change: such a daemon answers no request for a token. Its peers then ask through another, and use their fallback buckets, as with an owner that is not reachable.

Why it works: an account's limit comes from a plan, and only daemons with one grant now.

--- a/io/crmesh/quota.go
+++ b/io/crmesh/quota.go
@@ -52,9 +52,13 @@
 }
 
 // decide returns how a token request for an account is handled: granted here, or
-// forwarded.
+// forwarded. A daemon without a plan does not know the account's limit, so it does not
+// answer, and its peers use their fallback buckets until it has a plan.
 func (l *ownerLimiter) decide(name crid.Account, origin crquota.Origin) crquota.Action {
-	return l.loop.view.Load().TokenAction(name, l.self, origin)
+	v := l.loop.view.Load()
+	action := v.TokenAction(name, l.self, origin)
+	action.Grant = action.Grant && v.Plan != nil
+	return action
 }
 
 // grant takes a token for a peer. handled is false if another daemon has to be queried.
@@ -71,7 +75,7 @@
 func (l *ownerLimiter) take(name crid.Account, forPeer bool) (ok bool, wait time.Duration) {
 	v := l.loop.view.Load()
 	if v.Plan == nil {
-		return true, 0
+		return false, 0 // see decide
 	}
 	a, known := v.Plan.Account(name)
 	if !known || a.Rate <= 0 {
