io: Comments on foreign responses and refusals say what they mean at the first reading

Cause: read as a newcomer, three comments did not tell what 'that', 'without ID' and 'true or not' refer to. Change: comments only. Measured: the tests of io/crlink pass.

--- a/io/crdialect/crdialect.go
+++ b/io/crdialect/crdialect.go
@@ -40,7 +40,7 @@
 	ID        string        // ID of the request that the response belongs to
 	Sealed    bool          // the response was produced by the target itself
 	NotRun    bool          // the request was not executed and will not be
-	Refusal   bool          // its status tells callers that the request was not executed, true or not
+	Refusal   bool          // callers take its status for the statement that the request was not executed
 	Warmup    time.Duration // time for which the target stays cold
 	HasWarmup bool          // Warmup is known
 	Limit     Limit
--- a/io/cregress/run.go
+++ b/io/cregress/run.go
@@ -184,7 +184,7 @@
 		x.answers.Record(contentKey(r.request))
 	}
 	if info.Refusal && r.reservation.offer.Class != crpolicy.ClassRepeat {
-		// Its caller would send the request again.
+		// The target may have run it, and its caller would send it again.
 		return croffer.Result{Outcome: croffer.Unknown, Reason: "the target answered " + strconv.Itoa(resp.Status) + " and may have run it", LoadReport: x.LoadReport()}
 	}
 	StripHopByHop(resp.Header)
--- a/io/crlink/crlink.go
+++ b/io/crlink/crlink.go
@@ -84,7 +84,7 @@
 	ConnectTimeout time.Duration // for the TCP handshake
 	IdleTimeout    time.Duration // how long an idle connection is kept
 	MaxIdle        int           // maximum number of idle connections
-	// ID returns the ID that a response bears; empty: none. Without ID, each response
+	// ID returns the ID that a response bears; empty: none. If it is nil, each response
 	// belongs to the exchange during which it arrives.
 	ID func(http.Header) string
 }
@@ -131,7 +131,7 @@
 
 // Get returns a connection for one exchange with an ID; an empty ID is none. It is the most
 // recently used idle connection that is still reusable and that can tell the response of
-// this exchange from those of earlier ones, or a new one. Without Options.ID, the ID has no
+// this exchange from those of earlier ones, or a new one. If Options.ID is nil, id has no
 // effect.
 func (p *Pool) Get(ctx context.Context, id string) (*Conn, error) {
 	for {
@@ -309,8 +309,8 @@
 		c.used = append(c.used, xxhash.Sum64String(c.id))
 	}
 	if r.Method == http.MethodHead {
-		// Only the method of its own request tells that no body follows the head of a response. That
-		// of a foreign response is not known, and bytes of a body could be taken for a response.
+		// No body follows the head of its response. A foreign response may belong to a request with
+		// another method, so that bytes of a body could be taken for a response.
 		c.broken = true
 	}
 	if _, err := c.conn.Write(r.encode()); err != nil {
