io/cregress: The scripted target of the exchange tests reads in parts

Cause: its loop did three things at once, and a test of a failure had two lines of comment. Change: the test code only; what it plays and checks is as before.

--- a/io/cregress/exchange_test.go
+++ b/io/cregress/exchange_test.go
@@ -158,29 +158,40 @@
 		if !ok {
 			return
 		}
-		if late != "" && s.delay > 0 {
-			if _, err := io.WriteString(conn, late); err != nil {
-				return
-			}
-			late = ""
-			time.Sleep(s.delay)
-		}
 		text := step.encode(i, r.Header.Get("Request-Id"))
-		send := late + text
+		if err := s.write(conn, late, step.atOnce(text)); err != nil || step.response == cutShort {
+			return
+		}
 		late = ""
-		switch step.response {
-		case respondEarly:
-			send += text
-		case respondLate, rejectLate:
+		if step.response == respondLate || step.response == rejectLate {
 			late = text
-		case stayQuiet:
-			send = send[:len(send)-len(text)]
-		case cutShort:
-			send = send[:len(send)-2]
 		}
-		if _, err := io.WriteString(conn, send); err != nil || step.response == cutShort {
-			return
+	}
+}
+
+func (s *scriptedTarget) write(conn net.Conn, late, text string) error {
+	if late != "" && s.delay > 0 {
+		if _, err := io.WriteString(conn, late); err != nil {
+			return err
 		}
+		late = ""
+		time.Sleep(s.delay)
+	}
+	_, err := io.WriteString(conn, late+text)
+	return err
+}
+
+// atOnce returns what the target sends of a response when it is due.
+func (s exchangeStep) atOnce(text string) string {
+	switch s.response {
+	case respondEarly:
+		return text + text
+	case stayQuiet:
+		return ""
+	case cutShort:
+		return text[:len(text)-2]
+	default:
+		return text
 	}
 }
 
@@ -350,18 +361,18 @@
 	playSteps(t, exchangeStep{kindRequest, rejectLate}, exchangeStep{kindSameID, respond})
 }
 
-// Guards against a response that is taken for that of another exchange, in all orders of up to four
-// exchanges. One after which the connection is closed is played last only, as none can follow it there.
+// Guards against a response that is taken for that of another exchange, in all orders of up to four.
 func TestEachResponseBelongsToItsExchange(t *testing.T) {
 	playOrders(t, allOrders(4, kindRequest, kindAnonymous, kindCheck))
 }
 
-// Guards against the same where a connection gets an ID again, in all orders of up to three exchanges.
+// Guards against the same where a connection gets an ID again, in all orders of up to three.
 func TestEachResponseBelongsToItsExchangeWhenIDsRepeat(t *testing.T) {
 	playOrders(t, allOrders(3, kindRequest, kindSameID, kindAnonymous, kindCheck))
 }
 
-// allOrders returns all orders of up to n exchanges of the given kinds.
+// allOrders returns all orders of up to n exchanges of the given kinds. A response after which the
+// connection is closed comes last only, as no exchange can follow it there.
 func allOrders(n int, kinds ...exchangeKind) [][]exchangeStep {
 	var orders [][]exchangeStep
 	prefixes := [][]exchangeStep{nil}
