lab/crtarget: A target waits until its address is free

Cause: a fault of the soak closes a target and starts it again at its address; at the end of a run its pause is cut short. A daemon that is being started meanwhile has a copy of the closed listener from the fork until it executes its program, so that the address is in use.

Change: Start waits for the address for up to a second.

--- a/lab/crtarget/crtarget.go
+++ b/lab/crtarget/crtarget.go
@@ -27,6 +27,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -115,7 +116,7 @@
 
 // Start starts a target that listens on opts.Address.
 func Start(opts Options) (*Target, error) {
-	l, err := new(net.ListenConfig).Listen(context.Background(), "tcp4", opts.Address)
+	l, err := listen(opts.Address)
 	if err != nil {
 		return nil, err
 	}
@@ -126,6 +127,20 @@
 	return t, nil
 }
 
+// listen listens on an address. It waits for addressTimeout at most until the address is free: a process
+// that this one is starting holds a listener that was closed meanwhile, until it executes its program.
+func listen(address string) (net.Listener, error) {
+	for deadline := time.Now().Add(addressTimeout); ; time.Sleep(time.Millisecond) {
+		l, err := new(net.ListenConfig).Listen(context.Background(), "tcp4", address)
+		if err == nil || !errors.Is(err, syscall.EADDRINUSE) || time.Now().After(deadline) {
+			return l, err
+		}
+	}
+}
+
+// addressTimeout exceeds the time between fork and exec on a busy machine.
+const addressTimeout = time.Second
+
 // Address returns the address on which the target listens.
 func (t *Target) Address() string { return t.opts.Address }
 
