--- a/lab/crtarget/crtarget.go
+++ b/lab/crtarget/crtarget.go
@@ -1,6 +1,6 @@
 // Package crtarget implements a fake of a target on the users' platform: it executes
 // requests, adds a seal header to its responses, marks requests that it did not execute,
-// and injects partial failures for a share of its requests. It records every request that
+// and injects partial failures for a share of its requests. It can be cold, restart and close connections. It records every request that
 // it executed. crstage, crsoak and the tests of io/crlink and io/crmesh use it.
 // crupstream is the fake of an upstream that speaks the daemon's own protocol.
 //
@@ -110,8 +110,15 @@
 	running   int
 	peak      int // maximum of running
 	conns     map[net.Conn]bool
+	active    map[net.Conn]bool // of these, those on which a request is running
 	closed    bool
-	wg        sync.WaitGroup
+
+	warmup       time.Duration // see SetWarmup
+	healthPath   string
+	healthChecks int
+	coldUntil    time.Time
+	coldArrivals []time.Time
+	wg           sync.WaitGroup
 }
 
 // Start starts a target that listens on opts.Address.
@@ -120,11 +127,18 @@
 	if err != nil {
 		return nil, err
 	}
-	t := &Target{opts: opts, listener: l, conns: make(map[net.Conn]bool)}
+	t := &Target{opts: opts, conns: make(map[net.Conn]bool), active: make(map[net.Conn]bool)}
 	t.opts.Address = l.Addr().String()
+	t.serveOn(l)
+	return t, nil
+}
+
+// serveOn serves the connections of a listener, as a process that has just started. The caller holds
+// t.mu, unless nothing else knows the target yet.
+func (t *Target) serveOn(l net.Listener) {
+	t.listener, t.coldUntil = l, time.Now().Add(t.warmup)
 	t.wg.Add(1)
 	go t.accept(l)
-	return t, nil
 }
 
 // listen listens on an address. It waits for addressTimeout at most until the address is free: a process
@@ -197,9 +211,7 @@
 		time.AfterFunc(t.downTime, t.restart) // the address may still be in use
 		return
 	}
-	t.listener = l
-	t.wg.Add(1)
-	go t.accept(l)
+	t.serveOn(l)
 }
 
 // SetLeaving makes the target say in its responses that it leaves.
@@ -290,7 +302,10 @@
 		if err != nil {
 			return
 		}
-		if !t.handle(conn, br, r, string(body)) {
+		t.setActive(conn, true)
+		open := t.handle(conn, br, r, string(body))
+		t.setActive(conn, false)
+		if !open {
 			return
 		}
 	}
@@ -305,6 +320,10 @@
 	if want := r.Header.Get("Expected-Instance"); want != "" && want != t.opts.ID {
 		return t.writeResponse(conn, 421, id, "Instance-Id: "+t.opts.ID+"\r\n", "", false)
 	}
+	t.recordArrival()
+	if t.isHealthCheck(r) {
+		return t.respondHealth(conn, id)
+	}
 	if chance(b.Shed) {
 		return t.writeResponse(conn, 503, id, "Not-Executed: 1\r\n", "", false)
 	}
