io/cregress: Why a target's state is in doubt, and what a cold one got, are logged

Change: 633 names the doubt and whether the response named the remaining time, 629 is logged when a target is opened, 639 when a check shows that a cold target got more than its limit. The limiter keeps the last 256 requests for that; decisions use the last Limit of them, as before, and now also after a plan that raises the limit. Measured: tests of core/crwarmup, core/crgate and io/crlog pass; no decision changes but the one named.

--- a/core/crgate/warmup.go
+++ b/core/crgate/warmup.go
@@ -69,6 +69,21 @@
 	g.dispatch(now)
 }
 
+// Doubt returns why the target is treated as cold without a check that says so.
+func (g *Gate) Doubt() crwarmup.Doubt {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.warmup.Doubt()
+}
+
+// PeakSince returns the highest number of requests that were sent within a second since an
+// instant.
+func (g *Gate) PeakSince(at crid.Instant) int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.warmup.PeakSince(at)
+}
+
 // ColdFor returns the time for which the target is known to stay cold.
 func (g *Gate) ColdFor(now crid.Instant) time.Duration {
 	g.mu.Lock()
--- a/core/crwarmup/crwarmup.go
+++ b/core/crwarmup/crwarmup.go
@@ -23,6 +23,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"camphorroad/core/crid"
@@ -48,8 +49,39 @@
 	// that an urgent request does not wait for the end of a second in which less urgent
 	// ones have used the limit.
 	burst = 3
+	// historySize is the number of requests that PeakSince considers.
+	historySize = 256
 )
 
+// Doubt is why a target may be cold although no health check has said so.
+type Doubt uint8
+
+// The reasons.
+const (
+	DoubtNone    Doubt = iota // the target's state is known
+	DoubtStart                // nothing is known of it yet
+	DoubtContact              // a connection failed, or a request got no response
+	DoubtSilence              // it has not responded for some time
+	DoubtReset                // another process registered, or an evacuation ended
+)
+
+// String returns the reason as logs name it.
+func (d Doubt) String() string {
+	switch d {
+	case DoubtNone:
+		return "none"
+	case DoubtStart:
+		return "start"
+	case DoubtContact:
+		return "contact"
+	case DoubtSilence:
+		return "silence"
+	case DoubtReset:
+		return "reset"
+	}
+	return "unknown"
+}
+
 // Params describe the targets of a service while they are cold.
 type Params struct {
 	Limit    int           // requests that a cold target may get in a second; zero: no limit
@@ -70,6 +102,7 @@
 type Limiter struct {
 	params       Params
 	uncertain    bool         // the target may have restarted since the last check
+	doubt        Doubt        // why it was last uncertain
 	lostAt       crid.Instant // the last loss of contact
 	knownAt      crid.Instant // when the state was last known; zero: never
 	contactSince crid.Instant // first response after it; zero: none yet
@@ -78,16 +111,15 @@
 	lastCheck    crid.Instant
 	reserved     int
 	nextPaced    crid.Instant   // when the next request is due at an even pace
-	sent         []crid.Instant // the last Params.Limit requests, oldest first
+	sent         []crid.Instant // the last requests, oldest first
 }
 
 // New returns a limiter for a target of which nothing is known.
-func New(now crid.Instant) *Limiter { return &Limiter{uncertain: true, lostAt: now} }
+func New(now crid.Instant) *Limiter { return &Limiter{uncertain: true, doubt: DoubtStart, lostAt: now} }
 
 // SetParams replaces the parameters.
 func (l *Limiter) SetParams(p Params) {
 	l.params = p
-	l.trim()
 }
 
 // Cold reports whether the target is cold, or has to be treated so.
@@ -118,13 +150,15 @@
 }
 
 // ContactLost records that the target may have restarted.
-func (l *Limiter) ContactLost(now crid.Instant) {
-	l.uncertain, l.lostAt, l.contactSince = true, now, 0
+func (l *Limiter) ContactLost(now crid.Instant) { l.lose(now, DoubtContact) }
+
+func (l *Limiter) lose(now crid.Instant, d Doubt) {
+	l.uncertain, l.doubt, l.lostAt, l.contactSince = true, d, now, 0
 }
 
 // Reset records that the target may be cold without having restarted.
 func (l *Limiter) Reset(now crid.Instant) {
-	l.ContactLost(now)
+	l.lose(now, DoubtReset)
 	l.knownAt = 0
 }
 
@@ -176,7 +210,7 @@
 // detectSilence treats the target as possibly restarted if no response arrived recently.
 func (l *Limiter) detectSilence(now crid.Instant) {
 	if !l.uncertain && now.Sub(l.lastResponse) > maxSilence {
-		l.ContactLost(now)
+		l.lose(now, DoubtSilence)
 	}
 }
 
@@ -229,21 +263,41 @@
 
 func (l *Limiter) record(now crid.Instant) {
 	l.sent = append(l.sent, now)
-	l.trim()
-}
-
-func (l *Limiter) trim() {
-	if drop := len(l.sent) - l.params.Limit; drop > 0 {
+	if drop := len(l.sent) - max(l.params.Limit, historySize); drop > 0 {
 		l.sent = append(l.sent[:0], l.sent[drop:]...)
 	}
 }
 
-// recent returns the requests in the window that ends now.
+// recent returns the requests in the window that ends now, and the last Params.Limit of them
+// at most.
 func (l *Limiter) recent(now crid.Instant) []crid.Instant {
-	for i, at := range l.sent {
+	last := l.sent[max(len(l.sent)-l.params.Limit, 0):]
+	for i, at := range last {
 		if now.Sub(at) < window {
-			return l.sent[i:]
+			return last[i:]
 		}
 	}
 	return nil
 }
+
+// Doubt returns why the target is treated as cold without a check that says so.
+func (l *Limiter) Doubt() Doubt {
+	if !l.uncertain {
+		return DoubtNone
+	}
+	return l.doubt
+}
+
+// PeakSince returns the highest number of requests that were sent within a second since an
+// instant. It considers the last requests only, so that it may be too low.
+func (l *Limiter) PeakSince(at crid.Instant) int {
+	first, _ := slices.BinarySearch(l.sent, at)
+	peak := 0
+	for i := first; i < len(l.sent); i++ {
+		for l.sent[i].Sub(l.sent[first]) >= time.Second {
+			first++
+		}
+		peak = max(peak, i-first+1)
+	}
+	return peak
+}
--- a/core/crwarmup/crwarmup_test.go
+++ b/core/crwarmup/crwarmup_test.go
@@ -219,3 +219,17 @@
 	}
 	g.Expect(longest).To(gomega.BeNumerically("<=", 350*time.Millisecond))
 }
+
+func TestPeakIsTheHighestNumberOfRequestsInASecond(t *testing.T) {
+	g := gomega.NewWithT(t)
+	l := newLimiter()
+	l.RecordCheck(start, start, 0)
+	g.Expect(send(l, start, 100)).To(gomega.Equal(100))
+	g.Expect(send(l, start.Add(time.Second), 30)).To(gomega.Equal(30))
+	g.Expect(l.PeakSince(start)).To(gomega.Equal(100))
+	g.Expect(l.PeakSince(start.Add(time.Second))).To(gomega.Equal(30))
+	g.Expect(l.PeakSince(start.Add(3 * time.Second))).To(gomega.BeZero())
+	g.Expect(l.Doubt()).To(gomega.Equal(crwarmup.DoubtNone))
+	l.ContactLost(start.Add(3 * time.Second))
+	g.Expect(l.Doubt()).To(gomega.Equal(crwarmup.DoubtContact))
+}
--- a/io/cregress/announce.go
+++ b/io/cregress/announce.go
@@ -65,7 +65,7 @@
 		return
 	}
 	x.leaving.Store(&p)
-	x.gate.Close()
+	x.closeGate()
 	x.opts.Log.Event(crlog.TargetLeaving, crlog.Fields{"target": string(r.Target)})
 	x.opts.OnTargetChange()
 }
--- a/io/cregress/check.go
+++ b/io/cregress/check.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"camphorroad/core/crid"
+	"camphorroad/core/crwarmup"
 	"camphorroad/io/crlink"
 	"camphorroad/io/crlog"
 )
@@ -39,8 +40,26 @@
 	if !info.HasWarmup && resp.Status != http.StatusOK {
 		return // the target did not run the check
 	}
-	x.gate.RecordCheck(sentAt, x.opts.Clock(), info.Warmup)
+	doubt := x.gate.Doubt()
+	now := x.opts.Clock()
+	x.gate.RecordCheck(sentAt, now, info.Warmup)
 	x.opts.Log.Event(crlog.WarmupChecked, crlog.Fields{
-		"target": string(x.Target()), "cold": info.Warmup.String(), "status": strconv.Itoa(resp.Status), "connection": conn.LocalAddr(), "response": info.ID,
+		"target": string(x.Target()), "cold": info.Warmup.String(), "known": strconv.FormatBool(info.HasWarmup), "status": strconv.Itoa(resp.Status),
+		"doubt": doubt.String(), "connection": conn.LocalAddr(), "response": info.ID,
 	})
+	x.reportFlood(now, info.Warmup, doubt)
+}
+
+// reportFlood logs if the target got too many requests since it became cold. remaining is the time
+// for which it stays cold.
+func (x *Exit) reportFlood(now crid.Instant, remaining time.Duration, doubt crwarmup.Doubt) {
+	p := x.coldParams.Load()
+	if p == nil || p.Limit == 0 || remaining == 0 {
+		return
+	}
+	if peak := x.gate.PeakSince(now.Add(remaining - p.Duration)); peak > p.Limit {
+		x.opts.Log.Event(crlog.ColdTargetFlooded, crlog.Fields{
+			"target": string(x.Target()), "requests": strconv.Itoa(peak), "limit": strconv.Itoa(p.Limit), "doubt": doubt.String(),
+		})
+	}
 }
--- a/io/cregress/cregress.go
+++ b/io/cregress/cregress.go
@@ -82,6 +82,8 @@
 	leaving        atomic.Pointer[targetProcess] // process that has said that it leaves; nil: none
 	limitRefusals  atomic.Int64                  // offers refused while the target named a limit
 	healthPath     atomic.Pointer[string]
+	coldParams     atomic.Pointer[crwarmup.Params] // nil: there is no plan yet
+	opened         atomic.Bool                     // the target may get requests
 	stopDeadline   atomic.Int64 // instant by which all work must have ended; zero: none
 	nestedFailures lastTime     // of failed nested calls
 	nestedRefusals lastTime     // of nested calls that no target has run
@@ -136,7 +138,7 @@
 	now := x.opts.Clock()
 	old := x.target.Swap(r)
 	if r == nil || r.Leaving {
-		x.gate.Close()
+		x.closeGate()
 		if old != nil && !old.Leaving {
 			x.opts.OnTargetChange()
 		}
@@ -158,7 +160,7 @@
 	}
 	now := x.opts.Clock()
 	if evacuated {
-		x.gate.Close()
+		x.closeGate()
 	} else {
 		x.gate.ResetWarmup(now)
 		x.openGate(now)
@@ -174,12 +176,32 @@
 	}
 	x.gate.Open()
 	x.gate.SetSlots(now, r.Slots)
+	if !x.opened.Swap(true) {
+		x.logOpened(r)
+	}
+}
+
+// closeGate refuses all requests that have not been sent.
+func (x *Exit) closeGate() {
+	x.gate.Close()
+	x.opened.Store(false)
+}
+
+func (x *Exit) logOpened(r *crregistry.Record) {
+	limit := "unknown"
+	if p := x.coldParams.Load(); p != nil {
+		limit = strconv.Itoa(p.Limit)
+	}
+	x.opts.Log.Event(crlog.TargetOpened, crlog.Fields{
+		"target": string(r.Target), "limit": limit, "started": strconv.FormatInt(r.StartedMillis, 10), "cold": r.Warmup.String(),
+	})
 }
 
 // SetWarmup sets how a target of the service behaves while it is cold, and the path of its
 // health check.
 func (x *Exit) SetWarmup(p crwarmup.Params, healthPath string) {
 	x.healthPath.Store(&healthPath)
+	x.coldParams.Store(&p)
 	x.gate.SetWarmup(p)
 }
 
@@ -222,7 +244,7 @@
 // Stop refuses all requests that have not started.
 func (x *Exit) Stop() {
 	x.stopping.Store(true)
-	x.gate.Close()
+	x.closeGate()
 }
 
 // Idle reports whether no request is running or waiting.
--- a/io/crlog/catalogue_mesh.go
+++ b/io/crlog/catalogue_mesh.go
@@ -26,6 +26,7 @@
 	PeersRecovered      = 621
 	DomainsEvacuated    = 622
 	RouteKindUnknown    = 623
+	TargetOpened        = 629
 	TargetHealthChanged = 630
 	RunEnded            = 631
 	OfferRefused        = 632
@@ -35,6 +36,7 @@
 	TargetEnded         = 636
 	EndRecorded         = 637
 	EndsForgotten       = 638
+	ColdTargetFlooded   = 639
 	RequestFailed       = 640
 	CallerDisconnected  = 641
 	RequestRetried      = 642
@@ -121,6 +123,11 @@
 			RouteKindUnknown, LevelWarn, "route kind unknown",
 			"the configuration has a route of a kind that this version does not know", "the route's requests run at most once and are not retried after they may have run", "upgrade the daemons, or correct the route's kind",
 		},
+		{
+			TargetOpened, LevelInfo, "target opened",
+			"the target may get requests from now on; `limit` is the number of requests that it may get in a second while it is cold (0: any number, `unknown`: there is no configuration yet), `started` the Unix time of its start in milliseconds, and `cold` the time for which it stays cold by its record",
+			none, "if `limit` is `unknown`, report it: the target may be flooded",
+		},
 		{
 			TargetHealthChanged, LevelInfo, "target health changed",
 			"the probability that the target is unhealthy, estimated from its responses and given in the field `sick`, rose above the threshold or fell below it",
@@ -138,7 +145,7 @@
 		},
 		{
 			WarmupChecked, LevelInfo, "slow start checked",
-			"contact with the target was lost, so that it may have restarted, and requests would have been limited",
+			"the target may have become cold, and requests would have been limited; `doubt` is the reason: `start` of this daemon, lost `contact`, `silence` of the target, or `reset` after another record or an evacuation",
 			"while the target is cold, for the time in the field `cold`, the requests that it gets in a second are limited", "if `response` is not empty, the response belongs to a request: look at the target",
 		},
 		{
@@ -166,6 +173,11 @@
 			"several targets have answered a request, a minute after the last of the ends under it or later",
 			"the `ends` in the event no longer count against requests with this `content`", none,
 		},
+		{
+			ColdTargetFlooded, LevelWarn, "cold target flooded",
+			"by its health check the target had been cold for some time without this daemon knowing, and got more than `limit` requests in a second; `requests` is the highest number, and `doubt` why its state was in doubt at the check",
+			"the target may have failed its requests", "report it, with the events 629 and 633 of this daemon before it",
+		},
 		{
 			RequestFailed, LevelInfo, "request not served",
 			"a request was refused or failed, or its caller disconnected",
