core/crwarmup: What is known of a process counts for the connections that lead to it

Callers saw: a target of the shifted deployment that had just restarted got several times the requests that a cold target may get, failed them, and at times ended (FAILBACK). Cause: the limiter trusted that a target stays warm until it saw a loss of contact. A restart between two requests breaks idle connections only; the pool drops them and connects again, and nothing tells the limiter. A response on a connection older than what was known did end a doubt, but one on a younger connection did not begin one. Change: the limiter keeps when the process whose state is known was last alive, as a response on one of its connections showed. Requests on connections established later may reach another process: after three of them without such a response the state is in doubt, whatever the signs. A response counts for the moment when it was read only if the connection is still open then. In a doubt, only requests on such connections and those sent since count for the window, so that a check goes out at once; no check is made while the target is known to be cold anyway. Why it works: all ways to another process lead over a connection that is younger than the last sign of life of the former one, so no sign of the restart itself is needed. Tests changed: Send takes the connection's age, so tests pass one to the known process; the silent target's requests come over a new connection, as they did.

--- a/core/crgate/crgate.go
+++ b/core/crgate/crgate.go
@@ -26,7 +26,7 @@
 //	ticket, refusal := gate.Admit(now, crgate.Request{Kind: kind, Priority: 1, LatestStart: latest})
 //	if refusal != nil { ... }
 //	<-ticket.Decided()
-//	if ticket.Refusal() == nil && gate.Send(now, ticket) { ...; gate.Release(now, ticket, took) }
+//	if ticket.Refusal() == nil && gate.Send(now, connectedAt, ticket) { ...; gate.Release(now, ticket, took) }
 package crgate
 
 import (
--- a/core/crgate/limit_test.go
+++ b/core/crgate/limit_test.go
@@ -47,7 +47,7 @@
 			for _, p := range open {
 				switch {
 				case p.ends == 0 && granted(p.ticket):
-					if !gate.Send(now, p.ticket) {
+					if !gate.Send(now, start, p.ticket) {
 						t.Fatal("a granted request is not sent")
 					}
 					p.ends = now.Add(service)
--- a/core/crgate/warmup.go
+++ b/core/crgate/warmup.go
@@ -15,13 +15,14 @@
 	g.warmup.SetParams(p)
 }
 
-// Send records that a request in a slot is sent to the target now. It returns false if
-// the target has become cold since and has no room; the request must then be cancelled.
-func (g *Gate) Send(now crid.Instant, t *Ticket) bool {
+// Send records that a request in a slot is sent to the target now, on a connection that was
+// established at an instant. It returns false if the target has become cold since and has no
+// room; the request must then be cancelled.
+func (g *Gate) Send(now, connectedAt crid.Instant, t *Ticket) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	t.sent = true
-	if !g.warmup.Send(now) {
+	if !g.warmup.Send(now, connectedAt) {
 		g.limit.Cancel()
 		return false
 	}
@@ -43,11 +44,11 @@
 }
 
 // Responded records a response to a request that was sent at an instant, on a connection
-// that was established at another.
-func (g *Gate) Responded(connectedAt, sentAt, now crid.Instant) {
+// that was established at another. The process that responded was alive at aliveAt.
+func (g *Gate) Responded(connectedAt, sentAt, aliveAt crid.Instant) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.warmup.Responded(connectedAt, sentAt, now)
+	g.warmup.Responded(connectedAt, sentAt, aliveAt)
 }
 
 // StartCheck reports whether a health check is due that shows whether the target is cold.
--- a/core/crgate/warmup_test.go
+++ b/core/crgate/warmup_test.go
@@ -67,7 +67,7 @@
 			queued = append(queued[:i], queued[i+1:]...)
 			i--
 			if p.ticket.Refusal() == nil {
-				g.Expect(gate.Send(now, p.ticket)).To(gomega.BeTrue())
+				g.Expect(gate.Send(now, start, p.ticket)).To(gomega.BeTrue())
 				served[p.urgent]++
 				p.endsAt = now.Add(30 * time.Millisecond)
 				running = append(running, p)
@@ -87,7 +87,7 @@
 	for ; refusal == nil; sent++ {
 		var ticket *crgate.Ticket
 		if ticket, refusal = gate.Admit(start, crgate.Request{LatestStart: start.Add(time.Minute), FreeSlot: true}); refusal == nil {
-			g.Expect(gate.Send(start, ticket)).To(gomega.BeTrue())
+			g.Expect(gate.Send(start, start, ticket)).To(gomega.BeTrue())
 		}
 	}
 	g.Expect(sent).To(gomega.BeNumerically("<=", coldLimit))
--- a/core/crplace/playload_test.go
+++ b/core/crplace/playload_test.go
@@ -413,7 +413,7 @@
 	if ok {
 		took = time.Duration(float64(k.work) * math.Exp(workSpread*p.rng.NormFloat64()-workSpread*workSpread/2))
 	}
-	x.gate.Send(p.now, ticket)
+	x.gate.Send(p.now, 0, ticket)
 	p.after(took, func() {
 		x.running--
 		ok = ok && !x.ended
--- a/core/crwarmup/crwarmup.go
+++ b/core/crwarmup/crwarmup.go
@@ -5,9 +5,14 @@
 // A target may become cold without notice, with the same address and record. Until a health
 // check has reported otherwise, [Limiter] assumes that it is cold after every loss of
 // contact: a failed connection, a request without a response, a pause in the responses, or
-// the start of this daemon. A response on a connection that is older than the loss shows
-// that the target has not restarted. A check is only due when the limit is about to delay
-// requests, so that a target with few requests costs none.
+// the start of this daemon. A check is only due when the limit is about to delay requests, so
+// that a target with few requests costs none.
+//
+// A target that restarts between two requests breaks idle connections only, as one does that
+// closes them. So what is known of a process counts for the connections that lead to it: those
+// that were established while it was alive, as a response on one of them shows. Once a few
+// requests are sent on later connections, without such a response meanwhile, the state is not
+// known any more.
 //
 // # Usage
 //
@@ -16,7 +21,7 @@
 //	if l.Wait(now, 0) == 0 {
 //		l.Reserve(now)
 //		...
-//		if l.Send(now) { ... }
+//		if l.Send(now, connectedAt) { ...; l.Responded(connectedAt, now, respondedAt) }
 //	}
 //	if l.StartCheck(now) { ...; l.RecordCheck(sentAt, now, remaining) }
 package crwarmup
@@ -49,6 +54,9 @@
 	// that an urgent request does not wait for the end of a second in which less urgent
 	// ones have used the limit.
 	burst = 3
+	// maxUnproven is the number of requests that may be sent on connections which may lead to
+	// another process, until the target's state is in doubt.
+	maxUnproven = 3
 	// historySize is the number of requests that PeakSince considers.
 	historySize = 256
 )
@@ -58,11 +66,12 @@
 
 // The reasons.
 const (
-	DoubtNone    Doubt = iota // the target's state is known
-	DoubtStart                // nothing is known of it yet
-	DoubtContact              // a connection failed, or a request got no response
-	DoubtSilence              // it has not responded for some time
-	DoubtReset                // another process registered, or an evacuation ended
+	DoubtNone        Doubt = iota // the target's state is known
+	DoubtStart                    // nothing is known of it yet
+	DoubtContact                  // a connection failed, or a request got no response
+	DoubtSilence                  // it has not responded for some time
+	DoubtConnections              // requests were sent on connections that may lead to another process
+	DoubtReset                    // another process registered, or an evacuation ended
 )
 
 // String returns the reason as logs name it.
@@ -76,6 +85,8 @@
 		return "contact"
 	case DoubtSilence:
 		return "silence"
+	case DoubtConnections:
+		return "connections"
 	case DoubtReset:
 		return "reset"
 	}
@@ -104,14 +115,25 @@
 	uncertain    bool         // the target may have restarted since the last check
 	doubt        Doubt        // why it was last uncertain
 	lostAt       crid.Instant // the last loss of contact
-	knownAt      crid.Instant // when the state was last known; zero: never
-	contactSince crid.Instant // first response after it; zero: none yet
+	suspectAt    crid.Instant // since when a cold process may have got requests; zero: it is not known
+	aliveAt      crid.Instant // when the process whose state is known was last alive; zero: it is not known
+	unproven     int          // requests sent since then on connections established later
+	unprovenAt   crid.Instant // when the first of them was sent
+	contactSince crid.Instant // first response after the loss, of the process that responds now; zero: none yet
+	contactAt    crid.Instant // when that process was last alive
 	lastResponse crid.Instant
+	coldSince    crid.Instant
 	coldUntil    crid.Instant
 	lastCheck    crid.Instant
 	reserved     int
-	nextPaced    crid.Instant   // when the next request is due at an even pace
-	sent         []crid.Instant // the last requests, oldest first
+	nextPaced    crid.Instant // when the next request is due at an even pace
+	sent         []request    // the last ones, oldest first
+}
+
+// request is a request that was sent.
+type request struct {
+	at          crid.Instant
+	connectedAt crid.Instant // when its connection was established
 }
 
 // New returns a limiter for a target of which nothing is known.
@@ -128,11 +150,26 @@
 		return false
 	}
 	if l.uncertain && l.contactSince != 0 && now.Sub(l.contactSince) >= l.params.Duration {
-		l.uncertain, l.knownAt = false, now
+		l.concludeWarm()
 	}
 	return l.uncertain || now < l.coldUntil
 }
 
+// concludeWarm ends the doubt about a process that has responded for as long as a target is cold,
+// unless requests sent since its last response may have reached another one.
+func (l *Limiter) concludeWarm() {
+	later := 0
+	for _, r := range l.sent {
+		if r.connectedAt > l.contactAt {
+			later++
+		}
+	}
+	if later <= maxUnproven {
+		l.setProcess(l.contactAt)
+		l.unproven = later
+	}
+}
+
 // Remaining returns the time for which the target is known to stay cold.
 func (l *Limiter) Remaining(now crid.Instant) time.Duration {
 	if l.params.Limit == 0 {
@@ -153,25 +190,42 @@
 func (l *Limiter) ContactLost(now crid.Instant) { l.lose(now, DoubtContact) }
 
 func (l *Limiter) lose(now crid.Instant, d Doubt) {
-	l.uncertain, l.doubt, l.lostAt, l.contactSince = true, d, now, 0
+	if !l.uncertain {
+		l.suspectAt = now
+		if l.unproven > 0 {
+			l.suspectAt = l.unprovenAt
+		}
+	}
+	l.uncertain, l.doubt, l.lostAt, l.contactSince, l.contactAt = true, d, now, 0, 0
+}
+
+// setProcess records that the target's state is that of the process which was alive at an
+// instant.
+func (l *Limiter) setProcess(aliveAt crid.Instant) {
+	l.uncertain, l.aliveAt, l.unproven = false, aliveAt, 0
 }
 
 // Reset records that the target may be cold without having restarted.
 func (l *Limiter) Reset(now crid.Instant) {
 	l.lose(now, DoubtReset)
-	l.knownAt = 0
+	l.aliveAt, l.suspectAt = 0, 0
 }
 
-// Responded records a response to a request that was sent at an instant, on a connection
-// that was established at another.
-func (l *Limiter) Responded(connectedAt, sentAt, now crid.Instant) {
-	l.lastResponse = now
-	if connectedAt <= l.knownAt {
-		l.uncertain, l.knownAt = false, now // the same process as when its state was known
+// Responded records a response to a request that was sent at an instant, on a connection that was
+// established at another. The process that responded was alive at aliveAt: when the response was
+// read, if the connection is still open, and otherwise when the request was sent.
+func (l *Limiter) Responded(connectedAt, sentAt, aliveAt crid.Instant) {
+	l.lastResponse = max(l.lastResponse, aliveAt)
+	if connectedAt <= l.aliveAt && (!l.uncertain || aliveAt >= l.lostAt) {
+		l.setProcess(max(l.aliveAt, aliveAt))
 	}
-	if l.contactSince == 0 && sentAt >= l.lostAt {
-		l.contactSince = now
+	if sentAt < l.lostAt {
+		return
 	}
+	if l.contactSince == 0 || connectedAt > l.contactAt {
+		l.contactSince = aliveAt // it may be another process than the one that responded before
+	}
+	l.contactAt = max(l.contactAt, aliveAt)
 }
 
 // Wait returns the time until a request may be sent that has the given number of requests
@@ -225,20 +279,33 @@
 // Cancel gives back a reserved place.
 func (l *Limiter) Cancel() { l.reserved = max(l.reserved-1, 0) }
 
-// Send converts a reserved place into a request that is sent now. It returns false, and
-// gives the place back, if the target has become cold since and has no room.
-func (l *Limiter) Send(now crid.Instant) bool {
+// Send converts a reserved place into a request that is sent now, on a connection that was
+// established at an instant. It returns false, and gives the place back, if the target has become
+// cold since and has no room.
+func (l *Limiter) Send(now, connectedAt crid.Instant) bool {
 	l.Cancel()
-	if l.Cold(now) && len(l.recent(now)) >= l.params.Limit {
+	cold := l.Cold(now)
+	unproven := !l.uncertain && connectedAt > l.aliveAt
+	full := (cold || unproven) && len(l.recent(now)) >= l.params.Limit
+	if unproven {
+		if l.unproven++; l.unproven == 1 {
+			l.unprovenAt = now
+		}
+		if full || l.unproven > maxUnproven {
+			l.lose(now, DoubtConnections)
+		}
+	}
+	if full && l.Cold(now) {
 		return false
 	}
-	l.record(now)
+	l.record(request{at: now, connectedAt: connectedAt})
 	return true
 }
 
-// StartCheck reports whether a health check is due, and records it as a request.
+// StartCheck reports whether a health check is due, and records it as a request. None is due while
+// the limit is in force whatever the check would show.
 func (l *Limiter) StartCheck(now crid.Instant) bool {
-	if !l.Cold(now) || !l.uncertain || (l.lastCheck != 0 && now.Sub(l.lastCheck) < checkInterval) {
+	if !l.Cold(now) || !l.uncertain || now < l.coldUntil || (l.lastCheck != 0 && now.Sub(l.lastCheck) < checkInterval) {
 		return false
 	}
 	used := len(l.recent(now)) + l.reserved
@@ -247,7 +314,7 @@
 		return false
 	}
 	l.lastCheck = now
-	l.record(now)
+	l.record(request{at: now, connectedAt: now})
 	return true
 }
 
@@ -257,27 +324,47 @@
 	if sentAt < l.lostAt {
 		return
 	}
-	l.uncertain, l.lastResponse, l.knownAt = false, now, now
-	l.coldUntil = now.Add(remaining)
+	// A warm process started at least the duration ago, so it may be the one known before.
+	same := remaining == 0 && l.aliveAt != 0 && now.Sub(l.aliveAt) < l.params.Duration
+	if remaining > 0 || l.uncertain && !same {
+		if now.Sub(l.coldUntil) >= window {
+			l.coldSince = l.suspectAt
+		}
+		l.coldUntil = now.Add(remaining)
+	}
+	l.coldUntil = min(l.coldUntil, now.Add(remaining))
+	l.lastResponse = now
+	l.setProcess(now)
 }
 
-func (l *Limiter) record(now crid.Instant) {
-	l.sent = append(l.sent, now)
+func (l *Limiter) record(r request) {
+	l.sent = append(l.sent, r)
 	if drop := len(l.sent) - max(l.params.Limit, historySize); drop > 0 {
 		l.sent = append(l.sent[:0], l.sent[drop:]...)
 	}
 }
 
-// recent returns the requests in the window that ends now, and the last Params.Limit of them
-// at most.
+// recent returns when the requests in the window that ends now were sent, and the last
+// Params.Limit of them at most. It leaves out those that a cold process cannot have got.
 func (l *Limiter) recent(now crid.Instant) []crid.Instant {
-	last := l.sent[max(len(l.sent)-l.params.Limit, 0):]
-	for i, at := range last {
-		if now.Sub(at) < window {
-			return last[i:]
+	out := make([]crid.Instant, 0, l.params.Limit)
+	for _, r := range slices.Backward(l.sent) {
+		if now.Sub(r.at) >= window || len(out) >= l.params.Limit {
+			break
+		}
+		if l.mayHaveReachedColdProcess(r) {
+			out = append(out, r.at)
 		}
 	}
-	return nil
+	slices.Reverse(out)
+	return out
+}
+
+// mayHaveReachedColdProcess returns false for a request that was sent to a process which was known
+// to be warm. Only requests on later connections can have reached another process.
+func (l *Limiter) mayHaveReachedColdProcess(r request) bool {
+	known := r.at >= l.coldSince && r.at < l.coldUntil
+	return known || r.connectedAt > l.aliveAt || l.uncertain && r.at >= l.suspectAt
 }
 
 // Doubt returns why the target is treated as cold without a check that says so.
@@ -291,10 +378,13 @@
 // PeakSince returns the highest number of requests that were sent within a second since an
 // instant. It considers the last requests only, so that it may be too low.
 func (l *Limiter) PeakSince(at crid.Instant) int {
-	first, _ := slices.BinarySearch(l.sent, at)
+	first := slices.IndexFunc(l.sent, func(r request) bool { return r.at >= at })
+	if first < 0 {
+		return 0
+	}
 	peak := 0
 	for i := first; i < len(l.sent); i++ {
-		for l.sent[i].Sub(l.sent[first]) >= time.Second {
+		for l.sent[i].at.Sub(l.sent[first].at) >= time.Second {
 			first++
 		}
 		peak = max(peak, i-first+1)
--- a/core/crwarmup/crwarmup_test.go
+++ b/core/crwarmup/crwarmup_test.go
@@ -23,14 +23,17 @@
 }
 
 // send sends as many requests as the limiter allows, and at most the given number, in the
-// 900 ms that begin now.
-func send(l *crwarmup.Limiter, now crid.Instant, most int) int {
+// 900 ms that begin now, on a connection to the first process.
+func send(l *crwarmup.Limiter, now crid.Instant, most int) int { return sendOn(l, start, now, most) }
+
+// sendOn does the same on connections that were established at an instant.
+func sendOn(l *crwarmup.Limiter, connectedAt, now crid.Instant, most int) int {
 	n := 0
 	for end := now.Add(900 * time.Millisecond); now < end; now = now.Add(10 * time.Millisecond) {
 		for n < most && l.Wait(now, 0) == 0 {
 			l.Reserve(now)
-			l.Send(now)
-			l.Responded(now, now, now)
+			l.Send(now, connectedAt)
+			l.Responded(connectedAt, now, now)
 			n++
 		}
 	}
@@ -125,7 +128,7 @@
 	g.Expect(send(l, start.Add(900*time.Millisecond), 30)).To(gomega.Equal(30))
 	l.ContactLost(start.Add(time.Second))
 	l.RecordCheck(start.Add(time.Second), start.Add(time.Second), 0)
-	g.Expect(send(l, start.Add(3*time.Second), 30)).To(gomega.BeNumerically("<=", 10))
+	g.Expect(sendOn(l, start.Add(3*time.Second), start.Add(3*time.Second), 30)).To(gomega.BeNumerically("<=", 10))
 }
 
 // Guards against requests that were admitted to a warm target and reach it when it is cold.
@@ -140,7 +143,7 @@
 	l.ContactLost(start)
 	sent := 0
 	for range 30 {
-		if l.Send(start) {
+		if l.Send(start, start) {
 			sent++
 		}
 	}
@@ -170,7 +173,7 @@
 				reserved--
 				if rng.IntN(5) == 0 {
 					l.Cancel()
-				} else if l.Send(now) {
+				} else if l.Send(now, start) {
 					sent = append(sent, now)
 				}
 			case 5:
@@ -214,7 +217,7 @@
 		longest = max(longest, wait)
 		if wait == 0 {
 			l.Reserve(now)
-			l.Send(now)
+			l.Send(now, start)
 		}
 	}
 	g.Expect(longest).To(gomega.BeNumerically("<=", 350*time.Millisecond))
--- a/io/cregress/check.go
+++ b/io/cregress/check.go
@@ -34,7 +34,12 @@
 		x.gate.ContactLost(x.opts.Clock())
 		return
 	}
+	broken := !resp.Closes && conn.PeerClosed()
 	x.pool.Put(conn)
+	if broken {
+		x.gate.ContactLost(x.opts.Clock()) // the process may have ended after its response
+		return
+	}
 	info := x.opts.Dialect.ParseResponse(resp.Status, resp.Header)
 	x.handleAnnouncements(x.opts.Clock(), *target, info)
 	if !info.HasWarmup && resp.Status != http.StatusOK {
--- a/io/cregress/cregress.go
+++ b/io/cregress/cregress.go
@@ -84,9 +84,9 @@
 	healthPath     atomic.Pointer[string]
 	coldParams     atomic.Pointer[crwarmup.Params] // nil: there is no plan yet
 	opened         atomic.Bool                     // the target may get requests
-	stopDeadline   atomic.Int64 // instant by which all work must have ended; zero: none
-	nestedFailures lastTime     // of failed nested calls
-	nestedRefusals lastTime     // of nested calls that no target has run
+	stopDeadline   atomic.Int64                    // instant by which all work must have ended; zero: none
+	nestedFailures lastTime                        // of failed nested calls
+	nestedRefusals lastTime                        // of nested calls that no target has run
 	refusalLog     logLimiter
 	idempotent     atomic.Int64 // idempotent requests running on the target
 	retries        atomic.Int64 // of these, retries
--- a/io/cregress/run.go
+++ b/io/cregress/run.go
@@ -79,7 +79,8 @@
 	}
 	r.connection = conn.LocalAddr()
 	sentAt := x.opts.Clock()
-	if !x.gate.Send(sentAt, r.reservation.ticket) {
+	connectedAt := sentAt.Add(-conn.Age())
+	if !x.gate.Send(sentAt, connectedAt, r.reservation.ticket) {
 		x.pool.Put(conn)
 		x.gate.Cancel(sentAt, r.reservation.ticket)
 		return x.notSent("the target is cold", x.gate.ColdFor(sentAt))
@@ -93,12 +94,21 @@
 	if err != nil {
 		return r.exchangeFailed(ctx, err)
 	}
-	now := x.opts.Clock()
-	x.gate.Responded(now.Add(-conn.Age()), sentAt, now)
+	x.gate.Responded(connectedAt, sentAt, x.aliveAt(conn, sentAt))
 	x.pool.Put(conn)
 	return r.handleResponse(resp)
 }
 
+// aliveAt returns an instant at which the process that has responded to a request was alive. A
+// response may be read after the end of its process, which closes the connection.
+func (x *Exit) aliveAt(conn *crlink.Conn, sentAt crid.Instant) crid.Instant {
+	now := x.opts.Clock()
+	if conn.PeerClosed() {
+		return sentAt
+	}
+	return now
+}
+
 // responseGrace is the time that a target has for its response after the end of an attempt.
 const responseGrace = 60 * time.Millisecond
 
--- a/io/crlink/crlink.go
+++ b/io/crlink/crlink.go
@@ -129,6 +129,10 @@
 // Age returns the time since the connection was established.
 func (c *Conn) Age() time.Duration { return time.Since(c.connectedAt) }
 
+// PeerClosed reports whether the peer has closed the connection. It returns false while there are
+// bytes to be read.
+func (c *Conn) PeerClosed() bool { return c.br.Buffered() == 0 && peek(c.conn.Conn) == peekClosed }
+
 // Get returns a connection for one exchange with an ID; an empty ID is none. It is the most
 // recently used idle connection that is still reusable and that can tell the response of
 // this exchange from those of earlier ones, or a new one. If Options.ID is nil, id has no
@@ -251,22 +255,42 @@
 
 // Reusable reports whether an idle connection is still open and has no unread data. It
 // does not wait for a goroutine that reads from the connection.
-func Reusable(conn net.Conn) bool {
+func Reusable(conn net.Conn) bool { return peek(conn) == peekOpen }
+
+// peekResult is what a read from a connection would find.
+type peekResult int
+
+const (
+	peekOpen   peekResult = iota // nothing, so far
+	peekData                     // bytes
+	peekClosed                   // the end, or an error
+)
+
+// peek returns what a read from the connection would find, without waiting and without reading.
+func peek(conn net.Conn) peekResult {
 	sc, ok := conn.(syscall.Conn)
 	if !ok {
-		return true
+		return peekOpen
 	}
 	raw, err := sc.SyscallConn()
 	if err != nil {
-		return false
+		return peekClosed
 	}
-	noData := false
+	result := peekClosed
 	err = raw.Control(func(fd uintptr) {
 		var b [1]byte
-		_, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		noData = errors.Is(err, unix.EAGAIN)
+		n, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		switch {
+		case errors.Is(err, unix.EAGAIN):
+			result = peekOpen
+		case err == nil && n > 0:
+			result = peekData
+		}
 	})
-	return err == nil && noData
+	if err != nil {
+		return peekClosed
+	}
+	return result
 }
 
 // Request is a request to send.
@@ -283,6 +307,7 @@
 	Status int
 	Header http.Header
 	Body   []byte
+	Closes bool // it says that the peer closes the connection
 }
 
 // Exchange sends a request and reads its response. It skips responses that do not bear the
@@ -341,7 +366,7 @@
 		}
 		c.broken = c.broken || resp.Close
 		c.peerIdleTimeout = keepAliveTimeout(resp.Header)
-		return &Response{Status: resp.StatusCode, Header: resp.Header, Body: body}, nil
+		return &Response{Status: resp.StatusCode, Header: resp.Header, Body: body, Closes: resp.Close}, nil
 	}
 	return nil, ErrUnexpectedResponse
 }
