io/crwatch: Evacuations of a list are applied before its plan

Callers saw: nothing yet. Found while looking for what a daemon does between its first record and its first plan. Cause: the items of a list are applied in the order of their keys, and op/config sorts before op/evacuate/. A daemon that uses its target from the first plan on could send requests to an evacuated domain until the next event. Change: evacuations go first. Measured: TestEvacuationsAreAppliedBeforeThePlan failed before.

--- a/io/crwatch/crwatch.go
+++ b/io/crwatch/crwatch.go
@@ -264,16 +264,18 @@
 }
 
 // applyConfiguration applies items of the configuration: the plan and evacuations. If
-// complete is set, they are all that the store has at a revision.
+// complete is set, they are all that the store has at a revision. A daemon uses its target
+// from the first plan on, so evacuations go first.
 func (f *Follower) applyConfiguration(now crid.Instant, items []Item, revision crid.Revision, complete bool) {
 	if complete {
 		items = append(slices.Clone(items), f.endedEvacuations(items, revision)...)
 	}
 	var changes []crevacuation.Change
+	plans := make([]Item, 0, 1)
 	for _, i := range items {
 		domain, ok := f.opts.Decoder.Evacuation(i)
 		if !ok {
-			f.applyPlan(now, i)
+			plans = append(plans, i)
 			continue
 		}
 		f.storeEvacuation(i)
@@ -282,6 +284,9 @@
 	if len(changes) > 0 {
 		f.opts.Emit(crmesh.EvacuationsChanged{Now: now, Changes: changes})
 	}
+	for _, i := range plans {
+		f.applyPlan(now, i)
+	}
 }
 
 // storeEvacuation stores an evacuation, or its end, unless a later change is held.
