io/cregress: A target gets no requests before the first plan

Callers saw: beside a daemon that has just started, a cold target got all that peers offered it. Cause: a daemon opened its target as soon as it had the target's record. Without a plan the limit of cold targets is zero, which means that there is none. Evidence: with the plan half a second after the record, and offers meanwhile, 95 and 93 requests in a second; 24.5 are allowed. Change: the exit refuses offers as not run until it has been told the limit, and reports its target as closed, so that entries go elsewhere. Evacuations are applied before a plan. Why it works: the exit is the only way to its target, and nothing passes its gate before. Weighed: one request at a time until the plan, which serves a few requests in a state in which the daemon itself is not ready; not built. Tests changed: fixtures of exits that serve without a plan name one without a limit; their checks are as they were. Measured: TestTargetGetsNoRequestsBeforeThePlan failed before (85 to 95 in a second), passes.

--- a/io/cregress/cold_test.go
+++ b/io/cregress/cold_test.go
@@ -138,3 +138,15 @@
 	g.Expect(served).To(gomega.BeNumerically(">", 5*coldMaximum))
 	g.Expect(f.target.HealthChecks() - checks).To(gomega.BeNumerically("<=", 5))
 }
+
+// Guards against requests that are sent before the limit of cold targets is known.
+func TestTargetGetsNoRequestsBeforeThePlan(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f := newColdFixture(t)
+	g.Expect(f.target.Restart()).To(gomega.Succeed())
+	f.exit.SetTarget(&f.record)
+	g.Expect(f.drive(500 * time.Millisecond)).To(gomega.BeZero())
+	f.configure()
+	g.Expect(f.drive(1500 * time.Millisecond)).To(gomega.BeNumerically(">", 0))
+	g.Expect(f.target.ColdPeak()).To(gomega.BeNumerically("<=", coldMaximum))
+}
--- a/io/cregress/cregress.go
+++ b/io/cregress/cregress.go
@@ -9,6 +9,7 @@
 // # Usage
 //
 //	exit := cregress.New(cregress.Options{Address: "10.0.0.1:8403", Dialect: dialect, Clock: crclock.Now})
+//	exit.SetWarmup(params, "/health")
 //	exit.SetTarget(record)
 //	reply := exit.Offer(now, offer)
 //	result := exit.Run(ctx, reply.Ticket, request)
@@ -168,10 +169,11 @@
 	x.opts.OnTargetChange()
 }
 
-// openGate opens the gate if the target may get requests.
+// openGate opens the gate if the target may get requests. Without a plan, the limit of a cold target
+// is not known.
 func (x *Exit) openGate(now crid.Instant) {
 	r := x.target.Load()
-	if r == nil || r.Leaving || x.stopping.Load() || x.evacuated.Load() || x.isLeaving(r) {
+	if x.coldParams.Load() == nil || r == nil || r.Leaving || x.stopping.Load() || x.evacuated.Load() || x.isLeaving(r) {
 		return
 	}
 	x.gate.Open()
@@ -188,21 +190,21 @@
 }
 
 func (x *Exit) logOpened(r *crregistry.Record) {
-	limit := "unknown"
-	if p := x.coldParams.Load(); p != nil {
-		limit = strconv.Itoa(p.Limit)
-	}
 	x.opts.Log.Event(crlog.TargetOpened, crlog.Fields{
-		"target": string(r.Target), "limit": limit, "started": strconv.FormatInt(r.StartedMillis, 10), "cold": r.Warmup.String(),
+		"target": string(r.Target), "limit": strconv.Itoa(x.coldParams.Load().Limit), "started": strconv.FormatInt(r.StartedMillis, 10), "cold": r.Warmup.String(),
 	})
 }
 
 // SetWarmup sets how a target of the service behaves while it is cold, and the path of its
-// health check.
+// health check. Until it is called the first time, all offers are refused.
 func (x *Exit) SetWarmup(p crwarmup.Params, healthPath string) {
+	x.lifecycle.Lock()
+	defer x.lifecycle.Unlock()
 	x.healthPath.Store(&healthPath)
-	x.coldParams.Store(&p)
 	x.gate.SetWarmup(p)
+	if x.coldParams.Swap(&p) == nil {
+		x.openGate(x.opts.Clock())
+	}
 }
 
 // reset discards the health data of the previous target at this address.
@@ -286,7 +288,7 @@
 	}
 	return crplace.LoadReport{
 		Load: load, Slots: l.Slots, UnhealthyProb: unhealthyProb, Typical: l.MeanTime,
-		Closed: r == nil || r.Leaving || x.stopping.Load() || x.evacuated.Load() || x.isLeaving(r),
+		Closed: r == nil || x.coldParams.Load() == nil || r.Leaving || x.stopping.Load() || x.evacuated.Load() || x.isLeaving(r),
 	}
 }
 
@@ -303,6 +305,9 @@
 	if x.isLeaving(r) {
 		return x.refuse(now, o, refusal{reason: reasonLeaving})
 	}
+	if x.coldParams.Load() == nil {
+		return x.refuse(now, o, refusal{reason: reasonNoPlan})
+	}
 	if before := x.gate.Limit(); x.gate.SuggestLimit(now, o.Limit) {
 		x.logLimit(before, "entry")
 	}
@@ -333,8 +338,12 @@
 	return croffer.Reply{Accepted: true, Ticket: x.reserve(now, o, ticket), LoadReport: x.LoadReport()}
 }
 
-// reasonEvacuated is the reason of refusals while the domain is evacuated.
-const reasonEvacuated = "evacuated"
+const (
+	// reasonEvacuated is the reason of refusals while the domain is evacuated.
+	reasonEvacuated = "evacuated"
+	// reasonNoPlan is the reason of refusals before the first plan.
+	reasonNoPlan = "no configuration yet"
+)
 
 // refusal is the reason why an offer is refused.
 type refusal struct {
--- a/io/cregress/end_test.go
+++ b/io/cregress/end_test.go
@@ -10,6 +10,7 @@
 	"camphorroad/core/crcrash"
 	"camphorroad/core/crid"
 	"camphorroad/core/crregistry"
+	"camphorroad/core/crwarmup"
 	"camphorroad/io/crclock"
 	"camphorroad/io/crlog"
 	"camphorroad/io/croffer"
@@ -30,6 +31,7 @@
 		Log: crlog.New(io.Discard, "info", "test"), Crashes: crcrash.NewTracker(), OnTargetChange: func() {}, OnTargetEnd: func() {}, OnOffer: func(crid.Daemon) {},
 	})
 	t.Cleanup(x.pool.Close)
+	x.SetWarmup(crwarmup.Params{}, "")
 	x.SetTarget(&crregistry.Record{Target: "t1", Service: "s1", Slots: 1})
 	return x, target
 }
--- a/io/cregress/evacuation_test.go
+++ b/io/cregress/evacuation_test.go
@@ -32,6 +32,7 @@
 		Log: crlog.New(io.Discard, "info", "test"), Crashes: crcrash.NewTracker(), OnTargetChange: func() {}, OnTargetEnd: func() {}, OnOffer: func(crid.Daemon) {},
 	})
 	t.Cleanup(x.pool.Close)
+	x.SetWarmup(crwarmup.Params{}, "")
 	x.SetTarget(&crregistry.Record{Target: "t1", Service: "s1", Slots: 1})
 	return x
 }
--- a/io/cregress/stop_test.go
+++ b/io/cregress/stop_test.go
@@ -12,6 +12,7 @@
 	"camphorroad/core/crid"
 	"camphorroad/core/crpolicy"
 	"camphorroad/core/crregistry"
+	"camphorroad/core/crwarmup"
 	"camphorroad/io/crlog"
 	"camphorroad/io/croffer"
 )
@@ -25,6 +26,7 @@
 		Service: "s1", Clock: func() crid.Instant { return now }, OnTargetChange: func() {}, OnTargetEnd: func() {}, OnOffer: func(crid.Daemon) {},
 		Log: crlog.New(io.Discard, "info", "test"), Crashes: crcrash.NewTracker(),
 	})
+	x.SetWarmup(crwarmup.Params{}, "")
 	x.SetTarget(&crregistry.Record{Target: "t1", Service: "s1", Slots: 2})
 	offer := croffer.Offer{
 		Target: "t1", Service: "s1", Class: crpolicy.ClassOnce, TimeLeft: 10 * time.Second, ObjectiveLeft: 2 * time.Second, RouteObjective: 2 * time.Second,
--- a/io/crlog/catalogue_mesh.go
+++ b/io/crlog/catalogue_mesh.go
@@ -125,8 +125,8 @@
 		},
 		{
 			TargetOpened, LevelInfo, "target opened",
-			"the target may get requests from now on; `limit` is the number of requests that it may get in a second while it is cold (0: any number, `unknown`: there is no configuration yet), `started` the Unix time of its start in milliseconds, and `cold` the time for which it stays cold by its record",
-			none, "if `limit` is `unknown`, report it: the target may be flooded",
+			"the target may get requests from now on; `limit` is the number of requests that it may get in a second while it is cold (0: any number), `started` the Unix time of its start in milliseconds, and `cold` the time for which it stays cold by its record",
+			none, none,
 		},
 		{
 			TargetHealthChanged, LevelInfo, "target health changed",
--- a/io/crmesh/loop.go
+++ b/io/crmesh/loop.go
@@ -171,10 +171,10 @@
 func (d *daemon) applyView(v *crmesh.View) {
 	before := d.loop.view.Swap(v)
 	d.entry.SetView(v)
+	d.exit.SetEvacuated(v.OwnEvacuated)
 	if v.Plan != before.Plan {
 		d.applyWarmup(v.Plan)
 	}
-	d.exit.SetEvacuated(v.OwnEvacuated)
 	if !sameRecord(before, v) {
 		d.exit.SetTarget(v.OwnRecord)
 	}
