core/crwarmup: A daemon that starts counts what the one before it may have sent

Callers saw: beside a daemon that starts again, a cold target got a second's limit twice. Cause: the window of a limiter begins empty. Change: for a window after its start a daemon sends nothing to a target that may be cold, but one check once a request wants the target; a warm one is used from the response on. The check is left out if the users' bound leaves no room for those of four processes beyond the limit. Why it works: all requests of earlier processes have left the window by its end; in between each process adds one check at most. Weighed: no check either for that second, which needs no room beyond the limit and idles each target for a second after each start of its daemon; and asking peers, which know the offers they made but not what was sent.

--- a/core/crgate/warmup.go
+++ b/core/crgate/warmup.go
@@ -15,6 +15,14 @@
 	g.warmup.SetParams(p)
 }
 
+// SetDaemonStart records when this daemon started. Another process of it may have sent requests to
+// the target until then.
+func (g *Gate) SetDaemonStart(at crid.Instant) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.warmup.SetDaemonStart(at)
+}
+
 // Send records that a request in a slot is sent to the target now, on a connection that was
 // established at an instant. It returns false if the target has become cold since and has no
 // room; the request must then be cancelled.
--- a/core/crwarmup/crwarmup.go
+++ b/core/crwarmup/crwarmup.go
@@ -14,10 +14,13 @@
 // requests are sent on later connections, without such a response meanwhile, the state is not
 // known any more.
 //
+// A daemon that starts does not know what the process before it sent in the last second. Until
+// that has passed it sends only a check, and the limit holds for all its processes together.
+//
 // # Usage
 //
 //	l := crwarmup.New(now)
-//	l.SetParams(crwarmup.Params{Limit: crwarmup.Limit(11, 1.5, 8), Duration: 3 * time.Second})
+//	l.SetParams(crwarmup.NewParams(11, 1.5, 8, 3*time.Second))
 //	if l.Wait(now, 0) == 0 {
 //		l.Reserve(now)
 //		...
@@ -57,6 +60,8 @@
 	// maxUnproven is the number of requests that may be sent on connections which may lead to
 	// another process, until the target's state is in doubt.
 	maxUnproven = 3
+	// maxStarts is the number of times that a daemon may start within a window.
+	maxStarts = 4
 	// historySize is the number of requests that PeakSince considers.
 	historySize = 256
 )
@@ -96,9 +101,20 @@
 // Params describe the targets of a service while they are cold.
 type Params struct {
 	Limit    int           // requests that a cold target may get in a second; zero: no limit
+	Spare    int           // requests beyond the limit that it may get in a second now and then
 	Duration time.Duration // time for which a target is cold after its start
 }
 
+// NewParams returns the parameters of targets that are cold for a time, tolerate rate requests a
+// second meanwhile, and may never get more than rate x ratio + slack in a second.
+func NewParams(rate, ratio, slack float64, d time.Duration) Params {
+	p := Params{Limit: Limit(rate, ratio, slack), Duration: d}
+	if p.Limit > 0 {
+		p.Spare = max(int(rate*ratio+slack)-p.Limit, 0)
+	}
+	return p
+}
+
 // Limit returns the number of requests that a cold target may get in a second. It tolerates
 // rate, and may never get more than rate x ratio + slack.
 func Limit(rate, ratio, slack float64) int {
@@ -125,6 +141,8 @@
 	coldSince    crid.Instant
 	coldUntil    crid.Instant
 	lastCheck    crid.Instant
+	heldUntil    crid.Instant // until then an earlier process of this daemon may have used the limit
+	held         bool         // a request was delayed by that
 	reserved     int
 	nextPaced    crid.Instant // when the next request is due at an even pace
 	sent         []request    // the last ones, oldest first
@@ -139,6 +157,10 @@
 // New returns a limiter for a target of which nothing is known.
 func New(now crid.Instant) *Limiter { return &Limiter{uncertain: true, doubt: DoubtStart, lostAt: now} }
 
+// SetDaemonStart records when this daemon started. Another process of it may have sent requests
+// until then.
+func (l *Limiter) SetDaemonStart(at crid.Instant) { l.heldUntil = at.Add(window) }
+
 // SetParams replaces the parameters.
 func (l *Limiter) SetParams(p Params) {
 	l.params = p
@@ -235,8 +257,15 @@
 	if !l.Cold(now) {
 		return 0
 	}
-	pace := l.pace()
-	paced := l.nextPaced.Add(pace * time.Duration(ahead-burst+1)).Sub(now)
+	held := max(l.heldUntil.Sub(now), 0)
+	l.held = l.held || held > 0
+	return max(l.limitedWait(now, ahead), held)
+}
+
+// limitedWait returns the time for which the requests of this process delay a request that has the
+// given number of requests before it.
+func (l *Limiter) limitedWait(now crid.Instant, ahead int) time.Duration {
+	paced := l.nextPaced.Add(l.pace() * time.Duration(ahead-burst+1)).Sub(now)
 	return max(paced, l.windowWait(now, ahead), 0)
 }
 
@@ -295,7 +324,7 @@
 			l.lose(now, DoubtConnections)
 		}
 	}
-	if full && l.Cold(now) {
+	if (full || now < l.heldUntil) && l.Cold(now) {
 		return false
 	}
 	l.record(request{at: now, connectedAt: connectedAt})
@@ -309,7 +338,11 @@
 		return false
 	}
 	used := len(l.recent(now)) + l.reserved
-	delays := float64(used) >= checkPressure*float64(l.params.Limit) || l.Wait(now, 0) > 0
+	delays := float64(used) >= checkPressure*float64(l.params.Limit) || l.limitedWait(now, 0) > 0
+	if now < l.heldUntil {
+		// One check of each process does not exceed what the target may get.
+		delays = l.held && l.lastCheck == 0 && l.params.Spare >= maxStarts
+	}
 	if !delays || len(l.recent(now)) >= l.params.Limit {
 		return false
 	}
--- a/core/crwarmup/restart_test.go
+++ b/core/crwarmup/restart_test.go
@@ -97,10 +97,11 @@
 	r.startedAt, r.idle, r.running = now, nil, nil
 }
 
-func (r *restartingTarget) peak() int {
+// peakOf returns the highest number of requests in a second.
+func peakOf(arrivals []crid.Instant) int {
 	peak, first := 0, 0
-	for i := range r.arrivals {
-		for r.arrivals[i].Sub(r.arrivals[first]) >= time.Second {
+	for i := range arrivals {
+		for arrivals[i].Sub(arrivals[first]) >= time.Second {
 			first++
 		}
 		peak = max(peak, i-first+1)
@@ -117,7 +118,7 @@
 		for now := start; now < start.Add(30*time.Second); now = now.Add(time.Duration(1+r.rng.IntN(5)) * time.Millisecond) {
 			r.step(now)
 		}
-		if peak := r.peak(); peak > params.Limit {
+		if peak := peakOf(r.arrivals); peak > params.Limit {
 			t.Errorf("seed %d: %d requests in a second, %d are allowed", seed, peak, params.Limit)
 		}
 		served += r.served
--- /dev/null
+++ b/core/crwarmup/start_test.go
@@ -0,0 +1,77 @@
+package crwarmup_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"camphorroad/core/crid"
+	"camphorroad/core/crwarmup"
+)
+
+const (
+	tolerated  = 11
+	mostASec   = tolerated*1.5 + 8
+	leastALife = 250 * time.Millisecond // of a process of the daemon
+)
+
+func newStartedLimiter(at crid.Instant) *crwarmup.Limiter {
+	l := crwarmup.New(at)
+	l.SetDaemonStart(at)
+	l.SetParams(crwarmup.NewParams(tolerated, 1.5, 8, 3*time.Second))
+	return l
+}
+
+func TestDaemonThatStartsChecksItsTargetBeforeItSends(t *testing.T) {
+	g := gomega.NewWithT(t)
+	at := func(ms int) crid.Instant { return start.Add(time.Duration(ms) * time.Millisecond) }
+	l := newStartedLimiter(start)
+	g.Expect(l.StartCheck(start)).To(gomega.BeFalse(), "nobody wants the target")
+	g.Expect(l.Wait(start, 0)).To(gomega.BeNumerically(">", time.Second))
+	g.Expect(l.StartCheck(at(10))).To(gomega.BeTrue())
+	g.Expect(l.StartCheck(at(600))).To(gomega.BeFalse(), "one for each process")
+	l.RecordCheck(at(10), at(40), 2*time.Second)
+	g.Expect(l.Wait(at(40), 0)).To(gomega.BeNumerically("~", time.Second, 50*time.Millisecond), "the process before it may have used the limit")
+	g.Expect(l.Wait(at(1050), 0)).To(gomega.BeZero())
+	l = newStartedLimiter(start)
+	l.Wait(start, 0)
+	g.Expect(l.StartCheck(at(10))).To(gomega.BeTrue())
+	l.RecordCheck(at(10), at(40), 0)
+	g.Expect(l.Wait(at(40), 0)).To(gomega.BeZero(), "a warm target has no limit")
+	l = crwarmup.New(start)
+	l.SetDaemonStart(start)
+	l.SetParams(crwarmup.NewParams(tolerated, 1, 0, 3*time.Second))
+	l.Wait(start, 0)
+	g.Expect(l.StartCheck(at(10))).To(gomega.BeFalse(), "the target bears no request beyond the limit")
+}
+
+// Guards against daemons that start one after the other, and each send what a cold target may get.
+func TestProcessesOfADaemonKeepTheLimitTogether(t *testing.T) {
+	for seed := range uint64(200) {
+		rng := rand.New(rand.NewPCG(seed, 5)) //nolint:gosec // a test must be reproducible
+		var arrivals []crid.Instant
+		l := newStartedLimiter(start)
+		endsAt := start
+		for now := start; now < start.Add(20*time.Second); now = now.Add(time.Duration(1+rng.IntN(5)) * time.Millisecond) {
+			if now >= endsAt {
+				l = newStartedLimiter(now)
+				endsAt = now.Add(leastALife + time.Duration(rng.IntN(3000))*time.Millisecond)
+			}
+			if l.Wait(now, 0) == 0 {
+				l.Reserve(now)
+				if l.Send(now, now) {
+					arrivals = append(arrivals, now)
+				}
+			}
+			if l.StartCheck(now) {
+				arrivals = append(arrivals, now)
+				l.RecordCheck(now, now, time.Minute)
+			}
+		}
+		if peak := peakOf(arrivals); float64(peak) > mostASec {
+			t.Errorf("seed %d: %d requests in a second, %v are allowed", seed, peak, mostASec)
+		}
+	}
+}
--- a/io/cregress/cold_test.go
+++ b/io/cregress/cold_test.go
@@ -54,9 +54,9 @@
 }
 
 // startDaemon replaces the exit by one of a daemon that started at an instant.
-func (f *coldFixture) startDaemon(crid.Instant) {
+func (f *coldFixture) startDaemon(at crid.Instant) {
 	x := New(Options{
-		Service: "s1", Address: f.target.Address(), Dialect: platform.Dialect{}, Clock: crclock.Now,
+		Service: "s1", Address: f.target.Address(), Dialect: platform.Dialect{}, Clock: crclock.Now, Started: at,
 		Log: crlog.New(io.Discard, "info", "test"), Crashes: crcrash.NewTracker(), OnTargetChange: func() {}, OnTargetEnd: func() {}, OnOffer: func(crid.Daemon) {},
 	})
 	f.t.Cleanup(x.pool.Close)
@@ -65,7 +65,7 @@
 
 // configure gives the exit the limit of cold targets, and the target's record.
 func (f *coldFixture) configure() {
-	f.exit.SetWarmup(crwarmup.Params{Limit: crwarmup.Limit(coldRate, coldRatio, coldSlack), Duration: coldTime}, "/health")
+	f.exit.SetWarmup(crwarmup.NewParams(coldRate, coldRatio, coldSlack, coldTime), "/health")
 	f.exit.SetTarget(&f.record)
 }
 
@@ -150,3 +150,18 @@
 	g.Expect(f.drive(1500 * time.Millisecond)).To(gomega.BeNumerically(">", 0))
 	g.Expect(f.target.ColdPeak()).To(gomega.BeNumerically("<=", coldMaximum))
 }
+
+// Guards against a daemon that starts beside a cold target and does not know what the one before it sent.
+func TestRestartedDaemonsTogetherDoNotFloodAColdTarget(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f := newColdFixture(t)
+	g.Expect(f.target.Restart()).To(gomega.Succeed())
+	f.configure()
+	f.drive(1000 * time.Millisecond)
+	for range 4 {
+		f.startDaemon(crclock.Now())
+		f.configure()
+		f.drive(300 * time.Millisecond)
+	}
+	g.Expect(f.target.ColdPeak()).To(gomega.BeNumerically("<=", coldMaximum))
+}
--- a/io/cregress/cregress.go
+++ b/io/cregress/cregress.go
@@ -64,6 +64,7 @@
 	Address        string // of the target
 	Dialect        crdialect.Dialect
 	Clock          func() crid.Instant
+	Started        crid.Instant // when the daemon started; zero: long ago
 	Log            *crlog.Logger
 	Crashes        *crcrash.Tracker
 	OnTargetChange func()                 // called when the target's state has changed
@@ -117,7 +118,7 @@
 
 // New returns an exit that refuses all offers until SetTarget is called.
 func New(opts Options) *Exit {
-	return &Exit{
+	x := &Exit{
 		opts: opts,
 		gate: crgate.New(1),
 		pool: crlink.NewPool(opts.Address, crlink.Options{
@@ -130,6 +131,8 @@
 		answers:      crcrash.NewAnswers(),
 		reservations: make(map[uint64]*reservation),
 	}
+	x.gate.SetDaemonStart(opts.Started)
+	return x
 }
 
 // SetTarget sets the target's record; nil means that there is none.
--- a/io/crmesh/crmesh.go
+++ b/io/crmesh/crmesh.go
@@ -102,7 +102,7 @@
 func newExit(opts Options, l *crlog.Logger, loop *loop, crashes *crcrash.Tracker) *cregress.Exit {
 	x := cregress.New(cregress.Options{
 		Self: crid.Daemon(opts.Settings.Address), Crashes: crashes, Service: opts.Settings.Service, Address: opts.Settings.Target, Dialect: opts.Dialect, Clock: crclock.Now,
-		Log: l, OnTargetChange: func() { loop.emit(crmesh.TargetChanged{Now: crclock.Now()}) },
+		Started: crclock.Now(), Log: l, OnTargetChange: func() { loop.emit(crmesh.TargetChanged{Now: crclock.Now()}) },
 		OnTargetEnd: func() { loop.emit(crmesh.TargetChanged{Now: crclock.Now(), Ended: true}) },
 		OnOffer:     func(from crid.Daemon) { loop.emit(crmesh.OfferReceived{Now: crclock.Now(), From: from}) },
 	})
--- a/io/crmesh/loop.go
+++ b/io/crmesh/loop.go
@@ -185,9 +185,7 @@
 func (d *daemon) applyWarmup(p *crplan.Plan) {
 	s := d.opts.Settings
 	service, _ := p.Service(s.Service) // a service without an entry has no limit
-	d.exit.SetWarmup(crwarmup.Params{
-		Limit: crwarmup.Limit(service.Warmup.Rate, s.Bounds.WarmupRatio, s.Bounds.WarmupSlack), Duration: service.Warmup.Duration,
-	}, service.HealthPath)
+	d.exit.SetWarmup(crwarmup.NewParams(service.Warmup.Rate, s.Bounds.WarmupRatio, s.Bounds.WarmupSlack, service.Warmup.Duration), service.HealthPath)
 }
 
 func sameRecord(a, b *crmesh.View) bool {
