io/cregress: A record that says that its target is cold again counts

Callers saw: a target that became cold while its process went on got as much as a warm one. Cause: the exit compared a record by its target and start only; the remaining time in it was read by entries and by nobody at the exit. Change: a record of the same process whose remaining time has grown puts the state in doubt, unless a check has already shown that the target is cold. What it does not cover: the seconds until the record arrives.

--- a/io/cregress/cold_test.go
+++ b/io/cregress/cold_test.go
@@ -165,3 +165,17 @@
 	}
 	g.Expect(f.target.ColdPeak()).To(gomega.BeNumerically("<=", coldMaximum))
 }
+
+// Guards against a target that becomes cold with its connections kept, as its record says.
+func TestTargetThatIsColdByItsRecordIsNotFlooded(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f := newColdFixture(t)
+	f.configure()
+	f.drive(1500 * time.Millisecond)
+	f.target.MakeCold()
+	cold := f.record
+	cold.Warmup = coldTime
+	f.exit.SetTarget(&cold)
+	f.drive(1500 * time.Millisecond)
+	g.Expect(f.target.ColdPeak()).To(gomega.BeNumerically("<=", coldMaximum))
+}
--- a/io/cregress/cregress.go
+++ b/io/cregress/cregress.go
@@ -150,6 +150,8 @@
 	}
 	if old == nil || old.Target != r.Target || old.StartedMillis != r.StartedMillis {
 		x.reset(now)
+	} else if r.Warmup > old.Warmup && x.gate.ColdFor(now) == 0 {
+		x.gate.ResetWarmup(now)
 	}
 	x.openGate(now)
 }
