core/crevacuation: The end of an evacuation counts, whether or not its beginning was seen

Cause: an exit treats its target as cold when an evacuation ends that it knew of. One that begins and ends while the daemon cannot read the store, or in one list of changes, left no trace in the view. Change: a view names the revision at which the last evacuation of the own domain ended, and a later one puts the target's state in doubt. The end of an evacuation that was never seen is a change, too. What it does not cover: an evacuation of which neither key is left when the store is read again; then the target's record shows that it is cold, some seconds later. Measured: TestEndOfAnUnseenEvacuationIsPublished failed to build before, and shows both cases.

--- a/core/crevacuation/crevacuation.go
+++ b/core/crevacuation/crevacuation.go
@@ -49,8 +49,9 @@
 // New returns a set without evacuations.
 func New() *Set { return &Set{latest: make(map[crid.Domain]entry)} }
 
-// Apply applies changes and reports whether an evacuation has started or ended. A change
-// that is older than the one in force is ignored.
+// Apply applies changes and reports whether an evacuation has started or ended, an unseen one
+// included: the end of an evacuation may be all that arrives of it. A change that is older than the
+// one in force is ignored.
 func (s *Set) Apply(now crid.Instant, changes []Change) bool {
 	changed := false
 	for _, c := range changes {
@@ -64,7 +65,7 @@
 			e.since = old.since
 		}
 		s.latest[c.Domain] = e
-		changed = changed || c.Ended != (!ok || old.change.Ended)
+		changed = changed || c.Ended || !ok || old.change.Ended
 	}
 	return changed
 }
@@ -75,6 +76,15 @@
 	return ok && !e.change.Ended
 }
 
+// EndOf returns the revision at which the last evacuation of a domain ended; zero: it is evacuated, or
+// never was.
+func (s *Set) EndOf(d crid.Domain) crid.Revision {
+	if e := s.latest[d]; e.change.Ended {
+		return e.change.Revision
+	}
+	return 0
+}
+
 // Revision returns the highest revision of a change; zero: there was none.
 func (s *Set) Revision() crid.Revision { return s.revision }
 
--- a/core/crmesh/evacuation_test.go
+++ b/core/crmesh/evacuation_test.go
@@ -56,3 +56,18 @@
 	now = now.Add(time.Second)
 	g.Expect(pulls(s.Step(crmesh.HeartbeatReceived{Now: now, From: "10.0.0.3", Heartbeat: hb}))).To(gomega.BeEmpty())
 }
+
+// Guards against a target that is cold after an evacuation of which only the end arrives, or both in one list.
+func TestEndOfAnUnseenEvacuationIsPublished(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := crmesh.New(params())
+	s.Step(recordsListed())
+	v := views(s.Step(evacuation(start, "a", 9, true)))[0]
+	g.Expect(v.OwnEvacuated).To(gomega.BeFalse())
+	g.Expect(v.EvacuationEnd).To(gomega.Equal(crid.Revision(9)))
+	both := crmesh.EvacuationsChanged{Now: start, Changes: []crevacuation.Change{{Domain: "a", Revision: 11}, {Domain: "a", Revision: 12, Ended: true}}}
+	v = views(s.Step(both))[0]
+	g.Expect(v.OwnEvacuated).To(gomega.BeFalse())
+	g.Expect(v.EvacuationEnd).To(gomega.Equal(crid.Revision(12)))
+	g.Expect(views(s.Step(both))).To(gomega.BeEmpty(), "nothing has changed")
+}
--- a/core/crmesh/event.go
+++ b/core/crmesh/event.go
@@ -215,6 +215,7 @@
 	Unresponsive   map[crid.Daemon]bool                 `cbor:"Silent" json:"Silent"`
 	Evacuations    []crevacuation.Evacuation            // evacuated domains
 	OwnEvacuated   bool                                 // this daemon's own domain is evacuated
+	EvacuationEnd  crid.Revision                        // at which its last evacuation ended; zero: none has
 	Stopping       bool
 }
 
--- a/core/crmesh/view.go
+++ b/core/crmesh/view.go
@@ -62,6 +62,7 @@
 		Unresponsive:   make(map[crid.Daemon]bool),
 		Evacuations:    s.evacuations.List(),
 		OwnEvacuated:   s.evacuations.Contains(s.params.Domain),
+		EvacuationEnd:  s.evacuations.EndOf(s.params.Domain),
 		Stopping:       s.stopping,
 		Readers:        s.readers(),
 		StoreReaders:   s.storeReaders(),
--- a/io/cregress/cregress.go
+++ b/io/cregress/cregress.go
@@ -174,6 +174,10 @@
 	x.opts.OnTargetChange()
 }
 
+// EndEvacuation records that an evacuation of the daemon's domain has ended, whether or not the daemon
+// knew of it while it lasted. The target may be cold.
+func (x *Exit) EndEvacuation() { x.gate.ResetWarmup(x.opts.Clock()) }
+
 // openGate opens the gate if the target may get requests. Without a plan, the limit of a cold target
 // is not known.
 func (x *Exit) openGate(now crid.Instant) {
--- a/io/crmesh/loop.go
+++ b/io/crmesh/loop.go
@@ -172,6 +172,9 @@
 	before := d.loop.view.Swap(v)
 	d.entry.SetView(v)
 	d.exit.SetEvacuated(v.OwnEvacuated)
+	if v.EvacuationEnd > before.EvacuationEnd {
+		d.exit.EndEvacuation()
+	}
 	if v.Plan != before.Plan {
 		d.applyWarmup(v.Plan)
 	}
