core/crwarmup: A request that a pause delays counts when it is written

Cause: a request counts for the window when it is decided to send it. A daemon that is paused before the write sends it seconds later, beside what it then counts as a new second's limit. With five slots the two just fit the users' bound; a target with more slots would get too much. Change: a request, or a check whose connection took long, counts again if it is written more than the window's margin later.

--- a/core/crgate/warmup.go
+++ b/core/crgate/warmup.go
@@ -37,6 +37,13 @@
 	return true
 }
 
+// Written records when a request that was sent at an instant has been written to its connection.
+func (g *Gate) Written(sentAt, writtenAt, connectedAt crid.Instant) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.warmup.Written(sentAt, writtenAt, connectedAt)
+}
+
 // ContactLost records that the target may have restarted.
 func (g *Gate) ContactLost(now crid.Instant) {
 	g.mu.Lock()
--- a/core/crwarmup/crwarmup.go
+++ b/core/crwarmup/crwarmup.go
@@ -24,7 +24,7 @@
 //	if l.Wait(now, 0) == 0 {
 //		l.Reserve(now)
 //		...
-//		if l.Send(now, connectedAt) { ...; l.Responded(connectedAt, now, respondedAt) }
+//		if l.Send(now, connectedAt) { ...; l.Written(now, writtenAt, connectedAt); ...; l.Responded(connectedAt, now, respondedAt) }
 //	}
 //	if l.StartCheck(now) { ...; l.RecordCheck(sentAt, now, remaining) }
 package crwarmup
@@ -331,6 +331,14 @@
 	return true
 }
 
+// Written records when a request that was sent at an instant has been written to its connection. If
+// the process was paused in between, the request counts again.
+func (l *Limiter) Written(sentAt, writtenAt, connectedAt crid.Instant) {
+	if writtenAt.Sub(sentAt) > windowMargin {
+		l.record(request{at: writtenAt, connectedAt: connectedAt})
+	}
+}
+
 // StartCheck reports whether a health check is due, and records it as a request. None is due while
 // the limit is in force whatever the check would show.
 func (l *Limiter) StartCheck(now crid.Instant) bool {
--- a/io/cregress/check.go
+++ b/io/cregress/check.go
@@ -29,7 +29,11 @@
 		x.gate.ContactLost(x.opts.Clock())
 		return
 	}
-	resp, err := conn.Exchange(ctx, crlink.Request{Method: http.MethodGet, URI: *path, Host: x.opts.Address, Header: http.Header{}})
+	connectedAt := x.opts.Clock().Add(-conn.Age())
+	resp, err := conn.Exchange(ctx, crlink.Request{
+		Method: http.MethodGet, URI: *path, Host: x.opts.Address, Header: http.Header{},
+		Written: func() { x.gate.Written(sentAt, x.opts.Clock(), connectedAt) },
+	})
 	if err != nil {
 		x.gate.ContactLost(x.opts.Clock())
 		return
--- a/io/cregress/run.go
+++ b/io/cregress/run.go
@@ -88,6 +88,7 @@
 	defer x.countIdempotent(r.reservation.offer)()
 	x.callers.Started(r.reservation.offer.Priority)
 	defer x.callers.Ended(r.reservation.offer.Priority)
+	request.Written = func() { x.gate.Written(sentAt, x.opts.Clock(), connectedAt) }
 	r.slow.start(x, r.reservation.offer)
 	resp, err := conn.Exchange(ctx, request)
 	r.slow.stop()
--- a/io/crlink/crlink.go
+++ b/io/crlink/crlink.go
@@ -300,6 +300,8 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	// Written is called once the request has been written, or writing it has failed; nil: it is not.
+	Written func()
 }
 
 // Response is a complete response.
@@ -338,7 +340,11 @@
 		// another method, so that bytes of a body could be taken for a response.
 		c.broken = true
 	}
-	if _, err := c.conn.Write(r.encode()); err != nil {
+	_, err := c.conn.Write(r.encode())
+	if r.Written != nil {
+		r.Written()
+	}
+	if err != nil {
 		return nil, fmt.Errorf("send: %w", err)
 	}
 	c.conn.allow(maxHeadBytes, ErrHeadTooLarge)
