core/crwarmup: A target that started after its daemon is not held back for the one before

Cause: for a second after its start a daemon counts what the process before it may have sent. After a loss of power the target has started as well, and got nothing from that process. Change: a check tells how long the target has been cold. If that is less than this daemon has run, the wait ends. A remaining time above the configured one tells nothing.

--- a/core/crwarmup/crwarmup.go
+++ b/core/crwarmup/crwarmup.go
@@ -141,6 +141,7 @@
 	coldSince    crid.Instant
 	coldUntil    crid.Instant
 	lastCheck    crid.Instant
+	daemonStart  crid.Instant
 	heldUntil    crid.Instant // until then an earlier process of this daemon may have used the limit
 	held         bool         // a request was delayed by that
 	reserved     int
@@ -159,7 +160,7 @@
 
 // SetDaemonStart records when this daemon started. Another process of it may have sent requests
 // until then.
-func (l *Limiter) SetDaemonStart(at crid.Instant) { l.heldUntil = at.Add(window) }
+func (l *Limiter) SetDaemonStart(at crid.Instant) { l.daemonStart, l.heldUntil = at, at.Add(window) }
 
 // SetParams replaces the parameters.
 func (l *Limiter) SetParams(p Params) {
@@ -367,6 +368,9 @@
 	}
 	// A warm process started at least the duration ago, so it may be the one known before.
 	same := remaining == 0 && l.aliveAt != 0 && now.Sub(l.aliveAt) < l.params.Duration
+	if coldFor := l.params.Duration - remaining; coldFor >= 0 && sentAt.Add(-coldFor) >= l.daemonStart {
+		l.heldUntil = 0 // no earlier process of this daemon has sent it anything while it is cold
+	}
 	if remaining > 0 || l.uncertain && !same {
 		if now.Sub(l.coldUntil) >= window {
 			l.coldSince = l.suspectAt
