core/crwarmup: A late response of the former process hides no requests

Cause: a response on a connection of the known process cleared the count of requests on later connections, also of those that were established after the moment that the response speaks for. After a loss of contact they did not count for the window. Change: the count is taken again from the requests that the limiter keeps.

--- a/core/crwarmup/crwarmup.go
+++ b/core/crwarmup/crwarmup.go
@@ -189,7 +189,6 @@
 	}
 	if later <= maxUnproven {
 		l.setProcess(l.contactAt)
-		l.unproven = later
 	}
 }
 
@@ -226,6 +225,14 @@
 // instant.
 func (l *Limiter) setProcess(aliveAt crid.Instant) {
 	l.uncertain, l.aliveAt, l.unproven = false, aliveAt, 0
+	for _, r := range l.sent {
+		if r.connectedAt <= aliveAt {
+			continue
+		}
+		if l.unproven++; l.unproven == 1 {
+			l.unprovenAt = r.at
+		}
+	}
 }
 
 // Reset records that the target may be cold without having restarted.
--- a/core/crwarmup/restart_test.go
+++ b/core/crwarmup/restart_test.go
@@ -158,3 +158,43 @@
 	}
 	g.Expect(l.Cold(at(3500))).To(gomega.BeTrue())
 }
+
+// Guards against a late response of the former process, after which requests to its successor do not count.
+func TestLateResponsesOfTheFormerProcessHideNoRequests(t *testing.T) {
+	const late = 8
+	g := gomega.NewWithT(t)
+	l := crwarmup.New(start)
+	l.SetParams(crwarmup.NewParams(tolerated, 1.5, 8, 3*time.Second))
+	l.RecordCheck(start, start, 0)
+	at := func(ms int) crid.Instant { return start.Add(time.Duration(ms) * time.Millisecond) }
+	for ms := range late {
+		g.Expect(l.Send(at(ms), start)).To(gomega.BeTrue())
+	}
+	got := 0
+	send := func(ms int) {
+		if l.Wait(at(ms), 0) == 0 {
+			l.Reserve(at(ms))
+			if l.Send(at(ms), at(ms)) {
+				got++
+			}
+		}
+	}
+	ms := 50 // the process has answered all and ended; its successor takes connections
+	for answered := range late - 1 {
+		l.Responded(start, at(answered), at(answered))
+		for range maxAtOnce {
+			send(ms)
+			ms++
+		}
+	}
+	l.ContactLost(at(ms))
+	g.Expect(l.StartCheck(at(ms))).To(gomega.BeTrue())
+	l.RecordCheck(at(ms), at(ms+5), 2900*time.Millisecond)
+	for got++; ms < 1040; ms++ {
+		send(ms)
+	}
+	g.Expect(float64(got)).To(gomega.BeNumerically("<=", mostASec))
+}
+
+// maxAtOnce is the number of requests that a cold target gets at once.
+const maxAtOnce = 3
