io/cregress: What a health response shows ends when its connection is found open

Cause: a response to a health check counted for the moment at which it was handled, some time after its connection had been found open. A restart in between, and connections to the successor, were covered by it. The age of a connection was read after the time, so that a pause in between made it older. Change: the time is read before the look at the connection, and the age before the time.

--- a/io/cregress/check.go
+++ b/io/cregress/check.go
@@ -29,7 +29,8 @@
 		x.gate.ContactLost(x.opts.Clock())
 		return
 	}
-	connectedAt := x.opts.Clock().Add(-conn.Age())
+	age := conn.Age()
+	connectedAt := x.opts.Clock().Add(-age)
 	resp, err := conn.Exchange(ctx, crlink.Request{
 		Method: http.MethodGet, URI: *path, Host: x.opts.Address, Header: http.Header{},
 		Written: func() { x.gate.Written(sentAt, x.opts.Clock(), connectedAt) },
@@ -38,6 +39,7 @@
 		x.gate.ContactLost(x.opts.Clock())
 		return
 	}
+	now := x.opts.Clock() // before the connection is found open, so that the process was alive then
 	broken := !resp.Closes && conn.PeerClosed()
 	x.pool.Put(conn)
 	if broken {
@@ -45,12 +47,11 @@
 		return
 	}
 	info := x.opts.Dialect.ParseResponse(resp.Status, resp.Header)
-	x.handleAnnouncements(x.opts.Clock(), *target, info)
+	x.handleAnnouncements(now, *target, info)
 	if !info.HasWarmup && resp.Status != http.StatusOK {
 		return // the target did not run the check
 	}
 	doubt := x.gate.Doubt()
-	now := x.opts.Clock()
 	x.gate.RecordCheck(sentAt, now, info.Warmup)
 	x.opts.Log.Event(crlog.WarmupChecked, crlog.Fields{
 		"target": string(x.Target()), "cold": info.Warmup.String(), "known": strconv.FormatBool(info.HasWarmup), "status": strconv.Itoa(resp.Status),
--- a/io/cregress/cold_test.go
+++ b/io/cregress/cold_test.go
@@ -208,3 +208,32 @@
 		})
 	}
 }
+
+// Guards against a health response that is handled late and taken for one of the next process.
+func TestHealthResponseOfAnEndedProcessTellsNothingOfTheNext(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f := newColdFixture(t)
+	f.configure()
+	f.drive(1200 * time.Millisecond)
+	f.exit.gate.ContactLost(crclock.Now())
+	f.exit.lifecycle.Lock() // holds up what is done with the response
+	checks := f.target.HealthChecks()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		f.exit.checkWarmup(t.Context(), crclock.Now())
+	}()
+	g.Eventually(f.target.HealthChecks).Should(gomega.Equal(checks + 1))
+	time.Sleep(100 * time.Millisecond)
+	g.Expect(f.target.Restart()).To(gomega.Succeed())
+	var calls sync.WaitGroup
+	for range 5 {
+		calls.Go(func() { f.call() })
+	}
+	time.Sleep(400 * time.Millisecond)
+	f.exit.lifecycle.Unlock()
+	<-done
+	calls.Wait()
+	f.drive(900 * time.Millisecond)
+	g.Expect(f.target.ColdPeak()).To(gomega.BeNumerically("<=", coldMaximum))
+}
--- a/io/cregress/run.go
+++ b/io/cregress/run.go
@@ -78,8 +78,9 @@
 		return r.connectFailed(err)
 	}
 	r.connection = conn.LocalAddr()
+	age := conn.Age() // before the time: a pause in between must not make the connection older
 	sentAt := x.opts.Clock()
-	connectedAt := sentAt.Add(-conn.Age())
+	connectedAt := sentAt.Add(-age)
 	if !x.gate.Send(sentAt, connectedAt, r.reservation.ticket) {
 		x.pool.Put(conn)
 		x.gate.Cancel(sentAt, r.reservation.ticket)
