io/crmesh: A service that the plan lacks has no target that is open

The class of it: what is not known counts as unlimited. Cause: a daemon whose plan is older than its service took it for one without a limit of cold targets, and accepted the offers of peers that have the newer plan. Evidence: an exit with such parameters sent 165 requests in a second to a cold target (review). Change: a plan that names other services only changes nothing; without an earlier one that names the service, the target stays closed. Measured: TestTargetOfAServiceThatThePlanLacksGetsNoRequests failed before.

--- a/core/crplan/crplan.go
+++ b/core/crplan/crplan.go
@@ -250,6 +250,9 @@
 	return s, ok
 }
 
+// NamesServices reports whether the plan names any service. One that does names all of its version.
+func (p *Plan) NamesServices() bool { return len(p.services) > 0 }
+
 // AccountByKey returns the account of a key.
 func (p *Plan) AccountByKey(key string) (*Account, bool) {
 	a, ok := p.keys[crpolicy.HashKey(key)]
--- a/io/crmesh/loop.go
+++ b/io/crmesh/loop.go
@@ -184,10 +184,14 @@
 	d.logView(before, v)
 }
 
-// applyWarmup passes on how targets of the own service behave while they are cold.
+// applyWarmup passes on how targets of the own service behave while they are cold. A plan that names
+// other services only is older than the service, or has dropped it: what was known of it holds on.
 func (d *daemon) applyWarmup(p *crplan.Plan) {
 	s := d.opts.Settings
-	service, _ := p.Service(s.Service) // a service without an entry has no limit
+	service, ok := p.Service(s.Service)
+	if !ok && p.NamesServices() {
+		return
+	}
 	d.exit.SetWarmup(crwarmup.NewParams(service.Warmup.Rate, s.Bounds.WarmupRatio, s.Bounds.WarmupSlack, service.Warmup.Duration), service.HealthPath)
 }
 
--- a/io/crmesh/places_test.go
+++ b/io/crmesh/places_test.go
@@ -124,3 +124,22 @@
 		return near.log.String()
 	}, 10*time.Second, time.Millisecond).Should(gomega.MatchRegexp(`"bytes":"[1-9].*"cross":"true"`))
 }
+
+// Guards against a daemon that takes a service which its plan does not have for one without a limit.
+func TestTargetOfAServiceThatThePlanLacksGetsNoRequests(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f := newFleet(t, 1)
+	m := f.machines[0]
+	m.shutDown()
+	m.cfg.Service, m.log = "s2", &syncBuffer{}
+	m.start()
+	g.Eventually(m.ready, 5*time.Second, 20*time.Millisecond).Should(gomega.Equal(http.StatusOK))
+	f.store.Put("servers/"+m.id, fmt.Appendf(nil, `{"address":%q,"born":2,"information":{"service":"s2","version":"v1","zone":%q,"slots":4},
+"status":{"state":"ready","sequence":2,"warmup-remaining-ms":0}}`, m.cfg.Target, m.cfg.Domain))
+	g.Consistently(m.log.String, 500*time.Millisecond, 20*time.Millisecond).ShouldNot(gomega.ContainSubstring(`"event":629`))
+	f.store.Put("op/config", []byte(`{"version":"00000009","services":[{"name":"s1"},{"name":"s2","warmup-per-s":11,"warmup-s":3}],"limits":{},
+"tenants":[{"name":"t1","api-keys":["k1"]}],
+"virtual-hosts":[{"host":"h.example","path-routes":[
+{"name":"look","path-prefix":"/look/","kind":"idempotent","timeout-ms":1500,"objective-latency-ms":1000,"service":"s2","max-attempts":2}]}]}`))
+	g.Eventually(m.log.String, 5*time.Second, 20*time.Millisecond).Should(gomega.MatchRegexp(`"event":629.*"limit":"11"`))
+}
