core/crwarmup: A full window holds back no check

Cause: in a doubt requests fill the window, and a check needed a place in it. A warm target with 19 slots or more that closes its idle connections got nothing for a second then, as only a check could open it. Change: a check may be sent beside a full window, one a window at most, if the users' bound leaves room for it and for those of daemons that start.

--- a/core/crwarmup/crwarmup.go
+++ b/core/crwarmup/crwarmup.go
@@ -359,7 +359,7 @@
 		// One check of each process does not exceed what the target may get.
 		delays = l.held && l.lastCheck == 0 && l.params.Spare >= maxStarts
 	}
-	if !delays || len(l.recent(now)) >= l.params.Limit {
+	if !delays || len(l.recent(now)) >= l.params.Limit && !l.sparesCheck(now) {
 		return false
 	}
 	l.lastCheck = now
@@ -367,6 +367,12 @@
 	return true
 }
 
+// sparesCheck reports whether a check may be sent although the window is full. The requests in it may
+// be what a warm target was sent on new connections, and then only a check opens it.
+func (l *Limiter) sparesCheck(now crid.Instant) bool {
+	return l.params.Spare > maxStarts && (l.lastCheck == 0 || now.Sub(l.lastCheck) >= window)
+}
+
 // RecordCheck records the result of a health check: the time for which the target stays
 // cold. It is ignored if contact was lost after the check was sent.
 func (l *Limiter) RecordCheck(sentAt, now crid.Instant, remaining time.Duration) {
--- a/core/crwarmup/restart_test.go
+++ b/core/crwarmup/restart_test.go
@@ -196,5 +196,24 @@
 	g.Expect(float64(got)).To(gomega.BeNumerically("<=", mostASec))
 }
 
+// Guards against a warm target with many slots that gets nothing for a second once it has closed its connections.
+func TestFullWindowHoldsBackNoCheck(t *testing.T) {
+	g := gomega.NewWithT(t)
+	l := crwarmup.New(start)
+	l.SetParams(crwarmup.NewParams(tolerated, 1.5, 8, 3*time.Second))
+	l.RecordCheck(start, start, 0)
+	at := func(ms int) crid.Instant { return start.Add(time.Duration(ms) * time.Millisecond) }
+	sent := 0
+	for range 40 {
+		if l.Send(at(600), at(600)) {
+			sent++
+		}
+	}
+	g.Expect(l.StartCheck(at(610))).To(gomega.BeTrue())
+	g.Expect(float64(sent + 1)).To(gomega.BeNumerically("<=", mostASec))
+	l.RecordCheck(at(610), at(640), 0)
+	g.Expect(l.Wait(at(640), 0)).To(gomega.BeZero())
+}
+
 // maxAtOnce is the number of requests that a cold target gets at once.
 const maxAtOnce = 3
