io/crserver: A closing connection reads a bounded number of bytes

Callers saw: nothing; a client that sends empty lines behind a request, or behind 200 pipelined ones, keeps the daemon reading for half a second a connection, as fast as it sends.

Cause: the response 400 to the empty lines closes the connection, and Linger then reads whatever arrives for 500 ms, so that the kernel does not reset the connection before the caller has read its responses. The time was bounded, the bytes were not. crpipeline also read, and dropped, all that came behind a response that closes the connection.

Change: Linger reads 64 KiB at most and then waits for the rest of the 500 ms without reading, as net/http does after a head that is too large; a caller still has that time to read its responses. crpipeline stops reading behind a closing response after 16 KiB.

That empty lines end a process for want of memory was not reproduced.

--- a/io/crpipeline/loop.go
+++ b/io/crpipeline/loop.go
@@ -33,19 +33,20 @@
 	remote   string
 	returned *returnListener
 
-	mu       sync.Mutex
-	changed  *sync.Cond
-	unread   []byte
-	refused  bool        // the unread bytes begin with a request for net/http
-	queue    []*exchange // in progress, in order
-	waiting  int         // bytes of the complete responses behind the first
-	largest  int         // bytes of the largest response
-	closing  bool        // no further request starts
-	left     bool        // the caller has closed the connection
-	broken   bool        // no further response can be written
-	idle     bool        // no request is in progress, and none starts
-	ended    bool        // the connection may belong to net/http again
-	panicked any         // value and stack of a handler's panic, or http.ErrAbortHandler
+	mu        sync.Mutex
+	changed   *sync.Cond
+	unread    []byte
+	discarded int         // bytes read behind a response that closes the connection
+	refused   bool        // the unread bytes begin with a request for net/http
+	queue     []*exchange // in progress, in order
+	waiting   int         // bytes of the complete responses behind the first
+	largest   int         // bytes of the largest response
+	closing   bool        // no further request starts
+	left      bool        // the caller has closed the connection
+	broken    bool        // no further response can be written
+	idle      bool        // no request is in progress, and none starts
+	ended     bool        // the connection may belong to net/http again
+	panicked  any         // value and stack of a handler's panic, or http.ErrAbortHandler
 }
 
 func newLoop(h *Handler, c *crserver.Conn, r *http.Request, e *exchange) *loop {
@@ -70,7 +71,7 @@
 func (l *loop) waitForSpace() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for len(l.unread) >= maxHead && !l.idle && !l.broken {
+	for len(l.unread)+l.discarded >= maxHead && !l.idle && !l.broken {
 		l.changed.Wait()
 	}
 	return !l.idle || !l.closing && !l.hasHead()
@@ -97,6 +98,8 @@
 			_ = l.conn.SetReadDeadline(time.Now().Add(crserver.HeaderTimeout))
 		}
 		l.unread = append(l.unread, p...)
+	} else {
+		l.discarded += len(p)
 	}
 	_, _ = l.src.Discard(len(p))
 	l.advance()
--- a/io/crserver/crserver.go
+++ b/io/crserver/crserver.go
@@ -28,9 +28,11 @@
 const (
 	// HeaderTimeout bounds the wait for the head of a request.
 	HeaderTimeout = 10 * time.Second
-	// lingerTime bounds the time in which a closed connection is read. net/http waits as long
+	// lingerTime bounds the time until a closed connection ends. net/http waits as long
 	// after a request that is too large.
 	lingerTime = 500 * time.Millisecond
+	// lingerBytes bounds the bytes that are read from a closed connection.
+	lingerBytes = 64 << 10
 	// IdleTimeout is how long a connection without a request is kept.
 	IdleTimeout = 2 * time.Minute
 )
@@ -226,10 +228,14 @@
 
 // Linger closes a connection on which unread bytes may arrive. If they were not read, the
 // kernel would answer them with a reset, by which the caller can lose responses that it has not read yet.
+// A caller that sends more than lingerBytes has lingerTime to read them.
 func Linger(c *net.TCPConn) {
-	_ = c.SetReadDeadline(time.Now().Add(lingerTime))
+	deadline := time.Now().Add(lingerTime)
+	_ = c.SetReadDeadline(deadline)
 	if c.CloseWrite() == nil {
-		_, _ = io.Copy(io.Discard, struct{ io.Reader }{c}) // ends at the deadline at the latest
+		if n, _ := io.CopyN(io.Discard, struct{ io.Reader }{c}, lingerBytes); n == lingerBytes {
+			time.Sleep(time.Until(deadline))
+		}
 	}
 	_ = c.Close()
 }
--- a/lab/crstage/crstage.go
+++ b/lab/crstage/crstage.go
@@ -47,6 +47,9 @@
 	Slots        = 4
 )
 
+// defaultMemory is the memory of a machine in MB.
+const defaultMemory = 200
+
 // Settings is the content of a daemon's settings file.
 type Settings struct {
 	Name    string
@@ -57,6 +60,7 @@
 	Target  string    // address
 	Seeds   [2]string // control addresses of two peers
 	Store   string    // address
+	Memory  int       // MB of the machine; zero: 200
 }
 
 // TOML returns the settings as the text of a settings file.
@@ -65,6 +69,10 @@
 	if listen == "" {
 		listen = s.Address
 	}
+	memory := s.Memory
+	if memory == 0 {
+		memory = defaultMemory
+	}
 	addr := func(port int) string { return fmt.Sprintf("%s:%d", listen, port) }
 	return fmt.Sprintf(`name = %q
 address = %q
@@ -82,7 +90,7 @@
 [store]
 address = %q
 [limits]
-memory = 200
+memory = %d
 [bounds]
 drain = %d
 grace = %v
@@ -90,7 +98,7 @@
 slack = %v
 window = %v
 `, s.Name, s.Address, s.Domain, s.Service, s.Target, s.Seeds[0], s.Seeds[1], addr(PortCaller), addr(PortReady), addr(PortControl),
-		addr(PortPages), listen, PortPeer, PortPeer+1, s.Store,
+		addr(PortPages), listen, PortPeer, PortPeer+1, s.Store, memory,
 		DrainTime.Milliseconds(), GraceTime.Seconds(), BudgetRatio, BudgetSlack, BudgetWindow.Seconds())
 }
 
@@ -147,9 +155,11 @@
 type Options struct {
 	Dir      string // directory for the daemons' settings files
 	Machines int
-	Net      int    // second byte of the loopback addresses
-	Key      string // API key of the only account
+	Net      int       // second byte of the loopback addresses
+	Key      string    // API key of an account
+	Accounts []Account // further accounts
 
+	Memory  int     // MB of each machine; zero: 200
 	Limit   float64 // requests a second that the first target says it takes; zero: it names no limit
 	Leaving bool    // the first target says that it leaves, and its record does not
 }
@@ -189,7 +199,8 @@
 	}
 	s.server = &http.Server{Handler: s.store, ReadHeaderTimeout: time.Minute}
 	go func() { _ = s.server.Serve(l) }() // returns when the server is closed
-	if err := Publish(s.store, 1, []Account{{Name: "surveyor", Keys: []string{opts.Key}, Rate: 50, Burst: 100}}); err != nil {
+	accounts := append([]Account{{Name: "surveyor", Keys: []string{opts.Key}, Rate: 50, Burst: 100}}, opts.Accounts...)
+	if err := Publish(s.store, 1, accounts); err != nil {
 		return nil, errors.Join(err, s.Close())
 	}
 	for i := range opts.Machines {
@@ -218,7 +229,7 @@
 	m.target = target
 	s.machines = append(s.machines, m)
 	cfg := Settings{
-		Name: m.name, Address: host(i), Domain: string(rune('a' + i%3)), Service: "s0", Target: addr(PortTarget), Store: store,
+		Name: m.name, Address: host(i), Domain: string(rune('a' + i%3)), Service: "s0", Target: addr(PortTarget), Store: store, Memory: opts.Memory,
 		Seeds: [2]string{fmt.Sprintf("%s:%d", host(i+1), PortControl), fmt.Sprintf("%s:%d", host(i+2), PortControl)},
 	}
 	m.file = filepath.Join(opts.Dir, m.name+".toml")
