io/crserver: The memory of request heads is bounded

Callers saw: a daemon of `join` that ran out of memory, when clients sent heads over the limit or without end to any of its five listening addresses.

Cause: crserver.New left the limit for a head to net/http, a megabyte, and used none of the plan. A parsed field costs some fifteen times the bytes of a short line, and nothing bounded the heads of all connections together. Pipelined requests, 64 a connection, had no bound in sum either.

Evidence: e2e/hostile_test.go; 40 connections, a daemon with 64 MB and 400 descriptors.

A head over the limit for one (the plan's, which may change at any time; `headbytes` where there is none) gets 431, one over the budget of its listener 503 with Retry-After, which is true: nothing of it has run. Each listener has a budget of its own. 16 KiB of estimated memory of a connection are free, so that ordinary requests are served while large heads take the budget, and a single head inside its limit is always accepted. The default of a megabyte is that of net/http, which held until now, so no client inside the pages' limits meets it. Event 660 and camphorroad_heads_refused_total count the refusals.

The heads of peers are held to `headbytes`, not to the plan: they have fields in addition to those of callers.

--- a/e2e/hostile_test.go
+++ b/e2e/hostile_test.go
@@ -75,22 +75,41 @@
 		Expect(err).NotTo(HaveOccurred(), string(out))
 	})
 
-	survives := func(caller hostileCaller) {
+	survives := func(port, callers int, caller hostileCaller) {
 		d := startJoined(binary)
-		leave := d.beset(crstage.PortCaller, hostileCallers, caller)
+		leave := d.beset(port, callers, caller)
 		d.expectAlive()
 		leave()
 		d.expectAlive()
 	}
+	withinBounds := func(port int, caller hostileCaller) { survives(port, hostileCallers, caller) }
+
+	// Guards against memory without bound for heads that consist of short fields.
+	DescribeTable("survives heads of short fields at", func(port int) {
+		withinBounds(port, hostileCaller{start: hostileLine, repeat: shortField, bytes: hostileHeadBytes})
+	},
+		Entry("callers' address", crstage.PortCaller),
+		Entry("ready address", crstage.PortReady),
+		Entry("peers' address", crstage.PortPeer),
+		Entry("pages' address", crstage.PortPages),
+		Entry("control address", crstage.PortControl),
+	)
 
 	// Guards against memory, descriptors and reads without bound for clients that do not keep to HTTP.
-	DescribeTable("survives", survives,
+	DescribeTable("survives", func(caller hostileCaller) { withinBounds(crstage.PortCaller, caller) },
+		Entry("heads of short fields on connections that are opened again and again",
+			hostileCaller{start: hostileLine, repeat: shortField, bytes: hostileHeadBytes, reopen: hostileReopens}),
+		Entry("heads of short fields behind a whole request",
+			hostileCaller{start: hostileGet + hostileLine, repeat: shortField, bytes: hostileHeadBytes}),
+		Entry("a field value without end", hostileCaller{start: hostileLine + "a: ", repeat: "x", bytes: hostileBytes}),
+		Entry("a request line without end", hostileCaller{start: "GET /", repeat: "x", bytes: hostileBytes}),
 		Entry("empty lines without end", hostileCaller{repeat: "\r\n", bytes: hostileBytes}),
 		Entry("empty lines without end behind a GET", hostileCaller{start: hostileGet, repeat: "\r\n", bytes: hostileBytes}),
 		Entry("empty lines without end behind a POST", hostileCaller{start: hostilePost, repeat: "\r\n", bytes: hostileBytes}),
 		Entry("trailers without end", hostileCaller{start: chunkedPost, repeat: shortField, bytes: hostileBytes}),
 		Entry("200 requests ahead, then empty lines without end",
 			hostileCaller{start: strings.Repeat(hostileGet, 200), repeat: "\r\n", bytes: hostileBytes}),
+		Entry("heads that trickle", hostileCaller{start: hostileLine, repeat: shortField, bytes: hostileHeadBytes, pause: 20 * time.Millisecond}),
 	)
 })
 
--- a/io/crlog/catalogue_mesh.go
+++ b/io/crlog/catalogue_mesh.go
@@ -42,6 +42,7 @@
 	RequestRetried      = 642
 	RequestServed       = 643
 	OwnerUnresponsive   = 650
+	HeadsRefused        = 660
 )
 
 func meshEntries() []Entry {
@@ -197,5 +198,10 @@
 			OwnerUnresponsive, LevelWarn, "account owner unresponsive",
 			"the daemon that owns the account's token bucket did not answer, or, if the field `through` is true, the relay to it did not", "the query is relayed through another daemon; if that also fails, the account is limited to this daemon's fraction of its rate", none,
 		},
+		{
+			HeadsRefused, LevelWarn, "heads of requests refused",
+			"clients sent heads over the limit for one head, or large ones when others took all the memory for heads; the fields count them by listener since the last such event",
+			"the clients got 431, or 503 in the second case, and their connections were closed; nothing ran", "look for clients that do not keep to the limits",
+		},
 	}
 }
--- a/io/crmesh/daemon.go
+++ b/io/crmesh/daemon.go
@@ -68,6 +68,7 @@
 	crashes     *crcrash.Tracker
 	metrics     metrics.Registry
 	meters      *meters
+	limits      *clientLimits
 	incarnation uint64
 }
 
@@ -75,8 +76,14 @@
 	opts Options, l *crlog.Logger, q *crlog.Queue, lp *loop, balancer *crplace.Balancer, x *cregress.Exit, e *cringress.Entry,
 	peers *croffer.Client, feed *crfeed.Feed, f *crwatch.Follower, ch *crbeat.Channel, crashes *crcrash.Tracker, m metrics.Registry, ms *meters,
 ) *daemon {
+	limits := newClientLimits(opts.Settings.Limits, func() crplan.Limits {
+		if p := lp.view.Load().Plan; p != nil {
+			return p.Limits()
+		}
+		return crplan.Limits{}
+	})
 	return &daemon{
-		opts: opts, log: l, queue: q, loop: lp, balancer: balancer, exit: x, entry: e, peers: peers, feed: feed, follower: f, channel: ch,
+		opts: opts, limits: limits, log: l, queue: q, loop: lp, balancer: balancer, exit: x, entry: e, peers: peers, feed: feed, follower: f, channel: ch,
 		crashes: crashes, metrics: m, meters: ms, incarnation: uint64(time.Now().UnixNano()),
 	}
 }
@@ -121,6 +128,12 @@
 	admin        []*http.Server
 }
 
+// endpoint is a server with the limits of its clients.
+type endpoint struct {
+	server *http.Server
+	limits *crserver.Limits
+}
+
 func (d *daemon) listen(ctx context.Context) (servers, error) {
 	s := d.opts.Settings
 	var out servers
@@ -133,7 +146,7 @@
 		},
 	}))
 	pages := cradmin.New(cradmin.Options{Ready: d.ready, State: d.state, Metrics: d.metrics})
-	addresses := map[string]*http.Server{s.Listen.Caller: out.caller, peerAddress(s): out.peer}
+	addresses := map[string]*endpoint{s.Listen.Caller: {out.caller, d.limits.caller}, peerAddress(s): {out.peer, d.limits.peer}}
 	admin := []string{s.Listen.Ready, d.adminAddress()}
 	if s.Listen.Control != "" {
 		admin = append(admin, s.Listen.Control)
@@ -141,15 +154,15 @@
 	for _, address := range admin {
 		server := crserver.New(pages)
 		out.admin = append(out.admin, server)
-		addresses[address] = server
+		addresses[address] = &endpoint{server, d.limits.newAdmin()}
 	}
 	for _, address := range slices.Sorted(maps.Keys(addresses)) {
 		l, err := new(net.ListenConfig).Listen(ctx, "tcp4", address)
 		if err != nil {
 			return servers{}, fmt.Errorf("listen at %s: %w", address, err)
 		}
-		server := addresses[address]
-		go func() { _ = server.Serve(crserver.Guard(l)) }() // returns on shutdown
+		e := addresses[address]
+		go func() { _ = e.server.Serve(e.limits.Guard(l)) }() // returns on shutdown
 	}
 	return out, nil
 }
@@ -240,11 +253,13 @@
 	prune := time.NewTicker(pruneInterval)
 	defer prune.Stop()
 	ready := false
+	var refused refusals
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-prune.C:
+			refused = d.logRefused(refused)
 			d.prune(d.loop.view.Load())
 			continue
 		case <-ticker.C:
--- a/io/crmesh/fleet_test.go
+++ b/io/crmesh/fleet_test.go
@@ -122,12 +122,21 @@
 
 // publishTenants publishes a configuration with tenants in JSON.
 func (f *fleet) publishTenants(version int, tenants ...string) {
-	f.store.Put("op/config", fmt.Appendf(nil, `{"version":"%08x","services":[{"name":"s1"}],"limits":{},
+	f.publishAll(version, `{}`, tenants...)
+}
+
+// publishLimits publishes a configuration with limits in JSON.
+func (f *fleet) publishLimits(version int, limits string) {
+	f.publishAll(version, limits, `{"name":"t1","api-keys":["k1"]}`)
+}
+
+func (f *fleet) publishAll(version int, limits string, tenants ...string) {
+	f.store.Put("op/config", fmt.Appendf(nil, `{"version":"%08x","services":[{"name":"s1"}],"limits":%s,
 "tenants":[%s],
 "virtual-hosts":[{"host":"h.example","path-routes":[
 {"name":"look","path-prefix":"/look/","kind":"idempotent","timeout-ms":1500,"objective-latency-ms":1000,"priority":2,"service":"s1","max-attempts":2},
 {"name":"hold","path-prefix":"/hold/","kind":"non_idempotent","timeout-ms":1500,"objective-latency-ms":1000,"priority":1,"service":"s1","max-attempts":2}]}]}`,
-		version, strings.Join(tenants, ",")))
+		version, limits, strings.Join(tenants, ",")))
 }
 
 func (f *fleet) add(i int) *machine {
--- a/io/crmesh/meters.go
+++ b/io/crmesh/meters.go
@@ -113,6 +113,7 @@
 		"fleet.members":                          func() int64 { return int64(d.loop.view.Load().Confirmed) },
 		"fleet.reachable":                        func() int64 { return int64(d.loop.view.Load().Reachable) },
 		"plan.version":                           d.planVersion,
+		"heads.refused.total":                    func() int64 { return d.limits.refused().sum() },
 		"store.calls.total":                      d.feed.StoreCalls,
 		"feed.asked.total":                       d.feed.ReaderQueries,
 		"store.faults.total":                     d.follower.Failures,
--- a/io/crpipeline/loop.go
+++ b/io/crpipeline/loop.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"camphorroad/core/crhead"
 	"camphorroad/io/crserver"
 )
 
@@ -37,7 +38,7 @@
 	changed   *sync.Cond
 	unread    []byte
 	discarded int         // bytes read behind a response that closes the connection
-	refused   bool        // the unread bytes begin with a request for net/http
+	refused   bool        // the unread bytes begin with a request for net/http, or one whose head is over a limit
 	queue     []*exchange // in progress, in order
 	waiting   int         // bytes of the complete responses behind the first
 	largest   int         // bytes of the largest response
@@ -114,13 +115,19 @@
 			l.refused = len(l.unread) >= maxHead
 			return
 		}
+		account := l.conn.NewConcurrentHead()
+		if l.conn.AddHead(account, l.unread[:n]) != nil {
+			l.refused = true
+			return
+		}
 		r, ok := parse(l.unread[:n])
 		if !ok || !l.handler.concurrent(r) {
+			account.Release()
 			l.refused = true
 			return
 		}
 		l.unread = append(l.unread[:0], l.unread[n:]...)
-		l.start(r)
+		l.start(r, account)
 	}
 }
 
@@ -144,7 +151,7 @@
 }
 
 // start runs a request in a goroutine of its own. The caller holds mu.
-func (l *loop) start(r *http.Request) {
+func (l *loop) start(r *http.Request, account *crhead.Head) {
 	ctx, cancel := context.WithCancel(l.ctx)
 	r = r.WithContext(ctx)
 	r.RemoteAddr = l.remote
@@ -153,6 +160,7 @@
 	l.handler.meter.ObserveConcurrent()
 	go func() {
 		defer cancel()
+		defer account.Release()
 		defer l.complete(e)
 		defer func() {
 			if p := recover(); p != nil {
--- a/io/crserver/crserver.go
+++ b/io/crserver/crserver.go
@@ -1,5 +1,6 @@
 // Package crserver is the HTTP/1.1 server of the daemon of io/crmesh. While it stops, it never closes
-// a connection whose request it has begun to handle.
+// a connection whose request it has begun to handle. It bounds the memory of request heads, which net/http
+// bounds only for each connection, by a limit that cannot change.
 //
 // [http.Server] closes idle connections when it stops, or when keep-alive is disabled. It looks
 // at a connection's state and closes it in two steps. A request that is read between them is
@@ -10,7 +11,7 @@
 // # Usage
 //
 //	server := crserver.New(handler)
-//	go server.Serve(crserver.Guard(listener))
+//	go server.Serve(crserver.NewLimits(budget, headBytes).Guard(listener))
 //	server.SetKeepAlivesEnabled(false)
 //	err := server.Shutdown(ctx)
 package crserver
@@ -23,6 +24,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"camphorroad/core/crhead"
 )
 
 const (
@@ -37,9 +40,11 @@
 	IdleTimeout = 2 * time.Minute
 )
 
-// Guard returns a listener whose connections are not closed under a request. The server must be
-// one of [New].
-func Guard(l net.Listener) net.Listener { return listener{l} }
+// Guard returns a listener whose connections are not closed under a request, with default limits. The
+// server must be one of [New].
+func Guard(l net.Listener) net.Listener {
+	return NewLimits(crhead.NewBudget(defaultBudget), func() int { return DefaultHeadBytes }).Guard(l)
+}
 
 // New returns a server for a handler.
 func New(h http.Handler) *http.Server {
@@ -57,13 +62,16 @@
 	return c
 }
 
-type listener struct{ net.Listener }
+type listener struct {
+	net.Listener
+	limits *Limits
+}
 
 // Accept implements net.Listener.
 func (l listener) Accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
 	if tcp, ok := c.(*net.TCPConn); ok {
-		return &Conn{TCPConn: tcp}, nil
+		return l.limits.newConn(tcp), nil
 	}
 	return c, err
 }
@@ -82,11 +90,14 @@
 type Conn struct {
 	*net.TCPConn
 
+	limits *Limits
+
 	rest  []byte // read from the socket, but not yet returned by Read
 	state headState
 
 	mu       sync.Mutex
-	busy     bool // a request is handled
+	head     *crhead.Head // of the request that is read or handled
+	busy     bool         // a request is handled
 	closed   bool
 	taken    bool // the handler has hijacked the connection
 	ahead    bool // the last Read returned one byte of a further request
@@ -105,6 +116,11 @@
 		return n, err
 	}
 	c.mu.Lock()
+	if err := c.count(p[:n]); err != nil {
+		c.refuse(err)
+		c.mu.Unlock()
+		return 0, &net.OpError{Op: "read", Net: "tcp", Err: err} // net/http responds to other errors
+	}
 	c.ahead = len(p) == 1
 	var notifiee Notifiee
 	if c.ahead {
@@ -169,7 +185,9 @@
 // Renew returns a connection for another [http.Server.Serve]. It reads the unread bytes first.
 // The old one must not be used any more.
 func (c *Conn) Renew(unread []byte) *Conn {
-	return &Conn{TCPConn: c.TCPConn, linger: true, rest: append(append([]byte(nil), unread...), c.rest...)}
+	renewed := c.limits.newConn(c.TCPConn)
+	renewed.linger, renewed.rest = true, append(append([]byte(nil), unread...), c.rest...)
+	return renewed
 }
 
 // HeadEnd returns the length of the request head with which p begins, or -1 if it is incomplete.
@@ -219,6 +237,7 @@
 		return nil
 	}
 	c.closed = true
+	c.head.Release()
 	if c.linger {
 		go Linger(c.TCPConn)
 		return nil
@@ -253,6 +272,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.busy = false
+	c.head.Release()
 }
 
 func (c *Conn) isTaken() bool {
--- a/io/crsite/crsite.go
+++ b/io/crsite/crsite.go
@@ -30,6 +30,7 @@
 	defaultWarmupRatio   = 1
 	defaultQuotaSeconds  = 5
 	defaultQuotaOverage  = 0.25
+	defaultHeadBytes     = 1 << 20
 )
 
 // Error reports an invalid settings file.
@@ -83,7 +84,8 @@
 
 // Limits are the resource limits of the machine.
 type Limits struct {
-	MemoryMB int `toml:"memory"` // memory of the machine
+	MemoryMB  int `toml:"memory"`    // memory of the machine
+	HeadBytes int `toml:"headbytes"` // bytes of a request head, where the configuration has no limit
 }
 
 // Bounds are the limits that the operator guarantees to callers.
@@ -143,7 +145,7 @@
 
 // Parse decodes and validates settings. The name of the file is used in errors.
 func Parse(file string, data []byte) (Settings, error) {
-	s := Settings{Log: "info", Bounds: Bounds{DrainMillis: defaultDrainMillis, GraceSeconds: defaultGraceSeconds, Ratio: defaultRatio, WindowSeconds: defaultWindowSeconds, QuotaSeconds: defaultQuotaSeconds, QuotaOverage: defaultQuotaOverage, WarmupRatio: defaultWarmupRatio}}
+	s := Settings{Log: "info", Limits: Limits{HeadBytes: defaultHeadBytes}, Bounds: Bounds{DrainMillis: defaultDrainMillis, GraceSeconds: defaultGraceSeconds, Ratio: defaultRatio, WindowSeconds: defaultWindowSeconds, QuotaSeconds: defaultQuotaSeconds, QuotaOverage: defaultQuotaOverage, WarmupRatio: defaultWarmupRatio}}
 	dec := toml.NewDecoder(bytes.NewReader(data))
 	dec.DisallowUnknownFields()
 	if err := dec.Decode(&s); err != nil {
@@ -202,6 +204,9 @@
 	if s.Bounds.QuotaSeconds <= 0 || s.Bounds.QuotaOverage < 0 {
 		return errors.New("bounds: quotatime must be positive, quotaover not negative")
 	}
+	if s.Limits.MemoryMB < 0 || s.Limits.HeadBytes <= 0 {
+		return errors.New("limits: memory must not be negative, headbytes must be positive")
+	}
 	for domain, region := range s.Regions {
 		if region == "" {
 			return fmt.Errorf("regions.%s: missing", domain)
--- a/io/crsite/crsite_test.go
+++ b/io/crsite/crsite_test.go
@@ -45,6 +45,7 @@
 	g.Expect(s.Bounds.RetryWindow()).To(gomega.Equal(10 * time.Second))
 	g.Expect(s.Bounds.Ratio).To(gomega.Equal(0.2))
 	g.Expect(s.Bounds.WarmupRatio).To(gomega.Equal(1.0))
+	g.Expect(s.Limits.HeadBytes).To(gomega.Equal(1 << 20))
 	g.Expect(s.Regions).To(gomega.BeEmpty())
 }
 
@@ -57,6 +58,15 @@
 	g.Expect(s.Regions).To(gomega.Equal(crregion.Map{"tokyo-a": "tokyo"}))
 }
 
+func TestHeadLimitIsRead(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s, err := crsite.Parse("boot.toml", []byte(strings.Replace(validSettings, "memory = 284", "memory = 284\nheadbytes = 65536", 1)))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(s.Limits.HeadBytes).To(gomega.Equal(65536))
+	_, err = crsite.Parse("boot.toml", []byte(strings.Replace(validSettings, "memory = 284", "headbytes = 0", 1)))
+	g.Expect(err).To(gomega.MatchError(gomega.ContainSubstring("headbytes")))
+}
+
 func TestQuotaAndFirstStartAreRead(t *testing.T) {
 	g := gomega.NewWithT(t)
 	s, err := crsite.Parse("boot.toml", []byte(validSettings))
