io/crserver: The open connections of a listener are bounded

Callers saw: no answer, while clients that open connections and send nothing, or a part of a head, held all descriptors of a daemon.

Cause: nothing but the process's descriptors bounded the connections of a listener. Once they were used up, net/http accepted no more until time-outs had closed some (10 s for a head, two minutes for an idle connection), and the daemon could open none to its target and its peers.

Change: core/crconn holds the connections of a listener; when there are too many, it names the one that has waited longest for a request, which is closed for the new one. Where requests are handled on all, the new one is closed unread. A connection under a request is never closed, as before.

--- a/e2e/hostile_test.go
+++ b/e2e/hostile_test.go
@@ -111,6 +111,15 @@
 			hostileCaller{start: strings.Repeat(hostileGet, 200), repeat: "\r\n", bytes: hostileBytes}),
 		Entry("heads that trickle", hostileCaller{start: hostileLine, repeat: shortField, bytes: hostileHeadBytes, pause: 20 * time.Millisecond}),
 	)
+
+	// Guards against callers' connections that take all descriptors of the process.
+	DescribeTable("survives connections, more than its descriptors,", func(caller hostileCaller) {
+		survives(crstage.PortCaller, hostileIdle, caller)
+	},
+		Entry("that send nothing", hostileCaller{}),
+		Entry("that send a part of a head", hostileCaller{start: hostileLine}),
+		Entry("that are idle after a request", hostileCaller{start: hostileGet}),
+	)
 })
 
 // startJoined starts a daemon beside stand-ins of the platform, and ends it with the spec.
--- a/io/crlog/catalogue_mesh.go
+++ b/io/crlog/catalogue_mesh.go
@@ -43,6 +43,7 @@
 	RequestServed       = 643
 	OwnerUnresponsive   = 650
 	HeadsRefused        = 660
+	ConnectionsClosed   = 661
 )
 
 func meshEntries() []Entry {
@@ -203,5 +204,10 @@
 			"clients sent heads over the limit for one head, or large ones when others took all the memory for heads; the fields count them by listener since the last such event",
 			"the clients got 431, or 503 in the second case, and their connections were closed; nothing ran", "look for clients that do not keep to the limits",
 		},
+		{
+			ConnectionsClosed, LevelWarn, "connections closed for new ones",
+			"clients had more connections open than their listener allows; the fields count the closed ones by listener since the last such event",
+			"the connections that had waited longest for a request were closed, or new ones while requests were handled on all; no request was cut off", "look for clients that open connections and send nothing",
+		},
 	}
 }
--- a/io/crmesh/daemon.go
+++ b/io/crmesh/daemon.go
@@ -253,13 +253,13 @@
 	prune := time.NewTicker(pruneInterval)
 	defer prune.Stop()
 	ready := false
-	var refused refusals
+	var exceeded exceeded
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-prune.C:
-			refused = d.logRefused(refused)
+			exceeded = d.logExceeded(exceeded)
 			d.prune(d.loop.view.Load())
 			continue
 		case <-ticker.C:
--- a/io/crpipeline/loop.go
+++ b/io/crpipeline/loop.go
@@ -202,7 +202,7 @@
 // breakOff closes the connection without further responses. The caller holds mu.
 func (l *loop) breakOff() {
 	l.broken = true
-	_ = l.conn.TCPConn.Close()
+	l.conn.Abort()
 }
 
 // stop ends the reading of requests.
@@ -281,11 +281,11 @@
 	l.mu.Unlock()
 	switch {
 	case lost:
-		_ = l.conn.TCPConn.Close()
+		l.conn.Abort()
 	case closing:
-		crserver.Linger(l.conn.TCPConn)
+		l.conn.Linger()
 	case len(l.unread) == 0:
-		_ = l.conn.TCPConn.Close() // the caller has left, or the idle time-out has passed
+		l.conn.Abort() // the caller has left, or the idle time-out has passed
 	default:
 		_ = l.conn.SetReadDeadline(time.Time{})
 		l.returned.put(l.conn.Renew(l.unread))
--- a/io/crserver/crserver.go
+++ b/io/crserver/crserver.go
@@ -11,7 +11,7 @@
 // # Usage
 //
 //	server := crserver.New(handler)
-//	go server.Serve(crserver.NewLimits(budget, headBytes).Guard(listener))
+//	go server.Serve(crserver.NewLimits(maxConns, budget, headBytes).Guard(listener))
 //	server.SetKeepAlivesEnabled(false)
 //	err := server.Shutdown(ctx)
 package crserver
@@ -43,7 +43,7 @@
 // Guard returns a listener whose connections are not closed under a request, with default limits. The
 // server must be one of [New].
 func Guard(l net.Listener) net.Listener {
-	return NewLimits(crhead.NewBudget(defaultBudget), func() int { return DefaultHeadBytes }).Guard(l)
+	return NewLimits(defaultConns, crhead.NewBudget(defaultBudget), func() int { return DefaultHeadBytes }).Guard(l)
 }
 
 // New returns a server for a handler.
@@ -69,11 +69,16 @@
 
 // Accept implements net.Listener.
 func (l listener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if tcp, ok := c.(*net.TCPConn); ok {
-		return l.limits.newConn(tcp), nil
+	for {
+		c, err := l.Listener.Accept()
+		tcp, ok := c.(*net.TCPConn)
+		if !ok {
+			return c, err
+		}
+		if conn := l.limits.newConn(tcp); l.limits.admit(conn) {
+			return conn, nil
+		}
 	}
-	return c, err
 }
 
 // Notifiee is notified when a caller sends further bytes while its request is handled.
@@ -186,6 +191,10 @@
 // The old one must not be used any more.
 func (c *Conn) Renew(unread []byte) *Conn {
 	renewed := c.limits.newConn(c.TCPConn)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closed = true
+	c.limits.conns.Replace(c, renewed)
 	renewed.linger, renewed.rest = true, append(append([]byte(nil), unread...), c.rest...)
 	return renewed
 }
@@ -239,16 +248,17 @@
 	c.closed = true
 	c.head.Release()
 	if c.linger {
-		go Linger(c.TCPConn)
+		go c.Linger()
 		return nil
 	}
+	defer c.limits.conns.Remove(c)
 	return c.TCPConn.Close() //nolint:wrapcheck // as the embedded connection
 }
 
-// Linger closes a connection on which unread bytes may arrive. If they were not read, the
+// linger closes a connection on which unread bytes may arrive. If they were not read, the
 // kernel would answer them with a reset, by which the caller can lose responses that it has not read yet.
 // A caller that sends more than lingerBytes has lingerTime to read them.
-func Linger(c *net.TCPConn) {
+func linger(c *net.TCPConn) {
 	deadline := time.Now().Add(lingerTime)
 	_ = c.SetReadDeadline(deadline)
 	if c.CloseWrite() == nil {
@@ -264,7 +274,9 @@
 func (c *Conn) begin() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.busy = !c.closed
+	if c.busy = !c.closed; c.busy {
+		c.limits.conns.Busy(c)
+	}
 	return c.busy
 }
 
@@ -273,6 +285,7 @@
 	defer c.mu.Unlock()
 	c.busy = false
 	c.head.Release()
+	c.limits.conns.Wait(c)
 }
 
 func (c *Conn) isTaken() bool {
--- a/io/crserver/limits.go
+++ b/io/crserver/limits.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"camphorroad/core/crconn"
 	"camphorroad/core/crhead"
 )
 
@@ -18,6 +19,8 @@
 	headSlack = 4096
 	// defaultBudget is the memory in bytes for the heads of a listener of [Guard].
 	defaultBudget = 64 << 20
+	// defaultConns bounds the connections of a listener of [Guard].
+	defaultConns = 16 << 10
 	// retryAfterSeconds is the Retry-After of a head that is refused for want of memory.
 	retryAfterSeconds = 1
 )
@@ -26,13 +29,16 @@
 type Limits struct {
 	budget    *crhead.Budget
 	headBytes func() int
-	refused   atomic.Int64
+	conns     *crconn.Table[*Conn]
+	refused   atomic.Int64 // heads
+	closed    atomic.Int64 // connections
 }
 
-// NewLimits returns limits. headBytes returns the limit for the bytes of one head, which may change at any
+// NewLimits returns limits. maxConns bounds the open connections: for a new one, the connection that has waited longest for a
+// request is closed, or the new one if requests are handled on all. headBytes returns the limit for the bytes of one head, which may change at any
 // time; the budget bounds the memory of all heads. A head over the limit gets 431, one over the budget 503.
-func NewLimits(budget *crhead.Budget, headBytes func() int) *Limits {
-	return &Limits{budget: budget, headBytes: headBytes}
+func NewLimits(maxConns int, budget *crhead.Budget, headBytes func() int) *Limits {
+	return &Limits{conns: crconn.NewTable[*Conn](maxConns), budget: budget, headBytes: headBytes}
 }
 
 // Guard returns a listener whose connections are not closed under a request. The server must be one of [New].
@@ -41,6 +47,51 @@
 // Refused returns the number of heads that were refused.
 func (l *Limits) Refused() int64 { return l.refused.Load() }
 
+// Closed returns the number of connections that were closed because of maxConns.
+func (l *Limits) Closed() int64 { return l.closed.Load() }
+
+// admit reports whether a new connection may be served. It closes others for it.
+func (l *Limits) admit(c *Conn) bool {
+	for {
+		longest, result := l.conns.Add(c)
+		switch result {
+		case crconn.Added:
+			return true
+		case crconn.Full:
+			longest.evict()
+		case crconn.Refused:
+			l.closed.Add(1)
+			_ = c.TCPConn.Close() // nothing of it was read
+			return false
+		}
+	}
+}
+
+// evict closes a connection on which no request is handled.
+func (c *Conn) evict() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.busy {
+		return
+	}
+	c.limits.closed.Add(1)
+	c.closed = true
+	c.head.Release()
+	c.Abort()
+}
+
+// Abort closes the connection at once.
+func (c *Conn) Abort() {
+	_ = c.TCPConn.Close()
+	c.limits.conns.Remove(c)
+}
+
+// Linger closes the connection once the client has had time to read its responses.
+func (c *Conn) Linger() {
+	linger(c.TCPConn)
+	c.limits.conns.Remove(c)
+}
+
 func (l *Limits) newConn(c *net.TCPConn) *Conn {
 	return &Conn{TCPConn: c, limits: l, head: l.budget.NewHead()}
 }
--- a/io/crserver/limits_test.go
+++ b/io/crserver/limits_test.go
@@ -19,6 +19,7 @@
 
 const (
 	headLimit = 8 << 10
+	maxConns  = 50
 	// largeHead is more than the limit, and more than the part of it that is not counted exactly.
 	largeHead  = 64 << 10
 	headBudget = 256 << 10
@@ -32,18 +33,20 @@
 	limits    *crserver.Limits
 	address   string
 	bodyBytes atomic.Int64 // of all requests
+	bodies    atomic.Int64 // requests whose body is read
 }
 
 func serveLimited(t *testing.T) *limited {
 	t.Helper()
 	s := &limited{WithT: gomega.NewWithT(t), t: t}
 	s.headBytes.Store(headLimit)
-	s.limits = crserver.NewLimits(crhead.NewBudget(headBudget), func() int { return int(s.headBytes.Load()) })
+	s.limits = crserver.NewLimits(maxConns, crhead.NewBudget(headBudget), func() int { return int(s.headBytes.Load()) })
 	l, err := new(net.ListenConfig).Listen(t.Context(), "tcp4", "127.0.0.1:0")
 	s.Expect(err).NotTo(gomega.HaveOccurred())
 	s.address = l.Addr().String()
 	server := crserver.New(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
 		if r.URL.Path != "/unread" {
+			s.bodies.Add(1)
 			n, _ := io.Copy(io.Discard, r.Body)
 			s.bodyBytes.Add(n)
 		}
@@ -122,3 +125,21 @@
 	}, "5s").Should(gomega.Equal(http.StatusServiceUnavailable))
 	s.Expect(s.status(s.dial(), headOf(100))).To(gomega.Equal(http.StatusOK))
 }
+
+// Guards against clients that keep out others by connections without requests, and against requests that are cut off
+// for a new connection.
+func TestConnectionsWithoutRequestsMakeRoom(t *testing.T) {
+	s := serveLimited(t)
+	slow := s.dial()
+	_, err := io.WriteString(slow, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\n1")
+	s.Expect(err).NotTo(gomega.HaveOccurred())
+	s.Eventually(s.bodies.Load, "5s", "1ms").Should(gomega.Equal(int64(1)))
+	for range 2 * maxConns {
+		s.dial()
+	}
+	for range maxConns {
+		s.Expect(s.status(s.dial(), headOf(10))).To(gomega.Equal(http.StatusOK))
+	}
+	s.Expect(s.status(slow, "2")).To(gomega.Equal(http.StatusOK))
+	s.Expect(s.limits.Closed()).To(gomega.BeNumerically(">=", 2*maxConns+1))
+}
