--- a/e2e/hostile_test.go
+++ b/e2e/hostile_test.go
@@ -119,6 +119,8 @@
 		Entry("that send nothing", hostileCaller{}),
 		Entry("that send a part of a head", hostileCaller{start: hostileLine}),
 		Entry("that are idle after a request", hostileCaller{start: hostileGet}),
+		Entry("that send 200 requests ahead, then empty lines",
+			hostileCaller{start: strings.Repeat(hostileGet, 200), repeat: "\r\n", bytes: hostileHeadBytes}),
 	)
 })
 
