--- a/io/crpipeline/loop.go
+++ b/io/crpipeline/loop.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"camphorroad/core/crhead"
 	"camphorroad/io/crserver"
 )
 
@@ -33,19 +34,20 @@
 	remote   string
 	returned *returnListener
 
-	mu       sync.Mutex
-	changed  *sync.Cond
-	unread   []byte
-	refused  bool        // the unread bytes begin with a request for net/http
-	queue    []*exchange // in progress, in order
-	waiting  int         // bytes of the complete responses behind the first
-	largest  int         // bytes of the largest response
-	closing  bool        // no further request starts
-	left     bool        // the caller has closed the connection
-	broken   bool        // no further response can be written
-	idle     bool        // no request is in progress, and none starts
-	ended    bool        // the connection may belong to net/http again
-	panicked any         // value and stack of a handler's panic, or http.ErrAbortHandler
+	mu        sync.Mutex
+	changed   *sync.Cond
+	unread    []byte
+	discarded int         // bytes read behind a response that closes the connection
+	refused   bool        // the unread bytes begin with a request for net/http, or one whose head is over a limit
+	queue     []*exchange // in progress, in order
+	waiting   int         // bytes of the complete responses behind the first
+	largest   int         // bytes of the largest response
+	closing   bool        // no further request starts
+	left      bool        // the caller has closed the connection
+	broken    bool        // no further response can be written
+	idle      bool        // no request is in progress, and none starts
+	ended     bool        // the connection may belong to net/http again
+	panicked  any         // value and stack of a handler's panic, or http.ErrAbortHandler
 }
 
 func newLoop(h *Handler, c *crserver.Conn, r *http.Request, e *exchange) *loop {
@@ -70,7 +72,7 @@
 func (l *loop) waitForSpace() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for len(l.unread) >= maxHead && !l.idle && !l.broken {
+	for len(l.unread)+l.discarded >= maxHead && !l.idle && !l.broken {
 		l.changed.Wait()
 	}
 	return !l.idle || !l.closing && !l.hasHead()
@@ -97,6 +99,8 @@
 			_ = l.conn.SetReadDeadline(time.Now().Add(crserver.HeaderTimeout))
 		}
 		l.unread = append(l.unread, p...)
+	} else {
+		l.discarded += len(p)
 	}
 	_, _ = l.src.Discard(len(p))
 	l.advance()
@@ -111,13 +115,19 @@
 			l.refused = len(l.unread) >= maxHead
 			return
 		}
+		account := l.conn.NewConcurrentHead()
+		if l.conn.AddHead(account, l.unread[:n]) != nil {
+			l.refused = true
+			return
+		}
 		r, ok := parse(l.unread[:n])
 		if !ok || !l.handler.concurrent(r) {
+			account.Release()
 			l.refused = true
 			return
 		}
 		l.unread = append(l.unread[:0], l.unread[n:]...)
-		l.start(r)
+		l.start(r, account)
 	}
 }
 
@@ -141,7 +151,7 @@
 }
 
 // start runs a request in a goroutine of its own. The caller holds mu.
-func (l *loop) start(r *http.Request) {
+func (l *loop) start(r *http.Request, account *crhead.Head) {
 	ctx, cancel := context.WithCancel(l.ctx)
 	r = r.WithContext(ctx)
 	r.RemoteAddr = l.remote
@@ -150,6 +160,7 @@
 	l.handler.meter.ObserveConcurrent()
 	go func() {
 		defer cancel()
+		defer account.Release()
 		defer l.complete(e)
 		defer func() {
 			if p := recover(); p != nil {
@@ -191,7 +202,7 @@
 // breakOff closes the connection without further responses. The caller holds mu.
 func (l *loop) breakOff() {
 	l.broken = true
-	_ = l.conn.TCPConn.Close()
+	l.conn.Abort()
 }
 
 // stop ends the reading of requests.
@@ -270,11 +281,11 @@
 	l.mu.Unlock()
 	switch {
 	case lost:
-		_ = l.conn.TCPConn.Close()
+		l.conn.Abort()
 	case closing:
-		crserver.Linger(l.conn.TCPConn)
+		l.conn.Linger()
 	case len(l.unread) == 0:
-		_ = l.conn.TCPConn.Close() // the caller has left, or the idle time-out has passed
+		l.conn.Abort() // the caller has left, or the idle time-out has passed
 	default:
 		_ = l.conn.SetReadDeadline(time.Time{})
 		l.returned.put(l.conn.Renew(l.unread))
--- a/io/crserver/crserver.go
+++ b/io/crserver/crserver.go
@@ -1,5 +1,6 @@
 // Package crserver is the HTTP/1.1 server of the daemon of io/crmesh. While it stops, it never closes
-// a connection whose request it has begun to handle.
+// a connection whose request it has begun to handle. It bounds the memory of request heads, which net/http
+// bounds only for each connection, by a limit that cannot change.
 //
 // [http.Server] closes idle connections when it stops, or when keep-alive is disabled. It looks
 // at a connection's state and closes it in two steps. A request that is read between them is
@@ -10,7 +11,7 @@
 // # Usage
 //
 //	server := crserver.New(handler)
-//	go server.Serve(crserver.Guard(listener))
+//	go server.Serve(crserver.NewLimits(maxConns, budget, headBytes).Guard(listener))
 //	server.SetKeepAlivesEnabled(false)
 //	err := server.Shutdown(ctx)
 package crserver
@@ -23,21 +24,27 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"camphorroad/core/crhead"
 )
 
 const (
 	// HeaderTimeout bounds the wait for the head of a request.
 	HeaderTimeout = 10 * time.Second
-	// lingerTime bounds the time in which a closed connection is read. net/http waits as long
+	// lingerTime bounds the time until a closed connection ends. net/http waits as long
 	// after a request that is too large.
 	lingerTime = 500 * time.Millisecond
+	// lingerBytes bounds the bytes that are read from a closed connection.
+	lingerBytes = 64 << 10
 	// IdleTimeout is how long a connection without a request is kept.
 	IdleTimeout = 2 * time.Minute
 )
 
-// Guard returns a listener whose connections are not closed under a request. The server must be
-// one of [New].
-func Guard(l net.Listener) net.Listener { return listener{l} }
+// Guard returns a listener whose connections are not closed under a request, with default limits. The
+// server must be one of [New].
+func Guard(l net.Listener) net.Listener {
+	return NewLimits(defaultConns, crhead.NewBudget(defaultBudget), func() int { return DefaultHeadBytes }).Guard(l)
+}
 
 // New returns a server for a handler.
 func New(h http.Handler) *http.Server {
@@ -55,15 +62,23 @@
 	return c
 }
 
-type listener struct{ net.Listener }
+type listener struct {
+	net.Listener
+	limits *Limits
+}
 
 // Accept implements net.Listener.
 func (l listener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if tcp, ok := c.(*net.TCPConn); ok {
-		return &Conn{TCPConn: tcp}, nil
+	for {
+		c, err := l.Listener.Accept()
+		tcp, ok := c.(*net.TCPConn)
+		if !ok {
+			return c, err
+		}
+		if conn := l.limits.newConn(tcp); l.limits.admit(conn) {
+			return conn, nil
+		}
 	}
-	return c, err
 }
 
 // Notifiee is notified when a caller sends further bytes while its request is handled.
@@ -80,11 +95,14 @@
 type Conn struct {
 	*net.TCPConn
 
+	limits *Limits
+
 	rest  []byte // read from the socket, but not yet returned by Read
 	state headState
 
 	mu       sync.Mutex
-	busy     bool // a request is handled
+	head     *crhead.Head // of the request that is read or handled
+	busy     bool         // a request is handled
 	closed   bool
 	taken    bool // the handler has hijacked the connection
 	ahead    bool // the last Read returned one byte of a further request
@@ -103,6 +121,11 @@
 		return n, err
 	}
 	c.mu.Lock()
+	if err := c.count(p[:n]); err != nil {
+		c.refuse(err)
+		c.mu.Unlock()
+		return 0, &net.OpError{Op: "read", Net: "tcp", Err: err} // net/http responds to other errors
+	}
 	c.ahead = len(p) == 1
 	var notifiee Notifiee
 	if c.ahead {
@@ -167,7 +190,13 @@
 // Renew returns a connection for another [http.Server.Serve]. It reads the unread bytes first.
 // The old one must not be used any more.
 func (c *Conn) Renew(unread []byte) *Conn {
-	return &Conn{TCPConn: c.TCPConn, linger: true, rest: append(append([]byte(nil), unread...), c.rest...)}
+	renewed := c.limits.newConn(c.TCPConn)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closed = true
+	c.limits.conns.Replace(c, renewed)
+	renewed.linger, renewed.rest = true, append(append([]byte(nil), unread...), c.rest...)
+	return renewed
 }
 
 // HeadEnd returns the length of the request head with which p begins, or -1 if it is incomplete.
@@ -217,19 +246,25 @@
 		return nil
 	}
 	c.closed = true
+	c.head.Release()
 	if c.linger {
-		go Linger(c.TCPConn)
+		go c.Linger()
 		return nil
 	}
+	defer c.limits.conns.Remove(c)
 	return c.TCPConn.Close() //nolint:wrapcheck // as the embedded connection
 }
 
-// Linger closes a connection on which unread bytes may arrive. If they were not read, the
+// linger closes a connection on which unread bytes may arrive. If they were not read, the
 // kernel would answer them with a reset, by which the caller can lose responses that it has not read yet.
-func Linger(c *net.TCPConn) {
-	_ = c.SetReadDeadline(time.Now().Add(lingerTime))
+// A caller that sends more than lingerBytes has lingerTime to read them.
+func linger(c *net.TCPConn) {
+	deadline := time.Now().Add(lingerTime)
+	_ = c.SetReadDeadline(deadline)
 	if c.CloseWrite() == nil {
-		_, _ = io.Copy(io.Discard, struct{ io.Reader }{c}) // ends at the deadline at the latest
+		if n, _ := io.CopyN(io.Discard, struct{ io.Reader }{c}, lingerBytes); n == lingerBytes {
+			time.Sleep(time.Until(deadline))
+		}
 	}
 	_ = c.Close()
 }
@@ -239,7 +274,9 @@
 func (c *Conn) begin() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.busy = !c.closed
+	if c.busy = !c.closed; c.busy {
+		c.limits.conns.Busy(c)
+	}
 	return c.busy
 }
 
@@ -247,6 +284,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.busy = false
+	c.head.Release()
+	c.limits.conns.Wait(c)
 }
 
 func (c *Conn) isTaken() bool {
