lab/crsoak: Targets can be cold, and a check finds those that are flooded

Cause: the soak of real processes could not see rule FAILBACK, since its targets were never cold. A check counts the requests in any second at each process of a target while it is cold. A connection that the fake target accepts while its process ends is closed. Left out of the count: arrivals at a target that became cold without a sign, until 1 s after its record, or after the end of a compaction or a fault of the store that overlaps this second.

--- a/command/lab/soak.go
+++ b/command/lab/soak.go
@@ -23,6 +23,7 @@
 	Machines int           `default:"6" help:"Daemons in each run."`
 	Jobs     int           `default:"1" help:"Concurrent runs."`
 	Mixed    bool          `help:"Add callers with pipelined requests, uploads and downloads."`
+	Cold     bool          `help:"Make targets cold after each start, and add faults that make them cold."`
 	Net      int           `default:"60" help:"Second byte of the loopback addresses of the first job."`
 	Keep     string        `placeholder:"DIR" help:"Keep the logs of runs that violated an invariant in DIR."`
 	Binary   string        `placeholder:"FILE" help:"Daemon executable; default camphorroad in the directory of this program."`
@@ -37,7 +38,8 @@
 EXAMPLES
   $ camphorlab soak --first 7
   $ camphorlab soak --seeds 50 --jobs 3 --keep soaks
-  $ camphorlab soak --mixed --seeds 20`
+  $ camphorlab soak --mixed --seeds 20
+  $ camphorlab soak --cold --seeds 20`
 }
 
 // Run runs all seeds.
@@ -93,7 +95,7 @@
 		return 0, err
 	}
 	report, err := crsoak.Run(ctx, crsoak.Options{
-		Binary: binary, Dir: dir, Seed: seed, Machines: o.Machines, Length: o.Length, Mixed: o.Mixed, Net: network,
+		Binary: binary, Dir: dir, Seed: seed, Machines: o.Machines, Length: o.Length, Mixed: o.Mixed, Cold: o.Cold, Net: network,
 	})
 	if err != nil {
 		return 0, err
--- a/lab/crsoak/check.go
+++ b/lab/crsoak/check.go
@@ -35,6 +35,8 @@
 	injections      []injection
 	drainStarts     []drainStart
 	limits          []namedLimit
+	arrivals        []crtarget.Arrival
+	unannounced     []unannounced
 	stops           []daemonStop
 	unexpectedExits []string
 	keys            *keyring
@@ -63,6 +65,7 @@
 	o.checkRetryBudget(v)
 	o.checkLimits(v)
 	o.checkLeaving(v)
+	o.checkCold(v)
 }
 
 func (o *observations) checkResponse(v *violations, c call) {
--- a/lab/crsoak/crsoak.go
+++ b/lab/crsoak/crsoak.go
@@ -46,6 +46,7 @@
 	Machines int           // number of daemons; zero means six
 	Length   time.Duration // duration of the faults; a period without faults follows
 	Mixed    bool          // callers with pipelined requests, uploads and downloads are added
+	Cold     bool          // targets are cold after each start, and faults that make them cold are added
 	Net      int           // second byte of the loopback addresses, 1 to 250; concurrent runs need different values
 }
 
@@ -66,6 +67,7 @@
 	statuses   map[int]int
 	served     map[Sort]int
 	notRead    int
+	peaks      map[bool]int // maximum numbers of requests to a target in a second; true: to a cold one
 	faults     []string
 }
 
@@ -95,6 +97,9 @@
 	if r.notRead > 0 {
 		text += fmt.Sprintf(", behind a closing response: %d", r.notRead)
 	}
+	if len(r.peaks) > 0 {
+		text += fmt.Sprintf(", highest second of a warm target: %d, of a cold one: %d", r.peaks[false], r.peaks[true])
+	}
 	return text + fmt.Sprintf(", violations: %d", len(r.violations))
 }
 
@@ -137,7 +142,7 @@
 		return nil, err
 	}
 	s.injector = &injector{limited: make(map[string]bool), fleet: s.fleet, keys: s.keys, version: 1}
-	if err := crstage.Publish(s.fleet.store, 1, accounts()); err != nil {
+	if err := crstage.Publish(s.fleet.store, 1, accounts(), s.opts.Cold); err != nil {
 		return nil, err
 	}
 	if err := s.waitReady(ctx); err != nil {
@@ -192,7 +197,11 @@
 	defer stopFaults()
 	monitorDone := s.stopOnViolation(faultsCtx, stopFaults)
 	rng := rand.New(rand.NewPCG(s.opts.Seed, 1))
-	s.injector.run(faultsCtx, schedule(rng, s.opts.Machines, s.opts.Length))
+	faults := schedule(rng, faultKinds(), s.opts.Machines, s.opts.Length)
+	if s.opts.Cold {
+		faults = addColdFaults(faults, s.opts)
+	}
+	s.injector.run(faultsCtx, faults)
 	stopFaults()
 	<-monitorDone
 	sleep(ctx, settleTime)
@@ -204,10 +213,14 @@
 }
 
 func (s *soak) callerInterval() time.Duration {
+	interval := callerInterval
+	if s.opts.Cold {
+		interval = coldCallerInterval
+	}
 	if s.injector.inBurst() {
-		return callerInterval / 4
+		return interval / 4
 	}
-	return callerInterval
+	return interval
 }
 
 // stopOnViolation checks the invariants periodically and calls stop at the first
@@ -233,14 +246,14 @@
 // runs, so that the runs of every call are included.
 func (s *soak) observe() *observations {
 	o := &observations{calls: s.calls.snapshot(), keys: s.keys, accounts: accounts(), machines: s.fleet.machines, recoveryStart: s.recoveryStart}
-	o.allRuns = s.fleet.allRuns()
+	o.allRuns, o.arrivals = s.fleet.allRuns(), s.fleet.allArrivals()
 	o.runsByRequest = make(map[string][]crtarget.Run, len(o.calls))
 	for _, r := range o.allRuns {
 		o.runsByRequest[r.ID] = append(o.runsByRequest[r.ID], r)
 	}
 	s.injector.mu.Lock()
 	o.injections, o.drainStarts, o.stops = slices.Clone(s.injector.injections), slices.Clone(s.injector.drainStarts), slices.Clone(s.injector.stops)
-	o.limits = slices.Clone(s.injector.limits)
+	o.limits, o.unannounced = slices.Clone(s.injector.limits), slices.Clone(s.injector.unannounced)
 	s.injector.mu.Unlock()
 	s.fleet.mu.Lock()
 	o.unexpectedExits = slices.Clone(s.fleet.unexpectedExits)
@@ -263,7 +276,7 @@
 		}
 		checkLogs(v, m.index, string(text))
 	}
-	r := &Report{seed: s.opts.Seed, violations: v.list, statuses: make(map[int]int), served: make(map[Sort]int)}
+	r := &Report{seed: s.opts.Seed, violations: v.list, statuses: make(map[int]int), served: make(map[Sort]int), peaks: o.peaks()}
 	for _, c := range o.calls {
 		r.statuses[c.status]++
 		if sort := c.sort(); sort != "" && c.status == http.StatusOK {
--- a/lab/crsoak/fault.go
+++ b/lab/crsoak/fault.go
@@ -51,9 +51,8 @@
 	}
 }
 
-// schedule draws the faults of a run. Faults may overlap.
-func schedule(r *rand.Rand, n int, length time.Duration) []fault {
-	all := faultKinds()
+// schedule draws the faults of a run from the given kinds. Faults may overlap.
+func schedule(r *rand.Rand, all map[string]int, n int, length time.Duration) []fault {
 	names := make([]string, 0, len(all))
 	for name := range all {
 		names = append(names, name)
@@ -81,6 +80,7 @@
 	limits      []namedLimit
 	limited     map[string]bool // IDs of the targets that name a limit now
 	stops       []daemonStop
+	unannounced []unannounced
 	errs        []error
 	version     int
 	burst       bool // callers send at a higher rate
@@ -189,6 +189,8 @@
 		return in.forEach(f.machines, func(m *machine) error { return in.replaceTarget(ctx, m, f) })
 	case "config", "withdraw":
 		return in.publishConfig(f)
+	case "restart", "close idle", "cool":
+		return in.forEach(f.machines, func(m *machine) error { return in.disturbTarget(ctx, m, f) })
 	case "burst":
 		in.setBurst(true)
 		sleep(ctx, f.duration)
@@ -395,7 +397,7 @@
 	if f.kind == "withdraw" {
 		accounts = in.keys.rotate(int(f.seed%uint64(len(accounts))), fmt.Sprintf("k-%d", in.version))
 	}
-	return crstage.Publish(in.fleet.store, in.version, accounts)
+	return crstage.Publish(in.fleet.store, in.version, accounts, in.fleet.cold)
 }
 
 func (in *injector) setBurst(on bool) {
--- a/lab/crsoak/fleet.go
+++ b/lab/crsoak/fleet.go
@@ -55,6 +55,7 @@
 	target       *crtarget.Target
 	targetID     string // changes at each start of a target
 	targetStarts int
+	born         int // of the target's process: the number of its start, or its time in Unix milliseconds if targets are cold
 }
 
 func (m *machine) service() string { return "s" + strconv.Itoa(m.index%services) }
@@ -76,10 +77,12 @@
 	dir             string
 	store           *crstore.Store
 	server          *http.Server
+	cold            bool // targets are cold after a start
 	machines        []*machine
 	datagrams       *datagramRelay
 	mu              sync.Mutex
 	pastRuns        []crtarget.Run // of closed targets
+	targets         []*crtarget.Target
 	closed          map[*crtarget.Target]bool
 	unexpectedExits []string // processes that exited without being stopped
 }
@@ -88,7 +91,7 @@
 	n := opts.Machines
 	f := &fleet{
 		ctx: ctx, addrs: addressPlan{opts.Net}, binary: opts.Binary, env: append(os.Environ(), opts.Env...), dir: opts.Dir,
-		store: crstore.New(), closed: make(map[*crtarget.Target]bool),
+		store: crstore.New(), cold: opts.Cold, closed: make(map[*crtarget.Target]bool),
 	}
 	if err := f.serveStore(); err != nil {
 		return nil, err
@@ -129,7 +132,7 @@
 		m.links[name] = r
 	}
 	f.machines = append(f.machines, m)
-	if err := m.writeSettings(n); err != nil {
+	if err := m.writeSettings(n, f.cold); err != nil {
 		return err
 	}
 	if err := f.startTarget(m); err != nil {
@@ -140,7 +143,7 @@
 }
 
 // writeSettings writes the daemon's settings file.
-func (m *machine) writeSettings(n int) error {
+func (m *machine) writeSettings(n int, cold bool) error {
 	advertised, _, err := net.SplitHostPort(m.addrs.advertisedAddr(m.index, 0))
 	if err != nil {
 		return err
@@ -153,6 +156,7 @@
 		Name: "m" + strconv.Itoa(m.index), Address: advertised, Listen: listen, Domain: m.domain(), Service: m.service(),
 		Target: m.addrs.advertisedAddr(m.index, crstage.PortTarget), Store: m.addrs.storeAddr(m.index, crstage.PortStore),
 		Seeds: [2]string{m.addrs.advertisedAddr((m.index+1)%n, crstage.PortControl), m.addrs.advertisedAddr((m.index+2)%n, crstage.PortControl)},
+		Cold:  cold,
 	}
 	return os.WriteFile(m.settingsFile(), []byte(cfg.TOML()), 0o600)
 }
@@ -170,9 +174,18 @@
 		return err
 	}
 	target.SetBehaviour(healthyBehaviour())
+	born := starts
+	if f.cold {
+		target.SetWarmup(crstage.WarmupTime, crstage.HealthPath)
+		target.MakeCold()
+		born = int(time.Now().UnixMilli())
+	}
 	m.mu.Lock()
-	m.targetStarts, m.target, m.targetID = starts, target, id
+	m.targetStarts, m.target, m.targetID, m.born = starts, target, id, born
 	m.mu.Unlock()
+	f.mu.Lock()
+	f.targets = append(f.targets, target)
+	f.mu.Unlock()
 	f.register(m, false)
 	return nil
 }
@@ -194,9 +207,10 @@
 
 // register writes the store record of a machine's target.
 func (f *fleet) register(m *machine, leaving bool) {
-	_, id := m.currentTarget()
+	target, id := m.currentTarget()
 	crstage.Register(f.store, id, crstage.Record{
-		Address: f.addrs.advertisedAddr(m.index, crstage.PortTarget), Born: m.targetStarts, Service: m.service(), Domain: m.domain(), Leaving: leaving,
+		Address: f.addrs.advertisedAddr(m.index, crstage.PortTarget), Born: m.born, Service: m.service(), Domain: m.domain(), Leaving: leaving,
+		Warmup: target.WarmupLeft(),
 	})
 }
 
--- a/lab/crsoak/mixed.go
+++ b/lab/crsoak/mixed.go
@@ -40,7 +40,7 @@
 }
 
 // linkFaults break connections between the daemons, or between a daemon and its target.
-var linkFaults = []string{"kill", "herd", "pause", "peer", "target link", "crash", "leave"}
+var linkFaults = []string{"kill", "herd", "pause", "peer", "target link", "crash", "leave", "restart", "close idle"}
 
 // maxBatch is the maximum number of pipelined requests in a batch.
 const maxBatch = 8
--- a/lab/crstage/crstage.go
+++ b/lab/crstage/crstage.go
@@ -47,6 +47,16 @@
 	Slots        = 4
 )
 
+// Warm-up of the targets, if they are cold after a start.
+const (
+	WarmupTime  = 3 * time.Second
+	WarmupRate  = 11.0 // requests a second that a cold target tolerates
+	WarmupRatio = 1.5
+	WarmupSlack = 8.0
+	WarmupLimit = WarmupRate*WarmupRatio + WarmupSlack // requests that a cold target may get in a second
+	HealthPath  = "/health"
+)
+
 // Settings is the content of a daemon's settings file.
 type Settings struct {
 	Name    string
@@ -57,6 +67,7 @@
 	Target  string    // address
 	Seeds   [2]string // control addresses of two peers
 	Store   string    // address
+	Cold    bool      // targets are cold after a start
 }
 
 // TOML returns the settings as the text of a settings file.
@@ -66,7 +77,7 @@
 		listen = s.Address
 	}
 	addr := func(port int) string { return fmt.Sprintf("%s:%d", listen, port) }
-	return fmt.Sprintf(`name = %q
+	text := fmt.Sprintf(`name = %q
 address = %q
 domain = %q
 service = %q
@@ -92,6 +103,10 @@
 `, s.Name, s.Address, s.Domain, s.Service, s.Target, s.Seeds[0], s.Seeds[1], addr(PortCaller), addr(PortReady), addr(PortControl),
 		addr(PortPages), listen, PortPeer, PortPeer+1, s.Store,
 		DrainTime.Milliseconds(), GraceTime.Seconds(), BudgetRatio, BudgetSlack, BudgetWindow.Seconds())
+	if s.Cold {
+		text += fmt.Sprintf("warmratio = %v\nwarmslack = %v\n", WarmupRatio, WarmupSlack)
+	}
+	return text
 }
 
 // Record is a target's record in the store.
@@ -101,6 +116,7 @@
 	Service string
 	Domain  string
 	Leaving bool
+	Warmup  time.Duration // for which the target stays cold
 }
 
 // Register writes a target's record.
@@ -110,7 +126,7 @@
 		state = "draining"
 	}
 	s.Put("servers/"+id, fmt.Appendf(nil, `{"address":%q,"born":%d,"information":{"service":%q,"version":"v1","zone":%q,"slots":%d},
-"status":{"state":%q,"sequence":1,"warmup-remaining-ms":0}}`, r.Address, r.Born, r.Service, r.Domain, Slots, state))
+"status":{"state":%q,"sequence":1,"warmup-remaining-ms":%d}}`, r.Address, r.Born, r.Service, r.Domain, Slots, state, r.Warmup.Milliseconds()))
 }
 
 // Deregister removes a target's record.
@@ -125,13 +141,17 @@
 }
 
 // Publish writes a configuration with idempotent and non-idempotent routes, an upload
-// route and a download route to the services s0 and s1.
-func Publish(s *crstore.Store, version int, accounts []Account) error {
+// route and a download route to the services s0 and s1. With cold, their targets are cold after a start.
+func Publish(s *crstore.Store, version int, accounts []Account, cold bool) error {
 	encoded, err := json.Marshal(accounts)
 	if err != nil {
 		return fmt.Errorf("encode the accounts: %w", err)
 	}
-	s.Put("op/config", fmt.Appendf(nil, `{"version":"%08x","services":[{"name":"s0"},{"name":"s1"}],"limits":{},"tenants":%s,
+	warmup := ""
+	if cold {
+		warmup = fmt.Sprintf(`,"health-check-path":%q,"warmup-s":%v,"warmup-per-s":%v`, HealthPath, WarmupTime.Seconds(), WarmupRate)
+	}
+	s.Put("op/config", fmt.Appendf(nil, `{"version":"%08x","services":[{"name":"s0"%s},{"name":"s1"%s}],"limits":{},"tenants":%s,
 "virtual-hosts":[{"host":"h.example","path-routes":[
 {"name":"look","path-prefix":"/look/","kind":"idempotent","timeout-ms":1500,"objective-latency-ms":800,"priority":2,"service":"s0","max-attempts":3},
 {"name":"hold","path-prefix":"/hold/","kind":"non_idempotent","timeout-ms":1500,"objective-latency-ms":800,"priority":1,"service":"s0","max-attempts":3},
@@ -139,7 +159,7 @@
 {"name":"pay","path-prefix":"/pay/","kind":"non_idempotent","timeout-ms":1500,"objective-latency-ms":800,"priority":0,"service":"s1","max-attempts":2},
 {"name":"put","path-prefix":"/put/","kind":"upload","timeout-ms":1500,"objective-latency-ms":800,"priority":2,"service":"s0","max-attempts":3},
 {"name":"get","path-prefix":"/get/","kind":"download","timeout-ms":1500,"objective-latency-ms":800,"priority":2,"service":"s1","max-attempts":2}]}]}`,
-		version, encoded))
+		version, warmup, warmup, encoded))
 	return nil
 }
 
@@ -189,7 +209,7 @@
 	}
 	s.server = &http.Server{Handler: s.store, ReadHeaderTimeout: time.Minute}
 	go func() { _ = s.server.Serve(l) }() // returns when the server is closed
-	if err := Publish(s.store, 1, []Account{{Name: "surveyor", Keys: []string{opts.Key}, Rate: 50, Burst: 100}}); err != nil {
+	if err := Publish(s.store, 1, []Account{{Name: "surveyor", Keys: []string{opts.Key}, Rate: 50, Burst: 100}}, false); err != nil {
 		return nil, errors.Join(err, s.Close())
 	}
 	for i := range opts.Machines {
--- a/lab/crtarget/cold.go
+++ b/lab/crtarget/cold.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 )
@@ -53,14 +54,37 @@
 	}
 }
 
+// Arrival is the arrival of a request, or of a health check, that the target did not answer with 421.
+type Arrival struct {
+	At      time.Time
+	Target  string // ID of the target
+	Process int    // number of the ends of the target's process before this one's start
+	Cold    bool   // the target was cold
+}
+
+// Arrivals returns the arrivals since SetWarmup, in order.
+func (t *Target) Arrivals() []Arrival {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return slices.Clone(t.arrivals)
+}
+
+// WarmupLeft returns for how long the target stays cold.
+func (t *Target) WarmupLeft() time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return max(time.Until(t.coldUntil), 0)
+}
+
 // ColdPeak returns the maximum number of requests that arrived within a second while the target was
 // cold, health checks among them. A request that the target answers with 421 does not count.
 func (t *Target) ColdPeak() int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	cold := slices.DeleteFunc(slices.Clone(t.arrivals), func(a Arrival) bool { return !a.Cold })
 	peak, first := 0, 0
-	for i, at := range t.coldArrivals {
-		for at.Sub(t.coldArrivals[first]) >= coldWindow {
+	for i, a := range cold {
+		for a.At.Sub(cold[first].At) >= coldWindow {
 			first++
 		}
 		peak = max(peak, i-first+1)
@@ -79,8 +103,8 @@
 func (t *Target) recordArrival() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if now := time.Now(); now.Before(t.coldUntil) {
-		t.coldArrivals = append(t.coldArrivals, now)
+	if now := time.Now(); t.warmup > 0 {
+		t.arrivals = append(t.arrivals, Arrival{At: now, Target: t.opts.ID, Process: t.ends, Cold: now.Before(t.coldUntil)})
 	}
 }
 
@@ -97,10 +121,7 @@
 
 // respondHealth responds to a health check.
 func (t *Target) respondHealth(conn net.Conn, id string) bool {
-	t.mu.Lock()
-	left := max(time.Until(t.coldUntil), 0)
-	t.mu.Unlock()
-	return t.writeResponse(conn, http.StatusOK, id, "Warmup-Milliseconds: "+strconv.FormatInt(left.Milliseconds(), 10)+"\r\n", "", false)
+	return t.writeResponse(conn, http.StatusOK, id, "Warmup-Milliseconds: "+strconv.FormatInt(t.WarmupLeft().Milliseconds(), 10)+"\r\n", "", false)
 }
 
 // setActive records whether a request is running on a connection.
--- a/lab/crtarget/crtarget.go
+++ b/lab/crtarget/crtarget.go
@@ -117,7 +117,7 @@
 	healthPath   string
 	healthChecks int
 	coldUntil    time.Time
-	coldArrivals []time.Time
+	arrivals     []Arrival
 	wg           sync.WaitGroup
 }
 
@@ -277,8 +277,15 @@
 			return
 		}
 		t.mu.Lock()
-		t.conns[conn] = true
+		ended := t.listener != l
+		if !ended {
+			t.conns[conn] = true
+		}
 		t.mu.Unlock()
+		if ended {
+			_ = conn.Close() // the process that accepted it has ended
+			return
+		}
 		t.wg.Add(1)
 		go t.serve(conn)
 	}
