e2e: A soak of real processes with cold targets

Change: one seed of the soak with cold targets; it also expects that warm targets got more than a cold one may get, so that the run has checked something.

--- a/e2e/soak_test.go
+++ b/e2e/soak_test.go
@@ -12,6 +12,7 @@
 
 	"camphorroad/lab/crfleet"
 	"camphorroad/lab/crsoak"
+	"camphorroad/lab/crstage"
 )
 
 // soakLength is short so that CI stays short; `camphorlab soak` runs longer and with new
@@ -84,4 +85,18 @@
 			Expect(report.Served(sort)).NotTo(BeZero(), string(sort))
 		}
 	})
+
+	// Guards against cold targets that are flooded after restarts between requests, or by daemons that start.
+	It("does not flood cold targets", func(ctx SpecContext) {
+		const seed, length = 7011, 10 * time.Second
+		binary, err := os.Executable()
+		Expect(err).NotTo(HaveOccurred())
+		report, err := crsoak.Run(ctx, crsoak.Options{
+			Binary: binary, Env: []string{crfleet.DaemonEnv()}, Dir: GinkgoT().TempDir(), Seed: seed, Length: length, Cold: true, Net: soakNet,
+		})
+		Expect(err).NotTo(HaveOccurred())
+		AddReportEntry(report.Summary(), strings.Join(report.Faults(), "\n"))
+		Expect(report.Violations()).To(BeEmpty())
+		Expect(float64(report.Peak(false))).To(BeNumerically(">", crstage.WarmupLimit), "requests to a warm target in a second")
+	})
 })
--- a/lab/crsoak/crsoak.go
+++ b/lab/crsoak/crsoak.go
@@ -84,6 +84,10 @@
 // in which it is zero has checked nothing of that sort.
 func (r *Report) Served(s Sort) int { return r.served[s] }
 
+// Peak returns the maximum number of requests to a cold target in a second, or to a warm one. It is
+// zero without [Options].Cold.
+func (r *Report) Peak(cold bool) int { return r.peaks[cold] }
+
 // Summary returns the numbers of faults, of responses by status, and of violations in
 // one line. Status 0 counts the requests without a complete response.
 func (r *Report) Summary() string {
