--- a/io/crmesh/limits_test.go
+++ b/io/crmesh/limits_test.go
@@ -8,8 +8,7 @@
 	"github.com/onsi/gomega"
 )
 
-// Guards against heads that are read without regard to the plan in force, and against a limit that only changes
-// with a restart.
+// Guards against a limit for heads that does not follow the plan.
 func TestHeadsAreBoundedByThePlan(t *testing.T) {
 	const limit, tooLarge = 8 << 10, 64 << 10
 	g := gomega.NewWithT(t)
--- a/io/crserver/limits_test.go
+++ b/io/crserver/limits_test.go
@@ -112,8 +112,7 @@
 	s.Expect(s.bodyBytes.Load()).To(gomega.Equal(int64(2 * largeHead)))
 }
 
-// Guards against a refusal that says less than that the request has not run, when the memory for heads is used up,
-// and against ordinary requests that are refused then.
+// Guards against ordinary requests that are refused, and large ones that are not told so, when large heads take the budget.
 func TestHeadOverTheBudgetIsRefusedAsNotRun(t *testing.T) {
 	s := serveLimited(t)
 	s.headBytes.Store(largeHead)
@@ -128,8 +127,7 @@
 	s.Expect(s.status(s.dial(), headOf(100))).To(gomega.Equal(http.StatusOK))
 }
 
-// Guards against clients that keep out others by connections without requests, and against requests that are cut off
-// for a new connection.
+// Guards against connections without requests that keep out others, or for which a request is cut off.
 func TestConnectionsWithoutRequestsMakeRoom(t *testing.T) {
 	s := serveLimited(t)
 	slow := s.dial()
