core/crwarmup: A daemon that starts checks its target before it is wanted

Cause: the check that opens a warm target was due only once a request had been delayed, and at the next turn of the housekeeping. Change: while a daemon counts what the one before it may have sent, a check is due at once, when the target is opened, and again after the usual interval if it is not answered. Cost: a check for each start of a daemon.

--- a/core/crwarmup/crwarmup.go
+++ b/core/crwarmup/crwarmup.go
@@ -15,7 +15,7 @@
 // known any more.
 //
 // A daemon that starts does not know what the process before it sent in the last second. Until
-// that has passed it sends only a check, and the limit holds for all its processes together.
+// that has passed it sends only checks, at once, and the limit holds for all its processes together.
 //
 // # Usage
 //
@@ -143,7 +143,6 @@
 	lastCheck    crid.Instant
 	daemonStart  crid.Instant
 	heldUntil    crid.Instant // until then an earlier process of this daemon may have used the limit
-	held         bool         // a request was delayed by that
 	reserved     int
 	nextPaced    crid.Instant // when the next request is due at an even pace
 	sent         []request    // the last ones, oldest first
@@ -265,9 +264,7 @@
 	if !l.Cold(now) {
 		return 0
 	}
-	held := max(l.heldUntil.Sub(now), 0)
-	l.held = l.held || held > 0
-	return max(l.limitedWait(now, ahead), held)
+	return max(l.limitedWait(now, ahead), l.heldUntil.Sub(now))
 }
 
 // limitedWait returns the time for which the requests of this process delay a request that has the
@@ -356,8 +353,8 @@
 	used := len(l.recent(now)) + l.reserved
 	delays := float64(used) >= checkPressure*float64(l.params.Limit) || l.limitedWait(now, 0) > 0
 	if now < l.heldUntil {
-		// One check of each process does not exceed what the target may get.
-		delays = l.held && l.lastCheck == 0 && l.params.Spare >= maxStarts
+		// The checks of successive processes do not exceed what the target may get.
+		delays = l.params.Spare >= maxStarts
 	}
 	if !delays || len(l.recent(now)) >= l.params.Limit && !l.sparesCheck(now) {
 		return false
--- a/io/crmesh/loop.go
+++ b/io/crmesh/loop.go
@@ -103,7 +103,7 @@
 	return func(eff crevent.Effect) {
 		switch eff := eff.(type) {
 		case crmesh.PublishView:
-			d.applyView(eff.View)
+			d.applyView(ctx, eff.View)
 		case crmesh.SendHeartbeats:
 			d.channel.SendHeartbeat(eff.To, d.heartbeat(eff))
 		case crmesh.UpdateTarget:
@@ -168,7 +168,7 @@
 }
 
 // applyView puts a view into force for request handling.
-func (d *daemon) applyView(v *crmesh.View) {
+func (d *daemon) applyView(ctx context.Context, v *crmesh.View) {
 	before := d.loop.view.Swap(v)
 	d.entry.SetView(v)
 	d.exit.SetEvacuated(v.OwnEvacuated)
@@ -181,6 +181,9 @@
 	if !sameRecord(before, v) {
 		d.exit.SetTarget(v.OwnRecord)
 	}
+	if v.Plan != before.Plan || !sameRecord(before, v) {
+		d.exit.Tick(ctx) // a target that has just been opened is checked before it is wanted
+	}
 	d.logView(before, v)
 }
 
