core/crwarmup: While a start's check is pending, requests wait for it

Callers saw: beside daemons that start, requests that a warm target could have taken in a tenth of a second were refused, since the estimate of their wait was a whole second. Change: the estimate is the time of a check while one is due or pending. What may be sent is unchanged. The models of starts pass.

--- a/core/crwarmup/crwarmup.go
+++ b/core/crwarmup/crwarmup.go
@@ -51,6 +51,8 @@
 	maxSilence = time.Second
 	// checkInterval is the minimum time between two health checks.
 	checkInterval = 500 * time.Millisecond
+	// checkTime is the time in which a target with a free slot answers a check.
+	checkTime = 100 * time.Millisecond
 	// checkPressure is the share of the limit from which on a check is due.
 	checkPressure = 0.5
 	// burst is the number of requests that may be sent at once. The others are paced, so
@@ -264,7 +266,24 @@
 	if !l.Cold(now) {
 		return 0
 	}
-	return max(l.limitedWait(now, ahead), l.heldUntil.Sub(now))
+	return max(l.limitedWait(now, ahead), l.heldWait(now))
+}
+
+// heldWait returns the time for which earlier processes of this daemon are expected to delay a request.
+// It is short while a check is due or pending, which opens a warm target.
+func (l *Limiter) heldWait(now crid.Instant) time.Duration {
+	held := max(l.heldUntil.Sub(now), 0)
+	if l.params.Spare < maxStarts {
+		return held
+	}
+	answered := now.Add(checkTime)
+	if l.lastCheck != 0 {
+		answered = l.lastCheck.Add(checkTime)
+	}
+	if now >= answered {
+		return held
+	}
+	return min(held, answered.Sub(now))
 }
 
 // limitedWait returns the time for which the requests of this process delay a request that has the
