--- a/io/crlog/catalogue_mesh.go
+++ b/io/crlog/catalogue_mesh.go
@@ -147,7 +147,7 @@
 		},
 		{
 			WarmupChecked, LevelInfo, "slow start checked",
-			"the target may have become cold, and requests would have been limited; `doubt` is the reason: `start` of this daemon, lost `contact`, `silence` of the target, or `reset` after another record or an evacuation",
+			"the target may have become cold, and requests would have been limited; `doubt` is the reason: `start` of this daemon, lost `contact`, `silence` of the target, `connections` that may lead to another process of it, or `reset` after another record or an evacuation",
 			"while the target is cold, for the time in the field `cold`, the requests that it gets in a second are limited", "if `response` is not empty, the response belongs to a request: look at the target",
 		},
 		{
